--- /dev/null
+++ b/src/_pistachiopond/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules; the public ones are in `pistachiopond`."""
--- /dev/null
+++ b/src/_pistachiopond/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/src/_pistachiopond/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon."""
--- /dev/null
+++ b/src/_pistachiopond/control/ports.py
@@ -0,0 +1,91 @@
+"""What the services of a control daemon offer each other."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from result import Result
+
+from _pistachiopond.platform.log import LogFailure, LogPage
+from _pistachiopond.schema.revision import Revision
+
+
+class Holding(NamedTuple):
+    """A shard that this daemon owns.
+
+    Attributes
+    ----------
+    shard : str
+        ``servers-3``, ``customers-0`` or ``floor-akl-a-0``.
+    epoch : int
+        The offset of the claim in the log; also the fencing number.
+    acquired_s : float
+        When the claim was read back, on this daemon's clock.
+    valid_until_s : float
+        When authority ends on this daemon's clock unless renewed; already
+        shortened by the bound on clock-rate error.
+    """
+
+    shard: str
+    epoch: int
+    acquired_s: float
+    valid_until_s: float
+
+
+class Ownership(NamedTuple):
+    """The service ``ownership``.
+
+    Attributes
+    ----------
+    holding : callable
+        ``holding(shard)`` gives this daemon's holding if it is valid now.
+    holder_address : callable
+        ``holder_address(shard)`` gives who owns it as far as the log tells.
+    """
+
+    holding: Callable[[str], Holding | None]
+    holder_address: Callable[[str], str | None]
+
+
+class Member(NamedTuple):
+    """A control daemon that is believed to be alive."""
+
+    address: str
+    data_centre: str
+    incarnation: str
+
+
+class Membership(NamedTuple):
+    """The service ``membership``."""
+
+    members: Callable[[], tuple[Member, ...]]
+
+
+class LogAccess(NamedTuple):
+    """The service ``log``: the platform's log with counters and back-off.
+
+    Attributes
+    ----------
+    append, read : callable
+        As in `platform.log.LogClient`.
+    """
+
+    append: Callable[[str, str], Awaitable[Result[int, LogFailure]]]
+    read: Callable[[str, int, int, float], Awaitable[Result[LogPage, LogFailure]]]
+
+
+class Configuration(NamedTuple):
+    """The service ``configuration``.
+
+    Attributes
+    ----------
+    revision : callable
+        The revision in force, or None before the first.
+    fresh_age_s : callable
+        Age of the proof that no newer record exists.
+    keys_closed : callable
+        Whether keyed routes must refuse because freshness is not proved.
+    """
+
+    revision: Callable[[], Revision | None]
+    fresh_age_s: Callable[[], float]
+    keys_closed: Callable[[], bool]
--- /dev/null
+++ b/src/_pistachiopond/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The caller-facing daemon."""
--- /dev/null
+++ b/src/_pistachiopond/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The micro-kernel: services, timers and clocks."""
--- /dev/null
+++ b/src/_pistachiopond/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/src/_pistachiopond/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Trace replay, load and reports."""
--- /dev/null
+++ b/src/_pistachiopond/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Typed data that processes and the log share."""
--- /dev/null
+++ b/src/_pistachiopond/schema/limits.py
@@ -0,0 +1,30 @@
+"""Where entry daemons draw the tokens of each customer."""
+
+from typing import NamedTuple
+
+
+class PoolSource(NamedTuple):
+    """A control daemon that grants tokens of one pool.
+
+    Attributes
+    ----------
+    pool : str
+        The pool's name; each customer's rate is split over disjoint pools.
+    address : str
+        The control daemon that holds the pool, ``IP:port``.
+    customers : tuple of str
+        Whose tokens it grants.
+    is_floor : bool
+        True for a floor pool, which carries on when no owner is reached.
+    """
+
+    pool: str
+    address: str
+    customers: tuple[str, ...]
+    is_floor: bool
+
+
+class LimitsView(NamedTuple):
+    """All pools that an entry daemon may draw from, the best first."""
+
+    sources: tuple[PoolSource, ...] = ()
--- /dev/null
+++ b/src/_pistachiopond/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, services and the platform, with faults."""
--- /dev/null
+++ b/src/_pistachiopond/transport/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC and TLS between the system's own processes."""
--- /dev/null
+++ b/src/pistachiopond/__init__.py
@@ -0,0 +1,1 @@
+"""The public face of pistachiopond."""
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, which mirror the modules."""
--- /dev/null
+++ b/testing/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Plugins of the test runner."""
--- /dev/null
+++ b/testing/schema/test_codec.py
@@ -0,0 +1,68 @@
+"""Tests of the JSON codec and the manifest's checks."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _pistachiopond.schema.codec import from_json, from_plain, to_json, to_plain
+from _pistachiopond.schema.manifest import Customer, Manifest, Model
+from _pistachiopond.schema.settings import EntrySettings
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+)
+
+
+def small_manifest() -> Manifest:
+    return Manifest(
+        replaces_revision=0,
+        deployment="test",
+        objective="worst_served_customer",
+        models=(Model("summary", "1", 100),),
+        backend_servers=(),
+        routes=(),
+        customers=(Customer("one", 10.0, 100.0),),
+    )
+
+
+class CodecTests(unittest.TestCase):
+    def test_a_manifest_survives_the_way_out_and_back(self) -> None:
+        manifest = small_manifest()
+        self.assertEqual(from_json(Manifest, to_json(manifest)).ok(), manifest)
+
+    def test_an_unknown_field_is_refused_with_its_path(self) -> None:
+        plain = to_plain(small_manifest())
+        plain["models"][0]["memroy_mb"] = 5
+        errors = from_plain(Manifest, plain).err()
+        self.assertIn("$.models[0].memroy_mb", errors[0])
+
+    def test_a_wrong_value_is_refused_with_its_path(self) -> None:
+        plain = to_plain(small_manifest())
+        plain["customers"][0]["rate_tokens_per_s"] = -1
+        errors = from_plain(Manifest, plain).err()
+        self.assertIn("$.customers[0].rate_tokens_per_s", errors[0])
+
+    def test_settings_need_an_address_by_number(self) -> None:
+        errors = from_plain(
+            EntrySettings,
+            {
+                "listen_address": "example.org:80",
+                "data_centre": "a",
+                "region": "r",
+                "control_addresses": ["127.0.0.1:1"],
+            },
+        ).err()
+        self.assertIn("$.listen_address", errors[0])
+
+    @given(JSON_VALUES)
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    def test_no_value_breaks_the_check(self, value: object) -> None:
+        result = from_plain(Manifest, value)
+        self.assertTrue(result.is_err())
+
+    @given(st.binary())
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    def test_no_text_breaks_the_decoder(self, text: bytes) -> None:
+        self.assertTrue(from_json(Manifest, text).is_err())
--- /dev/null
+++ b/tools/environment.sh
@@ -0,0 +1,15 @@
+# Sourced by the other scripts: makes the virtual environment once, with pinned
+# versions, and puts the source tree on the path.
+set -eu
+ROOT=$(CDPATH='' cd -- "$(dirname -- "$0")/.." && pwd)
+VENV=${POND_VENV:-$ROOT/.venv}
+if ! cmp -s "$ROOT/requirements.lock" "$VENV/installed.lock"; then
+    python3.11 -m venv "$VENV"
+    "$VENV/bin/pip" install --quiet --disable-pip-version-check \
+        -r "$ROOT/requirements.lock"
+    cp "$ROOT/requirements.lock" "$VENV/installed.lock"
+fi
+PATH="$VENV/bin:$PATH"
+PYTHONPATH="$ROOT/src:$ROOT"
+export PATH PYTHONPATH
+cd "$ROOT"
