--- /dev/null
+++ b/testing/transport/test_channels.py
@@ -0,0 +1,121 @@
+"""Tests of mutual TLS, certificate reload and call failures over loopback."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any, final
+
+import anyio
+import grpc.aio
+from result import Err, Ok, Result
+
+from _pistachiopond.schema.settings import TlsFiles
+from _pistachiopond.transport.channels import Channels, call
+from _pistachiopond.transport.generated import pond_pb2, pond_pb2_grpc
+from _pistachiopond.transport.server import bind_server, make_server
+from testing.transport.certificates import make_authority, write_files
+
+CALL_LIMIT_S = 10.0
+
+
+@final
+class _Status(pond_pb2_grpc.ControlServicer):
+    async def Status(self, request: Any, context: Any) -> pond_pb2.StatusReply:
+        return pond_pb2.StatusReply(status_json=b"{}")
+
+
+async def _start(tls: TlsFiles | None) -> tuple[grpc.aio.Server, str]:
+    server = make_server()
+    pond_pb2_grpc.add_ControlServicer_to_server(_Status(), server)
+    port = bind_server(server, "127.0.0.1:0", tls)
+    await server.start()
+    return server, f"127.0.0.1:{port}"
+
+
+async def _ask(channels: Channels, address: str) -> Result[Any, Any]:
+    stub = pond_pb2_grpc.ControlStub(channels.get(address))
+    return await call(stub.Status, pond_pb2.StatusRequest(), CALL_LIMIT_S)
+
+
+class MutualTlsTests(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def _folder(self, name: str) -> Path:
+        path = self.folder / name
+        path.mkdir(exist_ok=True)
+        return path
+
+    def test_a_caller_of_the_same_authority_is_served(self) -> None:
+        authority = make_authority("ours")
+        tls = write_files(authority, self._folder("a"), "a")
+
+        async def scenario() -> Result[Any, Any]:
+            server, address = await _start(tls)
+            channels = Channels(tls)
+            answer = await _ask(channels, address)
+            await channels.close()
+            await server.stop(None)
+            return answer
+
+        self.assertIsInstance(anyio.run(scenario), Ok)
+
+    def test_strangers_and_plain_callers_are_refused(self) -> None:
+        ours = write_files(make_authority("ours"), self._folder("a"), "a")
+        stranger = write_files(make_authority("other"), self._folder("b"), "b")
+        mixed = stranger._replace(authority_path=ours.authority_path)
+
+        async def scenario() -> list[Result[Any, Any]]:
+            server, address = await _start(ours)
+            answers = []
+            for tls in (stranger, mixed, None):
+                channels = Channels(tls)
+                answers.append(await _ask(channels, address))
+                await channels.close()
+            await server.stop(None)
+            return answers
+
+        for answer in anyio.run(scenario):
+            self.assertIsInstance(answer, Err)
+
+    def test_changed_files_take_effect_without_a_restart(self) -> None:
+        first, second = make_authority("first"), make_authority("second")
+        server_folder, client_folder = self._folder("s"), self._folder("c")
+        server_tls = write_files(first, server_folder, "s")
+        client_tls = write_files(first, client_folder, "c")
+
+        async def scenario() -> list[bool]:
+            server, address = await _start(server_tls)
+            seen = []
+            before = Channels(client_tls)
+            seen.append(isinstance(await _ask(before, address), Ok))
+            write_files(second, server_folder, "s")
+            write_files(second, client_folder, "c")
+            before._refresh_after_s = 0.0
+            seen.append(isinstance(await _ask(before, address), Ok))
+            write_files(first, client_folder, "c")
+            outdated = Channels(client_tls)
+            seen.append(isinstance(await _ask(outdated, address), Ok))
+            await before.close()
+            await outdated.close()
+            await server.stop(None)
+            return seen
+
+        self.assertEqual(anyio.run(scenario), [True, True, False])
+
+
+class CallTests(unittest.TestCase):
+    def test_a_refused_connection_did_not_reach(self) -> None:
+        async def scenario() -> Result[Any, Any]:
+            server, address = await _start(None)
+            await server.stop(None)
+            channels = Channels(None)
+            answer = await _ask(channels, address)
+            await channels.close()
+            return answer
+
+        answer = anyio.run(scenario)
+        self.assertIsInstance(answer, Err)
+        self.assertFalse(answer.unwrap_err().reached)
