--- a/testing/transport/test_channels.py
+++ b/testing/transport/test_channels.py
@@ -91,9 +91,11 @@
             seen = []
             before = Channels(client_tls)
             seen.append(isinstance(await _ask(before, address), Ok))
+            old_channel = before.get(address)
             write_files(second, server_folder, "s")
             write_files(second, client_folder, "c")
             before._refresh_after_s = 0.0
+            seen.append(before.get(address) is not old_channel)
             seen.append(isinstance(await _ask(before, address), Ok))
             write_files(first, client_folder, "c")
             outdated = Channels(client_tls)
@@ -103,7 +105,7 @@
             await server.stop(None)
             return seen
 
-        self.assertEqual(anyio.run(scenario), [True, True, False])
+        self.assertEqual(anyio.run(scenario), [True, True, True, False])
 
 
 class CallTests(unittest.TestCase):
