--- /dev/null
+++ b/src/_pistachiopond/entry/headers.py
@@ -0,0 +1,284 @@
+"""Checks a request's headers and target, and takes the key out of them.
+
+The key is found where callers may put it (``Authorization: Bearer``,
+``X-Api-Key``, ``Api-Key``, some query parameters) and removed everywhere, also
+from headers and parameters that merely repeat it.
+"""
+
+import hashlib
+from typing import Final, NamedTuple
+from urllib.parse import parse_qsl, unquote, urlencode
+
+from result import Err, Ok, Result
+
+from _pistachiopond.entry.problems import bad_request
+from _pistachiopond.schema.verdict import Failure
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+SINGLE_HEADERS: Final = frozenset(
+    {
+        b"authorization",
+        b"x-api-key",
+        b"api-key",
+        b"content-length",
+        b"content-type",
+        b"host",
+        b"idempotency-key",
+        b"traceparent",
+        b"transfer-encoding",
+    }
+)
+KEY_HEADERS: Final = frozenset(
+    {b"authorization", b"proxy-authorization", b"x-api-key", b"api-key", b"cookie"}
+)
+KEY_PARAMETERS: Final = frozenset(
+    {"api_key", "apikey", "api-key", "key", "access_token", "token"}
+)
+HOP_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"host",
+        b"content-length",
+    }
+)
+OWN_HEADERS: Final = frozenset(
+    {
+        b"x-request-id",
+        b"x-resume-offset",
+        b"x-resumed",
+        b"x-verdict",
+        b"x-leaving",
+        b"idempotency-key",
+        b"traceparent",
+        b"tracestate",
+        b"baggage",
+    }
+)
+MAX_IDEMPOTENCY_KEY_BYTES: Final = 256
+
+
+class CheckedTarget(NamedTuple):
+    """What is known of a request before its body is read.
+
+    Attributes
+    ----------
+    path : str
+        Decoded, for matching routes.
+    raw_path : str
+        As sent, to be sent on.
+    query : str
+        Without keys.
+    key : str or None
+        The caller's key; must not leave the process.
+    headers : list of tuple
+        To send on to a plain service: no key, nothing for this hop only.
+    idempotency_key : str or None
+        As the caller gave it.
+    traceparent : str or None
+        The caller's span.
+    content_length : int or None
+        The length that the caller announced.
+    """
+
+    path: str
+    raw_path: str
+    query: str
+    key: str | None
+    headers: RawHeaders
+    idempotency_key: str | None
+    traceparent: str | None
+    content_length: int | None
+
+
+def digest_key(key: str) -> str:
+    """Return the SHA-256 of a key in hexadecimal, as manifests list it."""
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+def check_target(
+    raw_path: bytes, raw_query: bytes, raw_headers: RawHeaders
+) -> Result[CheckedTarget, Failure]:
+    """Check the request line and headers, and take the key out.
+
+    Parameters
+    ----------
+    raw_path, raw_query : bytes
+        As they came.
+    raw_headers : list of tuple
+        Names in lower case.
+
+    Returns
+    -------
+    Result
+        The parts, or a refusal that says what to change.
+    """
+    duplicate = _find_duplicate(raw_headers)
+    if duplicate is not None:
+        return Err(
+            bad_request(
+                "duplicated_header",
+                f"The header {duplicate} came more than once; send it once.",
+            )
+        )
+    path = _check_path(raw_path)
+    if path.is_err():
+        return path
+    query = _split_query(raw_query)
+    single = {name: value for name, value in raw_headers if name in SINGLE_HEADERS}
+    keys = _find_keys(single, query)
+    if len(keys) > 1:
+        return Err(
+            bad_request(
+                "several_keys", "Different keys came in one request; send just one."
+            )
+        )
+    key = next(iter(keys), None)
+    if key is not None and key in path.ok():
+        return Err(
+            bad_request("key_in_path", "The path holds the key; send it as a header.")
+        )
+    return _assemble(raw_path, path.ok(), query, key, single, raw_headers)
+
+
+def _assemble(
+    raw_path: bytes,
+    path: str,
+    query: list[tuple[str, str]],
+    key: str | None,
+    single: dict[bytes, bytes],
+    raw_headers: RawHeaders,
+) -> Result[CheckedTarget, Failure]:
+    idempotency_key = _text(single.get(b"idempotency-key"))
+    if idempotency_key is not None and not _is_usable(idempotency_key, key):
+        return Err(
+            bad_request(
+                "bad_idempotency_key",
+                "Idempotency-Key must be 1 to 256 printable characters "
+                "and not hold the caller's key.",
+            )
+        )
+    return Ok(
+        CheckedTarget(
+            path=path,
+            raw_path=raw_path.decode("ascii"),
+            query=_clean_query(query, key),
+            key=key,
+            headers=_clean_headers(raw_headers, key),
+            idempotency_key=idempotency_key,
+            traceparent=_text(single.get(b"traceparent")),
+            content_length=_length(single.get(b"content-length")),
+        )
+    )
+
+
+def _find_duplicate(raw_headers: RawHeaders) -> str | None:
+    seen: set[bytes] = set()
+    for name, _ in raw_headers:
+        if name in SINGLE_HEADERS and name in seen:
+            return name.decode("ascii")
+        seen.add(name)
+    return None
+
+
+def _check_path(raw_path: bytes) -> Result[str, Failure]:
+    try:
+        path = unquote(raw_path.decode("ascii"), errors="strict")
+    except UnicodeDecodeError:
+        return Err(bad_request("bad_path", "The path is not valid UTF-8; encode it."))
+    segments = path.split("/")
+    lowered = raw_path.lower()
+    hidden = b"%2f" in lowered or b"%5c" in lowered or "\\" in path
+    dots = "." in segments or ".." in segments
+    control = any(ord(letter) < 0x20 or ord(letter) == 0x7F for letter in path)
+    if hidden or dots or control or "//" in path or not path.startswith("/"):
+        return Err(
+            bad_request(
+                "bad_path",
+                "The path must be absolute, with no dot or empty segments, "
+                "backslashes, encoded slashes or control characters.",
+            )
+        )
+    return Ok(path)
+
+
+def _split_query(raw_query: bytes) -> list[tuple[str, str]]:
+    return parse_qsl(
+        raw_query.decode("latin-1"), keep_blank_values=True, errors="surrogateescape"
+    )
+
+
+def _find_keys(
+    single: dict[bytes, bytes], query: list[tuple[str, str]]
+) -> dict[str, None]:
+    found: dict[str, None] = {}
+    scheme, _, token = (_text(single.get(b"authorization")) or "").partition(" ")
+    if scheme.lower() == "bearer" and token.strip():
+        found[token.strip()] = None
+    for name in (b"x-api-key", b"api-key"):
+        value = (_text(single.get(name)) or "").strip()
+        if value:
+            found[value] = None
+    for name, value in query:
+        if name.lower() in KEY_PARAMETERS and value:
+            found[value] = None
+    return found
+
+
+def _clean_query(query: list[tuple[str, str]], key: str | None) -> str:
+    kept = [
+        (name, value)
+        for name, value in query
+        if name.lower() not in KEY_PARAMETERS
+        and (key is None or (key not in value and key not in name))
+    ]
+    return urlencode(kept, errors="surrogateescape")
+
+
+def _clean_headers(raw_headers: RawHeaders, key: str | None) -> RawHeaders:
+    named = _listed_in_connection(raw_headers)
+    secret = None if key is None else key.encode("utf-8", "surrogateescape")
+    return [
+        (name, value)
+        for name, value in raw_headers
+        if name not in HOP_HEADERS
+        and name not in KEY_HEADERS
+        and name not in OWN_HEADERS
+        and name not in named
+        and (secret is None or (secret not in value and secret not in unquoted(value)))
+    ]
+
+
+def unquoted(value: bytes) -> bytes:
+    """Return a header's value with percent escapes resolved."""
+    return unquote(value.decode("latin-1"), encoding="latin-1").encode("latin-1")
+
+
+def _listed_in_connection(raw_headers: RawHeaders) -> set[bytes]:
+    listed: set[bytes] = set()
+    for name, value in raw_headers:
+        if name == b"connection":
+            listed.update(item.strip().lower() for item in value.split(b","))
+    return listed
+
+
+def _is_usable(idempotency_key: str, key: str | None) -> bool:
+    if not 0 < len(idempotency_key) <= MAX_IDEMPOTENCY_KEY_BYTES:
+        return False
+    return idempotency_key.isprintable() and (key is None or key not in idempotency_key)
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("utf-8", "surrogateescape")
+
+
+def _length(value: bytes | None) -> int | None:
+    return int(value) if value is not None and value.isdigit() else None
--- /dev/null
+++ b/src/_pistachiopond/entry/index.py
@@ -0,0 +1,145 @@
+"""Lookups in the configuration in force, built once for each revision."""
+
+import hmac
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from _pistachiopond.schema.manifest import (
+    Customer,
+    Manifest,
+    Model,
+    Route,
+    Urgency,
+    UrgencyRule,
+)
+from _pistachiopond.schema.revision import Revision
+
+
+class NamedModel(NamedTuple):
+    """What a name in a request's ``model`` field stands for.
+
+    Attributes
+    ----------
+    model : str
+        The base model.
+    adapter : str or None
+        The adapter on it, if the name is an adapter's.
+    """
+
+    model: str
+    adapter: str | None
+
+
+class ManifestIndex(NamedTuple):
+    """The parts of a revision that each request needs.
+
+    Attributes
+    ----------
+    revision : int
+        Its number.
+    customers_by_digest : mapping
+        Keys that are in force, by their SHA-256 in hexadecimal.
+    models : mapping
+        Models and adapters by name.
+    routes : tuple of Route
+        The longest prefix first.
+    rules : tuple of UrgencyRule
+        In the manifest's order.
+    """
+
+    revision: int
+    customers_by_digest: Mapping[str, Customer]
+    models: Mapping[str, NamedModel]
+    routes: tuple[Route, ...]
+    rules: tuple[UrgencyRule, ...]
+
+
+def make_index(revision: Revision) -> ManifestIndex:
+    """Return the lookups of a revision."""
+    manifest = revision.manifest
+    routes = sorted(manifest.routes, key=lambda route: -len(route.path_prefix))
+    return ManifestIndex(
+        revision=revision.number,
+        customers_by_digest=_keys_in_force(manifest, revision.withdrawn_digests),
+        models=_named_models(manifest.models),
+        routes=tuple(routes),
+        rules=manifest.urgency_rules,
+    )
+
+
+def find_customer(index: ManifestIndex, digest: str) -> Customer | None:
+    """Return the customer that a key's digest belongs to.
+
+    The lookup is by digest, so its duration says nothing about the key.
+    """
+    customer = index.customers_by_digest.get(digest)
+    if customer is None:
+        return None
+    is_listed = any(
+        hmac.compare_digest(listed, digest) for listed in customer.key_digests
+    )
+    return customer if is_listed else None
+
+
+def find_route(index: ManifestIndex, path: str) -> Route | None:
+    """Return the route with the longest prefix that ends at a segment of `path`."""
+    for route in index.routes:
+        if has_prefix(path, route.path_prefix):
+            return route
+    return None
+
+
+def has_prefix(path: str, prefix: str) -> bool:
+    """Return whether `prefix` covers whole segments of `path`.
+
+    ``/pub`` covers ``/pub`` and ``/pub/x`` but not ``/public``, so that an open
+    route opens no more than it names.
+    """
+    if not path.startswith(prefix):
+        return False
+    if prefix.endswith("/") or len(path) == len(prefix):
+        return True
+    return path[len(prefix)] == "/"
+
+
+def decide_urgency(
+    index: ManifestIndex, route: Route, customer: str, model: str | None, path: str
+) -> Urgency:
+    """Return the urgency of a request: the first matching rule, else the route's."""
+    for rule in index.rules:
+        if _matches(rule, customer, model, path):
+            return rule.urgency
+    return route.urgency
+
+
+def _matches(rule: UrgencyRule, customer: str, model: str | None, path: str) -> bool:
+    if rule.customer is not None and rule.customer != customer:
+        return False
+    if rule.model is not None and rule.model != model:
+        return False
+    return rule.path_prefix is None or has_prefix(path, rule.path_prefix)
+
+
+def _keys_in_force(
+    manifest: Manifest, withdrawn: frozenset[str]
+) -> dict[str, Customer]:
+    found: dict[str, Customer] = {}
+    ambiguous: set[str] = set()
+    for customer in manifest.customers:
+        for digest in customer.key_digests:
+            if digest in found and found[digest].name != customer.name:
+                ambiguous.add(digest)
+            found[digest] = customer
+    # A key that two customers list can't say whose request it is.
+    refused = ambiguous | withdrawn
+    return {digest: item for digest, item in found.items() if digest not in refused}
+
+
+def _named_models(models: tuple[Model, ...]) -> dict[str, NamedModel]:
+    named: dict[str, NamedModel] = {}
+    for model in models:
+        for adapter in model.adapters:
+            named[adapter.name] = NamedModel(model.name, adapter.name)
+    for model in models:
+        named[model.name] = NamedModel(model.name, None)
+    return named
--- /dev/null
+++ b/src/_pistachiopond/entry/sse.py
@@ -0,0 +1,76 @@
+"""Splits a stream of server-sent events as its bytes come in."""
+
+from typing import Final, NamedTuple, final
+
+MAX_EVENT_BYTES: Final = 4 * 1024 * 1024
+
+
+class SseEvent(NamedTuple):
+    """One event.
+
+    Attributes
+    ----------
+    event_id : str
+        Empty when the event has none.
+    name : str
+        The event's type; empty when it has none.
+    data : str
+        The lines of its data, joined.
+    """
+
+    event_id: str
+    name: str
+    data: str
+
+
+class EventTooLargeError(ValueError):
+    """An event grew past the limit without an end."""
+
+
+@final
+class SseSplitter:
+    """Holds the bytes of the event that has not ended yet."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, chunk: bytes) -> list[SseEvent]:
+        """Return the events that `chunk` completes.
+
+        Raises
+        ------
+        EventTooLargeError
+            When an event is longer than `MAX_EVENT_BYTES`.
+        """
+        text = self._rest + chunk
+        if b"\r" in text:
+            text = _plain_newlines(text)
+        *whole, self._rest = text.split(b"\n\n")
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLargeError("a server-sent event is too large")
+        events = (_parse(block) for block in whole)
+        return [event for event in events if event is not None]
+
+
+def _plain_newlines(text: bytes) -> bytes:
+    # A carriage return at the very end may be half of a line end.
+    if text.endswith(b"\r"):
+        return text[:-1].replace(b"\r\n", b"\n").replace(b"\r", b"\n") + b"\r"
+    return text.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
+
+def _parse(block: bytes) -> SseEvent | None:
+    event_id, name = "", ""
+    data: list[str] = []
+    for line in block.decode("utf-8", "replace").split("\n"):
+        field, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if field == "data":
+            data.append(value)
+        elif field == "id":
+            event_id = value
+        elif field == "event":
+            name = value
+    if not data and not event_id and not name:
+        return None
+    return SseEvent(event_id, name, "\n".join(data))
--- /dev/null
+++ b/testing/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, metrics and tracing."""
