--- /dev/null
+++ b/src/_pistachiopond/entry/caller.py
@@ -0,0 +1,166 @@
+"""The caller's side of one request: reading its body, writing its answer."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, final
+
+import anyio
+from result import Err, Ok, Result
+
+from _pistachiopond.entry.headers import RawHeaders
+from _pistachiopond.entry.problems import (
+    bad_request,
+    problem_body,
+    problem_event,
+    problem_headers,
+)
+from _pistachiopond.kernel.timer import Timer
+from _pistachiopond.schema.verdict import Failure
+
+BODY_TIMEOUT_S: Final = 20.0
+EVENT_STREAM: Final = b"text/event-stream"
+
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+@final
+class CallerLink:
+    """One caller's request.
+
+    Attributes
+    ----------
+    has_started : bool
+        Whether the answer's head has been written.
+    is_event_stream : bool
+        Whether the answer is a stream of events.
+    writing_since_s : float or None
+        When the write that is under way began.
+    written_s : float or None
+        When the last write ended.
+    """
+
+    def __init__(
+        self,
+        receive: Receive,
+        send: Send,
+        timer: Timer,
+        request_id: str,
+        is_closing: Callable[[], bool],
+    ) -> None:
+        self._receive = receive
+        self._send = send
+        self._timer = timer
+        self._request_id = request_id
+        self._is_closing = is_closing
+        self.has_started = False
+        self.has_ended = False
+        self.is_event_stream = False
+        self.writing_since_s: float | None = None
+        self.written_s: float | None = None
+
+    async def read_body(
+        self, limit_bytes: int, announced_bytes: int | None
+    ) -> Result[bytes, Failure]:
+        """Read the whole body, unless it is too large or too slow.
+
+        Raises
+        ------
+        CallerGoneError
+            When the caller leaves first.
+        """
+        if announced_bytes is not None and announced_bytes > limit_bytes:
+            return Err(_too_large(limit_bytes))
+        parts: list[bytes] = []
+        size = 0
+        with anyio.move_on_after(BODY_TIMEOUT_S):
+            while True:
+                message = await self._receive()
+                if message["type"] == "http.disconnect":
+                    raise CallerGoneError
+                part = message.get("body", b"")
+                size += len(part)
+                if size > limit_bytes:
+                    return Err(_too_large(limit_bytes))
+                parts.append(part)
+                if not message.get("more_body", False):
+                    return Ok(b"".join(parts))
+        return Err(
+            bad_request(
+                "body_too_slow",
+                f"The body did not come within {BODY_TIMEOUT_S:g} s; send it faster.",
+                408,
+            )
+        )
+
+    async def wait_until_gone(self) -> None:
+        """Return when the caller has closed its connection."""
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                return
+
+    async def start(self, status: int, headers: RawHeaders) -> None:
+        """Write the answer's head."""
+        headers = [*headers, (b"x-request-id", self._request_id.encode())]
+        if self._is_closing():
+            headers.append((b"connection", b"close"))
+        self.has_started = True
+        self.is_event_stream = any(
+            name == b"content-type" and value.startswith(EVENT_STREAM)
+            for name, value in headers
+        )
+        await self._write(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Write a part of the answer's body; waits while the caller is slow."""
+        await self._write(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def end(self) -> None:
+        """Say that the answer is whole."""
+        self.has_ended = True
+        await self._write(
+            {"type": "http.response.body", "body": b"", "more_body": False}
+        )
+
+    async def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Write a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        if body:
+            await self.write(body)
+        await self.end()
+
+    async def fail(self, failure: Failure) -> None:
+        """Tell the caller of a failure, whatever has been written before.
+
+        Before the head it is an answer of its own, in a stream of events it is the
+        last event, and elsewhere the connection is aborted by not ending the answer.
+        """
+        if not self.has_started:
+            body = problem_body(failure)
+            await self.respond(failure.http_status, problem_headers(failure), body)
+        elif self.is_event_stream and not self.has_ended:
+            await self.write(problem_event(failure))
+            await self.end()
+
+    async def _write(self, message: dict[str, Any]) -> None:
+        self.writing_since_s = self._timer.now_s()
+        try:
+            await self._send(message)
+        finally:
+            self.writing_since_s = None
+        self.written_s = self._timer.now_s()
+
+
+def _too_large(limit_bytes: int) -> Failure:
+    return bad_request(
+        "body_too_large", f"The body is over {limit_bytes} bytes; send less.", 413
+    )
--- /dev/null
+++ b/src/_pistachiopond/entry/dispatch.py
@@ -0,0 +1,265 @@
+"""Runs the dispatcher's decisions: feeds it events and carries its actions out.
+
+One task owns the dispatcher. Everything that happens reaches it as an event
+through one stream, in the order in which it happened.
+"""
+
+import math
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, Protocol, final
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup, TaskStatus
+from opentelemetry.trace import Span, Tracer
+
+from _pistachiopond.decisions.dispatch_types import (
+    Action,
+    Arrived,
+    AttemptFailed,
+    AttemptFinished,
+    CallerLeft,
+    CancelAttempt,
+    Event,
+    ManifestChanged,
+    Refuse,
+    StartAttempt,
+    StopDispatching,
+    SuspectsReceived,
+    TellCrash,
+    Tick,
+    ViewReceived,
+)
+from _pistachiopond.entry.attempts import Attempt, AttemptResult, make_http_client
+from _pistachiopond.entry.engine_attempt import cancel_at_engine, run_engine_attempt
+from _pistachiopond.entry.exchange import DispatchPort, EngineCall, Exchange
+from _pistachiopond.entry.fleet import Fleet, FleetState
+from _pistachiopond.entry.observations import Observations
+from _pistachiopond.entry.service_attempt import run_service_attempt
+from _pistachiopond.kernel.service import Kernel, Service
+from _pistachiopond.kernel.timer import Timer, every
+from _pistachiopond.observe.logs import log_trouble
+from _pistachiopond.observe.tracing import start_span
+from _pistachiopond.schema.verdict import Verdict
+
+TICK_PERIOD_S: Final = 0.05
+MAX_CANCELS_IN_FLIGHT: Final = 32
+
+
+class Decider(Protocol):
+    """The part of the dispatcher that is used here."""
+
+    def handle(self, event: Event, now_s: float) -> list[Action]:
+        """Return what to do about an event."""
+        ...
+
+
+class DispatchParts(NamedTuple):
+    """What the dispatch service is made of."""
+
+    decider: Decider
+    timer: Timer
+    tracer: Tracer
+    observations: Observations
+
+
+@final
+class DispatchTask:
+    """The requests that are under way, by id, and their attempts."""
+
+    def __init__(
+        self, parts: DispatchParts, http: httpx.AsyncClient, group: TaskGroup
+    ) -> None:
+        self._parts = parts
+        self._http = http
+        self._group = group
+        self._exchanges: dict[str, Exchange] = {}
+        self._cancels_in_flight = 0
+        streams = anyio.create_memory_object_stream[Event](math.inf)
+        self._send, self._receive = streams
+
+    def notify(self, event: Event) -> None:
+        """Queue an event for the dispatcher."""
+        self._send.send_nowait(event)
+
+    def submit(self, exchange: Exchange) -> None:
+        """Start to work on a request."""
+        self._exchanges[exchange.facts.request_id] = exchange
+        exchange.queue_span = start_span(self._parts.tracer, "queue", exchange.span, {})
+        self.notify(Arrived(exchange.facts))
+
+    def leave(self, exchange: Exchange) -> None:
+        """Forget a request; stops whatever still works on it."""
+        self._exchanges.pop(exchange.facts.request_id, None)
+        _end_queue_span(exchange)
+        exchange.parts.close()
+        exchange.cancel_attempts()
+        if not exchange.is_whole:
+            self.notify(CallerLeft(exchange.facts.request_id))
+
+    async def run(self) -> None:
+        """Handle events until the task is cancelled."""
+        handlers: dict[type, Callable[[Any], None]] = {
+            StartAttempt: self._start,
+            CancelAttempt: self._cancel,
+            Refuse: self._refuse,
+            TellCrash: lambda action: self._parts.observations.crash(action.report),
+        }
+        async for event in self._receive:
+            self._note(event)
+            now_s = self._parts.timer.now_s()
+            for action in self._parts.decider.handle(event, now_s):
+                handlers[type(action)](action)
+
+    async def tick(self, now_s: float) -> None:
+        """Let the dispatcher look at its deadlines."""
+        self.notify(Tick())
+
+    def watch_fleet(self, state: FleetState, changed: frozenset[str]) -> None:
+        """Pass on what changed in the control daemon's view."""
+        if "revision" in changed and state.revision is not None:
+            self.notify(ManifestChanged(state.revision.manifest))
+        if "routing" in changed and state.routing is not None:
+            self.notify(ViewReceived(state.routing))
+        if "suspects" in changed:
+            self.notify(SuspectsReceived(state.suspects))
+
+    def count(self) -> int:
+        """Return how many requests are under way."""
+        return len(self._exchanges)
+
+    def count_attempts(self) -> int:
+        """Return how many attempts are under way."""
+        return sum(len(item.attempt_scopes) for item in self._exchanges.values())
+
+    def _note(self, event: Event) -> None:
+        if isinstance(event, (AttemptFinished, AttemptFailed)):
+            self._parts.observations.attempt_ended(event)
+
+    def _start(self, action: StartAttempt) -> None:
+        exchange = self._exchanges.get(action.request_id)
+        if exchange is None or exchange.is_over:
+            return
+        _end_queue_span(exchange)
+        exchange.was_dispatched = True
+        scope = anyio.CancelScope()
+        exchange.attempt_scopes[action.attempt] = scope
+        self._parts.observations.attempt_started(action)
+        self._group.start_soon(self._attempt, exchange, action, scope)
+
+    def _cancel(self, action: CancelAttempt) -> None:
+        exchange = self._exchanges.get(action.request_id)
+        if exchange is not None and action.attempt in exchange.attempt_scopes:
+            exchange.attempt_scopes[action.attempt].cancel()
+
+    def _refuse(self, action: Refuse) -> None:
+        exchange = self._exchanges.get(action.request_id)
+        if exchange is not None:
+            exchange.cancel_attempts()
+            exchange.fail(action.failure)
+
+    async def _attempt(
+        self, exchange: Exchange, action: StartAttempt, scope: anyio.CancelScope
+    ) -> None:
+        span = start_span(
+            self._parts.tracer,
+            "attempt",
+            exchange.span,
+            {"server": action.server, "attempt": action.attempt},
+        )
+        attempt = Attempt(
+            http=self._http,
+            timer=self._parts.timer,
+            start=action,
+            exchange=exchange,
+            notify=self.notify,
+            note_leaving=self._parts.observations.leaving,
+            span=span,
+        )
+        observations = self._parts.observations
+        result: AttemptResult | None = None
+        try:
+            with scope:
+                result = await _run_attempt(attempt)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            # The caller's task has gone; `leave` has told the dispatcher.
+            pass
+        except Exception as error:
+            # One answer that breaks our code must not end the daemon.
+            log_trouble("attempt failed inside", error=repr(error))
+            result = _unknown_fault(exchange, action)
+        finally:
+            exchange.attempt_scopes.pop(action.attempt, None)
+            span.set_attribute("outcome", _outcome_of(result))
+            span.end()
+        if result is None:
+            observations.attempt_cancelled(action.request_id, action.attempt)
+        else:
+            self.notify(result)
+        if not isinstance(result, AttemptFinished):
+            self._free_engine(attempt)
+
+    def _free_engine(self, attempt: Attempt) -> None:
+        is_engine = isinstance(attempt.exchange.call, EngineCall)
+        if not is_engine or self._cancels_in_flight >= MAX_CANCELS_IN_FLIGHT:
+            return
+        self._cancels_in_flight += 1
+        self._group.start_soon(self._cancel_at_engine, attempt)
+
+    async def _cancel_at_engine(self, attempt: Attempt) -> None:
+        try:
+            await cancel_at_engine(attempt)
+        finally:
+            self._cancels_in_flight -= 1
+
+
+async def _run_attempt(attempt: Attempt) -> AttemptResult:
+    call = attempt.exchange.call
+    if isinstance(call, EngineCall):
+        return await run_engine_attempt(attempt, call)
+    return await run_service_attempt(attempt, call)
+
+
+def _unknown_fault(exchange: Exchange, action: StartAttempt) -> AttemptFailed:
+    return AttemptFailed(
+        request_id=action.request_id,
+        attempt=action.attempt,
+        verdict=Verdict.MAY_HAVE_RUN,
+        kind="server_error",
+        server_retry_after_s=None,
+        output_began=exchange.output_began,
+    )
+
+
+def _outcome_of(result: AttemptResult | None) -> str:
+    if result is None:
+        return "cancelled"
+    if isinstance(result, AttemptFinished):
+        return "finished"
+    return f"{result.kind}, {result.verdict.value}"
+
+
+def _end_queue_span(exchange: Exchange) -> None:
+    span: Span | None = exchange.queue_span
+    if span is not None:
+        span.end()
+        exchange.queue_span = None
+
+
+def make_dispatch_service(parts: DispatchParts) -> Service:
+    """Return the service ``dispatch``, which needs ``fleet``."""
+
+    async def run(kernel: Kernel, task_status: TaskStatus[DispatchPort]) -> None:
+        fleet = kernel.find("fleet", Fleet)
+        async with make_http_client() as http, anyio.create_task_group() as group:
+            task = DispatchTask(parts, http, group)
+            parts.observations.watch_load(task.count, task.count_attempts)
+            fleet.subscribe(task.watch_fleet)
+            group.start_soon(task.run)
+            group.start_soon(every, parts.timer, TICK_PERIOD_S, task.tick)
+            task_status.started(DispatchPort(task.submit, task.leave))
+            await kernel.stop_event("dispatch").wait()
+            task.notify(StopDispatching())
+            group.cancel_scope.cancel()
+
+    return Service("dispatch", run)
--- /dev/null
+++ b/src/_pistachiopond/entry/exchange.py
@@ -0,0 +1,154 @@
+"""One admitted request on its way: what its caller's task and its attempts share.
+
+Attempts put the answer's parts into a bounded stream, so that a slow caller slows
+its own attempt down and holds no more than a few parts in memory.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple, final
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from opentelemetry.trace import Span
+
+from _pistachiopond.decisions.dispatch_types import RequestFacts
+from _pistachiopond.entry.answers import Usage
+from _pistachiopond.entry.completions import CompletionRequest
+from _pistachiopond.entry.headers import RawHeaders
+from _pistachiopond.schema.verdict import Failure
+
+PARTS_IN_FLIGHT: Final = 16
+
+
+class EngineCall(NamedTuple):
+    """A call to a model engine."""
+
+    path: str
+    request: CompletionRequest
+
+
+class ServiceCall(NamedTuple):
+    """A call to a plain service, without the caller's key.
+
+    Attributes
+    ----------
+    method, raw_path, query : str
+        The request line.
+    headers : list of tuple
+        To be sent on.
+    body : bytes
+        The whole body.
+    idempotent : bool
+        Whether it may be sent again although it may have run.
+    """
+
+    method: str
+    raw_path: str
+    query: str
+    headers: RawHeaders
+    body: bytes
+    idempotent: bool
+
+
+class Head(NamedTuple):
+    """The status and headers of the answer."""
+
+    status: int
+    headers: RawHeaders
+
+
+class Piece(NamedTuple):
+    """A part of the answer's body."""
+
+    data: bytes
+
+
+Part = Head | Piece
+
+
+@final
+class Exchange:
+    """The state of one request between its admission and its end.
+
+    Attributes
+    ----------
+    facts : RequestFacts
+        What the dispatcher decides by.
+    call : EngineCall or ServiceCall
+        What is sent to a backend server.
+    parts : MemoryObjectReceiveStream
+        The answer; it ends when the answer is whole or has failed.
+    failure : Failure or None
+        Why the answer ended early.
+    is_whole : bool
+        Whether the whole answer has come.
+    output_began : bool
+        Whether a part has been handed to the caller's task.
+    was_dispatched : bool
+        Whether an attempt has begun.
+    generated_tokens : int
+        Tokens that engines sent, over all attempts.
+    usage : Usage or None
+        As the engine counted it.
+    """
+
+    def __init__(
+        self, facts: RequestFacts, call: EngineCall | ServiceCall, span: Span
+    ) -> None:
+        self.facts = facts
+        self.call = call
+        self.span = span
+        self.queue_span: Span | None = None
+        self.failure: Failure | None = None
+        self.is_whole = False
+        self.output_began = False
+        self.was_dispatched = False
+        self.generated_tokens = 0
+        self.usage: Usage | None = None
+        self.attempt_scopes: dict[int, anyio.CancelScope] = {}
+        streams = anyio.create_memory_object_stream[Part](PARTS_IN_FLIGHT)
+        self._sender: MemoryObjectSendStream[Part] = streams[0]
+        self.parts: MemoryObjectReceiveStream[Part] = streams[1]
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more will come."""
+        return self.is_whole or self.failure is not None
+
+    async def put(self, part: Part) -> None:
+        """Hand a part to the caller's task; waits while the caller is slow."""
+        self.output_began = True
+        await self._sender.send(part)
+
+    def finish(self) -> None:
+        """Say that the whole answer has been put."""
+        if not self.is_over:
+            self.is_whole = True
+            self._sender.close()
+
+    def fail(self, failure: Failure) -> None:
+        """Say that no more of the answer will come, and why."""
+        if not self.is_over:
+            self.failure = failure
+            self._sender.close()
+
+    def cancel_attempts(self) -> None:
+        """Close the connections of all attempts."""
+        for scope in self.attempt_scopes.values():
+            scope.cancel()
+
+
+class DispatchPort(NamedTuple):
+    """The service ``dispatch``.
+
+    Attributes
+    ----------
+    submit : callable
+        ``submit(exchange)`` queues it; the answer comes through the exchange.
+    leave : callable
+        ``leave(exchange)`` says that the caller's task has done with it, in any
+        case and exactly once.
+    """
+
+    submit: Callable[[Exchange], None]
+    leave: Callable[[Exchange], None]
--- a/src/_pistachiopond/observe/logs.py
+++ b/src/_pistachiopond/observe/logs.py
@@ -9,6 +9,7 @@
 import time
 from typing import Any
 
+from absl import flags
 from absl import logging as absl_logging
 
 
@@ -31,6 +32,8 @@
 
 def set_up_logs(level: int = absl_logging.INFO) -> None:
     """Send all log records of the process to standard error as JSON lines."""
+    # The command line belongs to cyclopts; absl waits for its own flags otherwise.
+    flags.FLAGS.mark_as_parsed()
     handler = absl_logging.get_absl_handler()
     handler.setFormatter(JsonLines())
     absl_logging.use_absl_handler()
