--- /dev/null
+++ b/src/_pistachiopond/standin/program.py
@@ -0,0 +1,195 @@
+"""The program ``pond-standin``: one subcommand for each kind of stand-in."""
+
+import uuid
+from pathlib import Path
+from typing import Final
+
+import anyio
+import cyclopts
+
+from _pistachiopond.kernel.timer import RealTimer
+from _pistachiopond.standin.batcher import BatchTiming
+from _pistachiopond.standin.engine import EngineOptions, StandinEngine
+from _pistachiopond.standin.engine_control import EngineControl
+from _pistachiopond.standin.engine_requests import EngineRequests
+from _pistachiopond.standin.host import Part, serve_part
+from _pistachiopond.standin.ledger import Ledger
+from _pistachiopond.standin.log import LogOptions, StandinLog
+from _pistachiopond.standin.service import StandinService
+from _pistachiopond.standin.store import StandinStore, StoreOptions
+from _pistachiopond.standin.vms import StandinVms
+
+ANY_PORT: Final = "127.0.0.1:0"
+
+app = cyclopts.App(
+    name="pond-standin",
+    help="Stands in for engines, services and the platform, with faults.",
+)
+
+
+@app.command
+def log(
+    *,
+    listen: str = ANY_PORT,
+    retention_records: int | None = None,
+    retention_s: float | None = None,
+    appends_per_s: float = 400.0,
+) -> None:
+    """Serve an append-only log."""
+    timer = RealTimer()
+    options = LogOptions(retention_records, retention_s, appends_per_s)
+    part = Part("log", "log", StandinLog(options, timer).routes())
+    anyio.run(serve_part, part, listen, timer)
+
+
+@app.command
+def vms(*, listen: str = ANY_PORT, lag_s: float = 0.0) -> None:
+    """Serve a lagging list of VMs."""
+    timer = RealTimer()
+    part = Part("vms", "vms", StandinVms(lag_s, timer).routes())
+    anyio.run(serve_part, part, listen, timer)
+
+
+@app.command
+def store(
+    *,
+    listen: str = ANY_PORT,
+    loads_per_s: float = 2.0,
+    model_load_s: float = 0.5,
+    full_speed_loads: int = 2,
+    adapter_load_s: float = 0.01,
+    full_speed_adapter_loads: int = 16,
+) -> None:
+    """Serve a rate-limited weight store."""
+    timer = RealTimer()
+    options = StoreOptions(
+        loads_per_s,
+        model_load_s,
+        full_speed_loads,
+        adapter_load_s,
+        full_speed_adapter_loads,
+    )
+    part = Part("store", "store", StandinStore(options, timer).routes())
+    anyio.run(serve_part, part, listen, timer)
+
+
+@app.command
+def platform(
+    *,
+    listen: str = ANY_PORT,
+    retention_records: int | None = None,
+    retention_s: float | None = None,
+    appends_per_s: float = 400.0,
+    lag_s: float = 0.0,
+    loads_per_s: float = 2.0,
+    model_load_s: float = 0.5,
+    full_speed_loads: int = 2,
+    adapter_load_s: float = 0.01,
+    full_speed_adapter_loads: int = 16,
+) -> None:
+    """Serve the log, the list of VMs and the weight store on one port."""
+    timer = RealTimer()
+    log_options = LogOptions(retention_records, retention_s, appends_per_s)
+    store_options = StoreOptions(
+        loads_per_s,
+        model_load_s,
+        full_speed_loads,
+        adapter_load_s,
+        full_speed_adapter_loads,
+    )
+    routes = [
+        *StandinLog(log_options, timer).routes(),
+        *StandinVms(lag_s, timer).routes(),
+        *StandinStore(store_options, timer).routes(),
+    ]
+    anyio.run(serve_part, Part("platform", "platform", routes), listen, timer)
+
+
+@app.command
+def service(
+    *, name: str, listen: str = ANY_PORT, ledger_path: Path | None = None
+) -> None:
+    """Serve a plain service that records every execution."""
+    ledger = Ledger(ledger_path)
+    plain = StandinService(name, uuid.uuid4().hex, ledger)
+
+    def leave() -> None:
+        plain.leaving = True
+
+    def restart() -> None:
+        plain.incarnation = uuid.uuid4().hex
+
+    part = Part(
+        "service",
+        name,
+        plain.routes(),
+        ledger,
+        restart,
+        leave,
+        plain.refuse_new,
+        lambda: plain.leaving,
+    )
+    anyio.run(serve_part, part, listen, RealTimer())
+
+
+@app.command
+def engine(
+    *,
+    name: str,
+    listen: str = ANY_PORT,
+    memory_mb: int = 80_000,
+    store_url: str | None = None,
+    check_fencing: bool = True,
+    ignore_fencing: bool = False,
+    prefill_tokens_per_s: float = 8_000.0,
+    token_gap_s: float = 0.015,
+    batch_slowdown: float = 0.5,
+    max_batch: int = 32,
+    max_queue: int = 1_000,
+    load_lag_s: float = 0.5,
+    cache_blocks: int = 2_000,
+    cache_event_lag_s: float = 0.5,
+    cache_event_gap: float = 0.0,
+    resume_window_s: float = 10.0,
+    ledger_path: Path | None = None,
+) -> None:
+    """Serve a model engine."""
+    options = EngineOptions(
+        name,
+        memory_mb,
+        store_url,
+        check_fencing and not ignore_fencing,
+        load_lag_s,
+        cache_blocks,
+        cache_event_lag_s,
+        cache_event_gap,
+        resume_window_s,
+        ledger_path,
+    )
+    timing = BatchTiming(
+        prefill_tokens_per_s, token_gap_s, batch_slowdown, max_batch, max_queue
+    )
+    anyio.run(_run_engine, options, timing, listen)
+
+
+async def _run_engine(options: EngineOptions, timing: BatchTiming, listen: str) -> None:
+    timer = RealTimer()
+    running = StandinEngine(options, timing, timer)
+
+    def leave() -> None:
+        running.leaving = True
+
+    part = Part(
+        "engine",
+        options.name,
+        EngineControl(running).routes() + EngineRequests(running).routes(),
+        running.ledger,
+        running.restart,
+        leave,
+        running.refuse_new,
+        lambda: running.leaving,
+    )
+    async with anyio.create_task_group() as group:
+        await group.start(running.run)
+        await serve_part(part, listen, timer)
+        group.cancel_scope.cancel()
