Decide whether keyed routes close, from proofs of freshness

A daemon is fresh by its own read of the tail, or by a peer's proof whose age is added up along the way and whose records it has. Without a proof it closes, except when a peer in each data centre says that nobody reaches the log.

--- /dev/null
+++ b/src/_pistachiopond/decisions/freshness.py
@@ -0,0 +1,139 @@
+"""Whether a control daemon can tell that no newer configuration exists.
+
+A withdrawn key must stop everywhere within seconds, so a daemon that cannot tell
+closes the routes that need a key. The one exception is an outage of the log for
+all data centres, in which nothing can be withdrawn.
+"""
+
+from typing import Final, Literal, NamedTuple
+
+FRESH_LIMIT_S: Final = 5.0
+STATEMENT_LIMIT_S: Final = 5.0
+
+Reason = Literal["own_read", "peer", "outage_for_all", "behind_peer", "unproved"]
+
+
+class PeerStatement(NamedTuple):
+    """What a peer said about its configuration, with when it was heard.
+
+    Attributes
+    ----------
+    address, data_centre : str
+        Who said it and where that daemon stands.
+    fresh_age_s : float
+        Age of the peer's own proof at the moment it answered; infinite for none.
+    offset : int
+        The last offset of ``config`` that the peer has taken into account.
+    asked_s : float
+        When this daemon sent the request that the statement answers. Ages count
+        from then, so that a delayed answer is never taken for a newer one.
+    """
+
+    address: str
+    data_centre: str
+    fresh_age_s: float
+    offset: int
+    asked_s: float
+
+
+class FreshnessInputs(NamedTuple):
+    """Everything that the decision needs.
+
+    Attributes
+    ----------
+    tail_read_s : float or None
+        When this daemon sent its last read that showed the tail of ``config``
+        with nothing left to take into account; None for never.
+    offset : int
+        The last offset that this daemon has taken into account; -1 for none.
+    statements : tuple of PeerStatement
+        The newest of each peer.
+    live_data_centres : frozenset of str
+        Data centres with live VMs other than this one, as far as the list and
+        heartbeats tell. Empty where this VM is alone, which then stays closed.
+    """
+
+    tail_read_s: float | None
+    offset: int
+    statements: tuple[PeerStatement, ...]
+    live_data_centres: frozenset[str]
+
+
+class Freshness(NamedTuple):
+    """The decision.
+
+    Attributes
+    ----------
+    fresh_age_s : float
+        Age of the newest proof; infinite when there has been none.
+    keys_closed : bool
+        Whether routes that need a key must refuse.
+    reason : str
+        Why, for counters and status.
+    """
+
+    fresh_age_s: float
+    keys_closed: bool
+    reason: Reason
+
+
+def decide_freshness(inputs: FreshnessInputs, now_s: float) -> Freshness:
+    """Return how fresh the configuration is and whether keyed routes close.
+
+    Parameters
+    ----------
+    inputs : FreshnessInputs
+        Times are on this daemon's clock.
+    now_s : float
+        The present time on the same clock.
+    """
+    own_age_s = _own_age_s(inputs, now_s)
+    peer_age_s = _peer_age_s(inputs, now_s)
+    fresh_age_s = min(own_age_s, peer_age_s)
+    if own_age_s <= FRESH_LIMIT_S:
+        return Freshness(fresh_age_s, False, "own_read")
+    if peer_age_s <= FRESH_LIMIT_S:
+        return Freshness(fresh_age_s, False, "peer")
+    recent = _recent(inputs, now_s)
+    if any(statement.offset > inputs.offset for statement in recent):
+        return Freshness(fresh_age_s, True, "behind_peer")
+    if _is_outage_for_all(inputs, recent):
+        return Freshness(fresh_age_s, False, "outage_for_all")
+    return Freshness(fresh_age_s, True, "unproved")
+
+
+def _own_age_s(inputs: FreshnessInputs, now_s: float) -> float:
+    if inputs.tail_read_s is None:
+        return float("inf")
+    return now_s - inputs.tail_read_s
+
+
+def _peer_age_s(inputs: FreshnessInputs, now_s: float) -> float:
+    # A peer's proof covers this daemon only if it has every record the peer has.
+    ages_s = (
+        statement.fresh_age_s + now_s - statement.asked_s
+        for statement in inputs.statements
+        if statement.offset <= inputs.offset
+    )
+    return min(ages_s, default=float("inf"))
+
+
+def _recent(inputs: FreshnessInputs, now_s: float) -> tuple[PeerStatement, ...]:
+    return tuple(
+        statement
+        for statement in inputs.statements
+        if now_s - statement.asked_s <= STATEMENT_LIMIT_S
+    )
+
+
+def _is_outage_for_all(
+    inputs: FreshnessInputs, recent: tuple[PeerStatement, ...]
+) -> bool:
+    # Freshness passes from peer to peer, so one stale peer in a data centre
+    # speaks for those that it hears from; a fresh one anywhere rules this out.
+    if inputs.offset < 0 or not inputs.live_data_centres:
+        return False
+    if any(statement.fresh_age_s <= FRESH_LIMIT_S for statement in recent):
+        return False
+    heard = {statement.data_centre for statement in recent}
+    return inputs.live_data_centres <= heard
