--- a/src/_pistachiopond/entry/ports.py
+++ b/src/_pistachiopond/entry/ports.py
@@ -94,3 +94,19 @@
 
     claim: ClaimCall
     finish: FinishCall
+
+
+class Crashes(NamedTuple):
+    """The service ``crashes`` of an entry daemon.
+
+    Attributes
+    ----------
+    admit : callable
+        ``admit(fingerprint)`` before a request is handed to the dispatcher; passes
+        at once unless it is a suspect. A failure is always ``NOT_RUN``.
+    finished : callable
+        ``finished(fingerprint)`` once a request was answered whole.
+    """
+
+    admit: Callable[[str], Awaitable[Result[None, Failure]]]
+    finished: Callable[[str], None]
