--- /dev/null
+++ b/src/_pistachiopond/decisions/dispatch_servers.py
@@ -0,0 +1,220 @@
+"""What a dispatcher knows of the backend servers, and its choice among them."""
+
+import random
+from collections.abc import Sequence
+from typing import Final, final
+
+from _pistachiopond.decisions.dispatch_options import DispatchOptions
+from _pistachiopond.decisions.dispatch_types import AttemptFailed, RequestFacts
+from _pistachiopond.decisions.ejection import Ejector
+from _pistachiopond.decisions.load import SERVER_TOKENS_PER_S, ServerLoad
+from _pistachiopond.decisions.queueing import Target
+from _pistachiopond.decisions.routing import (
+    PREFILL_TOKENS_PER_S,
+    Place,
+    PrefixMap,
+    choose_server,
+    distance_s,
+    make_subset,
+    prefix_home,
+)
+from _pistachiopond.schema.manifest import Manifest
+from _pistachiopond.schema.routing import RoutingView, ServerView
+
+UNHEALTHY_COST_S: Final = 5.0
+DEFAULT_PAUSE_S: Final = 0.5
+UNKNOWN_PLACE: Final = Place("", "")
+
+
+@final
+class Servers:
+    """The backend servers as one dispatcher sees them."""
+
+    def __init__(self, options: DispatchOptions, rng: random.Random) -> None:
+        self._options = options
+        self._rng = rng
+        self._views: dict[str, ServerView] = {}
+        self._loads: dict[str, ServerLoad] = {}
+        self._places: dict[str, Place] = {}
+        self._ready: dict[Target, tuple[str, ...]] = {}
+        self._subsets: dict[Target, tuple[str, ...]] = {}
+        self._usual_tokens = 0.0
+        self._turn = 0
+        self._prefixes = PrefixMap()
+        self.suspects_running: dict[str, int] = {}
+        self.ejector = Ejector(is_enabled=options.ejection)
+        self.compared = 0
+
+    def url(self, server: str) -> str:
+        """Return the server's base address."""
+        return self._views[server].url
+
+    def load(self, server: str) -> ServerLoad:
+        """Return what is known of the server's load."""
+        if server not in self._loads:
+            is_adaptive = self._options.adaptive_windows
+            self._loads[server] = ServerLoad(is_adaptive=is_adaptive)
+        return self._loads[server]
+
+    def set_manifest(self, manifest: Manifest) -> None:
+        """Take the servers' places from the manifest."""
+        self._places = {
+            server.name: Place(server.data_centre, server.region)
+            for server in manifest.backend_servers
+        }
+        self._subsets.clear()
+
+    def set_view(self, view: RoutingView, now_s: float) -> None:
+        """Replace what is known of the servers."""
+        old = self._views
+        self._views = {server.name: server for server in view.servers}
+        for name, server in self._views.items():
+            self.load(name).reported(server.queued_tokens, server.report_age_s, now_s)
+            if self._options.prefix_affinity:
+                self._prefixes.learn(server.cached_prefixes, name)
+        if _standing(old) == _standing(self._views):
+            self._average_load()
+            return
+        self._ready.clear()
+        self._subsets.clear()
+        for name in [n for n in self._loads if n not in self._views]:
+            if self._loads[name].in_flight == 0:
+                del self._loads[name]
+        services: dict[str, set[str]] = {}
+        for server in self._views.values():
+            services.setdefault(server.service, set()).add(server.name)
+        self.ejector.set_servers(
+            {service: frozenset(names) for service, names in services.items()}
+        )
+        self._average_load()
+
+    def ready(self, target: Target) -> tuple[str, ...]:
+        """Return the servers that hold what the target needs, by name."""
+        known = self._ready.get(target)
+        if known is None:
+            known = tuple(
+                sorted(
+                    name for name, view in self._views.items() if _serves(view, target)
+                )
+            )
+            self._ready[target] = known
+        return known
+
+    def choose(
+        self, facts: RequestFacts, target: Target, tried: Sequence[str], now_s: float
+    ) -> str | None:
+        """Return the server for the request, or None when none has room now."""
+        ready = self.ready(target)
+        usable = [s for s in ready if not self.ejector.is_ejected(s, now_s)]
+        fresh = [s for s in usable if s not in tried] or usable
+
+        def has_room(server: str) -> bool:
+            self.compared += 1
+            if target.is_suspect and self.suspects_running.get(server, 0):
+                return False
+            load = self.load(server)
+            if self.ejector.is_probing(server) and load.in_flight:
+                return False
+            return load.has_room(now_s)
+
+        if self._options.routing != "cost":
+            return self._baseline(fresh, now_s)
+        cached = self._cached(facts)
+        home = self._home(facts, fresh)
+        favoured = [s for s in fresh if s in cached or s == home]
+
+        def cost_s(server: str) -> float:
+            return self._cost_s(server, cached.get(server, 0), now_s)
+
+        subset = self._subset(target, ready)
+        nearby = [s for s in subset if s in fresh]
+        return choose_server(nearby, fresh, favoured, cost_s, has_room, self._rng)
+
+    def started(
+        self, server: str, facts: RequestFacts, cost_tokens: float, now_s: float
+    ) -> None:
+        """Note an attempt that starts on the server."""
+        self.load(server).started(facts.request_id, cost_tokens, now_s)
+        if self._options.prefix_affinity:
+            self._prefixes.learn(facts.prefix_ids, server)
+
+    def failed(self, server: str, event: AttemptFailed, now_s: float) -> None:
+        """Take the failure of an attempt into account."""
+        load = self.load(server)
+        if event.kind == "refused":
+            load.overloaded(event.server_retry_after_s or DEFAULT_PAUSE_S, now_s)
+        if event.kind in ("connect", "reset", "silent"):
+            self._prefixes.forget_server(server)
+        if self.ejector.failed(server, event.kind, now_s):
+            load.restart()
+
+    def _baseline(self, servers: list[str], now_s: float) -> str | None:
+        if not servers:
+            return None
+        if self._options.routing == "round_robin":
+            self._turn += 1
+            return servers[self._turn % len(servers)]
+        return min(servers, key=lambda s: (self._cost_s(s, 0, now_s), s))
+
+    def _cached(self, facts: RequestFacts) -> dict[str, int]:
+        if not self._options.prefix_affinity:
+            return {}
+        return self._prefixes.cached_tokens(facts.prefix_ids)
+
+    def _home(self, facts: RequestFacts, servers: Sequence[str]) -> str | None:
+        if not self._options.prefix_affinity:
+            return None
+        return prefix_home(facts.prefix_ids, servers)
+
+    def _cost_s(self, server: str, cached_tokens: int, now_s: float) -> float:
+        load = self.load(server)
+        usual = self._usual_tokens
+        foreign = load.last_foreign_tokens()
+        if self._options.aged_reports:
+            foreign = load.foreign_tokens(now_s, usual)
+        cost = (foreign + load.own_tokens()) / SERVER_TOKENS_PER_S
+        cost -= cached_tokens / PREFILL_TOKENS_PER_S
+        if self._options.local_first:
+            place = self._places.get(server, UNKNOWN_PLACE)
+            cost += distance_s(self._options.place, place)
+        if self.ejector.has_points(server):
+            cost += UNHEALTHY_COST_S
+        return cost
+
+    def _subset(self, target: Target, ready: Sequence[str]) -> tuple[str, ...]:
+        if not self._options.bounded_subset:
+            return tuple(ready)
+        known = self._subsets.get(target)
+        if known is None:
+            known = make_subset(
+                self._options.daemon,
+                ready,
+                self._options.place,
+                lambda server: self._places.get(server, UNKNOWN_PLACE),
+            )
+            self._subsets[target] = known
+        return known
+
+    def _average_load(self) -> None:
+        loads = [self.load(name).last_foreign_tokens() for name in self._views]
+        self._usual_tokens = sum(loads) / len(loads) if loads else 0.0
+
+
+def _standing(views: dict[str, ServerView]) -> dict[str, object]:
+    return {
+        name: (view.availability, view.residents, view.service, view.url)
+        for name, view in views.items()
+    }
+
+
+def _serves(view: ServerView, target: Target) -> bool:
+    if view.availability != "serving" or view.service != target.service:
+        return False
+    if target.model is None:
+        return True
+    return any(
+        resident.model == target.model
+        and resident.state == "ready"
+        and (target.adapter is None or target.adapter in resident.adapters)
+        for resident in view.residents
+    )
--- /dev/null
+++ b/testing/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of replay."""
