--- a/src/_pistachiopond/entry/answers.py
+++ b/src/_pistachiopond/entry/answers.py
@@ -25,41 +25,70 @@
     """The engine's stream is not what was asked for; the text says how."""
 
 
+class DivergedFault(ValueError):
+    """A second run gave other tokens than those that were handed on before."""
+
+
 @final
 class AnswerReader:
-    """The state of one answer, across connections that resume it.
+    """The state of one answer, over all connections and attempts that bring it.
+
+    Tokens are numbered from 0. What an engine sends again is compared with what
+    was taken before, and handed on only once.
 
     Attributes
     ----------
     next_offset : int
-        The token that must come next.
+        The token that must come next in this run.
     usage : Usage or None
         Once the engine has sent it.
     is_whole : bool
         Whether everything has come.
+    has_diverged : bool
+        Whether a run gave other tokens than an earlier one, so that the answer
+        can't be completed by another run.
     """
 
     def __init__(self, *, choices: int, forwards_usage: bool) -> None:
         self.next_offset = 0
         self.usage: Usage | None = None
         self.is_whole = False
+        self.has_diverged = False
         self._choices = choices
         self._finished: set[int] = set()
         self._forwards_usage = forwards_usage
+        self._taken: list[int] = []
+        self._first: Plain | None = None
+
+    @property
+    def taken_tokens(self) -> int:
+        """How many tokens have been taken, over all runs."""
+        return len(self._taken)
+
+    def restart(self) -> None:
+        """Expect a run from the first token on."""
+        self.next_offset = 0
+        self._finished.clear()
+
+    def resume(self) -> None:
+        """Expect the first token that has not been taken yet."""
+        self.next_offset = len(self._taken)
 
-    def accept(self, event: SseEvent) -> Plain | None:
+    def accept(self, event: SseEvent) -> str | None:
         """Take the next event.
 
         Returns
         -------
-        dict or None
-            The chunk to hand on; None for one that came before, for the end mark
-            and for a usage that was not asked for.
+        str or None
+            The chunk to hand on; None for one that was handed on before, for the
+            end mark and for a usage that was not asked for.
 
         Raises
         ------
         StreamFault
             When the event can't follow what came before.
+        DivergedFault
+            When it contradicts what was handed on.
         """
         if event.data == END_MARK:
             self._end()
@@ -68,19 +97,23 @@
         if "error" in chunk:
             raise StreamFault("the engine reported an error in its stream")
         if not chunk.get("choices"):
-            return self._take_usage(chunk)
+            return self._take_usage(event, chunk)
         if not self._is_next(event):
             return None
         self._note_finish(chunk)
-        return chunk
+        if not self._is_new(chunk):
+            return None
+        return self._same_answer(event, chunk)
 
     def _end(self) -> None:
         if self.usage is None or len(self._finished) < self._choices:
             raise StreamFault("the end mark came before the end of the answer")
+        if self.next_offset < len(self._taken):
+            raise DivergedFault("this run ended before the earlier one")
         self.is_whole = True
 
     def _is_next(self, event: SseEvent) -> bool:
-        if not event.event_id.isdigit():
+        if not event.event_id.isdecimal():
             self.next_offset += 1
             return True
         offset = int(event.event_id)
@@ -96,14 +129,33 @@
             if choice.get("finish_reason") is not None:
                 self._finished.add(int(choice.get("index", 0)))
 
-    def _take_usage(self, chunk: Plain) -> Plain | None:
+    def _is_new(self, chunk: Plain) -> bool:
+        offset = self.next_offset - 1
+        content = hash(str(chunk["choices"]))
+        if offset == len(self._taken):
+            self._taken.append(content)
+            return True
+        if self._taken[offset] != content:
+            self.has_diverged = True
+            raise DivergedFault("this run gave another token than the earlier one")
+        return False
+
+    def _same_answer(self, event: SseEvent, chunk: Plain) -> str:
+        # All chunks of one answer carry the same id, whichever run they come from.
+        if self._first is None:
+            self._first = {name: chunk.get(name) for name in ("id", "created")}
+        if chunk.get("id") == self._first["id"]:
+            return event.data
+        return json.dumps({**chunk, **self._first}, ensure_ascii=False)
+
+    def _take_usage(self, event: SseEvent, chunk: Plain) -> str | None:
         usage = chunk.get("usage")
         if isinstance(usage, dict):
             self.usage = Usage(
                 int(usage.get("prompt_tokens", 0)),
                 int(usage.get("completion_tokens", 0)),
             )
-        return chunk if self._forwards_usage else None
+        return self._same_answer(event, chunk) if self._forwards_usage else None
 
 
 @final
@@ -115,8 +167,9 @@
         self._head: Plain = {}
         self._choices: dict[int, Plain] = {}
 
-    def add(self, chunk: Plain) -> None:
-        """Take the next chunk."""
+    def add(self, text: str) -> None:
+        """Take the next chunk, as JSON."""
+        chunk: Plain = json.loads(text)
         if not self._head:
             self._head = {
                 name: value
@@ -172,6 +225,15 @@
         }
 
 
+@final
+class EngineAnswer:
+    """What has come of one engine's answer, over all attempts at it."""
+
+    def __init__(self, *, choices: int, is_chat: bool, forwards_usage: bool) -> None:
+        self.reader = AnswerReader(choices=choices, forwards_usage=forwards_usage)
+        self.builder = AnswerBuilder(is_chat=is_chat)
+
+
 def _merge_delta(message: Plain, delta: Plain) -> None:
     for name, value in delta.items():
         if value is None:
--- a/src/_pistachiopond/entry/dispatch.py
+++ b/src/_pistachiopond/entry/dispatch.py
@@ -31,8 +31,16 @@
     ViewReceived,
 )
 from _pistachiopond.entry.attempts import Attempt, AttemptResult, make_http_client
-from _pistachiopond.entry.engine_attempt import cancel_at_engine, run_engine_attempt
-from _pistachiopond.entry.exchange import DispatchPort, EngineCall, Exchange
+from _pistachiopond.entry.engine_attempt import (
+    cancel_at_engine,
+    run_engine_attempt,
+)
+from _pistachiopond.entry.exchange import (
+    DispatchPort,
+    EngineCall,
+    Exchange,
+    ServiceCall,
+)
 from _pistachiopond.entry.fleet import Fleet, FleetState
 from _pistachiopond.entry.observations import Observations
 from _pistachiopond.entry.service_attempt import run_service_attempt
@@ -128,6 +136,15 @@
         """Return how many requests are under way."""
         return len(self._exchanges)
 
+    def waiting(self) -> dict[str, int]:
+        """Return how many requests wait for a server, by model or adapter."""
+        tally: dict[str, int] = {}
+        for exchange in self._exchanges.values():
+            name = exchange.facts.adapter or exchange.facts.model
+            if name is not None and exchange.queue_span is not None:
+                tally[name] = tally.get(name, 0) + 1
+        return tally
+
     def count_attempts(self) -> int:
         """Return how many attempts are under way."""
         return sum(len(item.attempt_scopes) for item in self._exchanges.values())
@@ -215,8 +232,10 @@
 
 async def _run_attempt(attempt: Attempt) -> AttemptResult:
     call = attempt.exchange.call
-    if isinstance(call, EngineCall):
-        return await run_engine_attempt(attempt, call)
+    answer = attempt.exchange.answer
+    if isinstance(call, EngineCall) and answer is not None:
+        return await run_engine_attempt(attempt, call, answer)
+    assert isinstance(call, ServiceCall)
     return await run_service_attempt(attempt, call)
 
 
@@ -257,7 +276,7 @@
             fleet.subscribe(task.watch_fleet)
             group.start_soon(task.run)
             group.start_soon(every, parts.timer, TICK_PERIOD_S, task.tick)
-            task_status.started(DispatchPort(task.submit, task.leave))
+            task_status.started(DispatchPort(task.submit, task.leave, task.waiting))
             await kernel.stop_event("dispatch").wait()
             task.notify(StopDispatching())
             group.cancel_scope.cancel()
--- a/src/_pistachiopond/entry/engine_attempt.py
+++ b/src/_pistachiopond/entry/engine_attempt.py
@@ -10,7 +10,11 @@
 import httpx
 
 from _pistachiopond.decisions.dispatch_types import FirstToken, Progress
-from _pistachiopond.entry.answers import AnswerBuilder, AnswerReader, StreamFault
+from _pistachiopond.entry.answers import (
+    DivergedFault,
+    EngineAnswer,
+    StreamFault,
+)
 from _pistachiopond.entry.attempts import (
     CONNECT_TIMEOUT_S,
     WRITE_TIMEOUT_S,
@@ -36,8 +40,6 @@
 
 # A stream from which nothing comes for this long has lost its connection.
 PROGRESS_TIMEOUT_S: Final = 5.0
-MAX_CONNECTIONS: Final = 3
-RESUME_DELAY_S: Final = 0.2
 PROGRESS_PERIOD_S: Final = 0.2
 CANCEL_TIMEOUT_S: Final = 2.0
 RESUME_HEADER: Final = "X-Resume-Offset"
@@ -51,6 +53,29 @@
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 
 
+class ConnectionPlan(NamedTuple):
+    """How the next connection of an attempt is used.
+
+    Attributes
+    ----------
+    delay_s : float
+        Waits before it, so that the engine notices that the last one has ended.
+    is_resume : bool
+        Whether it asks for the rest of the answer or for a run from the start.
+    """
+
+    delay_s: float
+    is_resume: bool
+
+
+CONNECTION_PLANS: Final = (
+    ConnectionPlan(0.0, False),
+    ConnectionPlan(0.02, True),
+    ConnectionPlan(0.3, True),
+    ConnectionPlan(0.0, False),
+)
+
+
 class CallerFault(Exception):
     """The engine refused the request itself; another engine would as well."""
 
@@ -65,15 +90,15 @@
 class _Run:
     """The state of one attempt, over its connections."""
 
-    def __init__(self, attempt: Attempt, call: EngineCall) -> None:
-        request = call.request
+    def __init__(
+        self, attempt: Attempt, call: EngineCall, answer: EngineAnswer
+    ) -> None:
         self.attempt = attempt
         self.call = call
-        self.reader = AnswerReader(
-            choices=request.choices, forwards_usage=request.wants_usage
-        )
-        self.builder = AnswerBuilder(is_chat=request.is_chat)
-        self.has_run = False
+        self.reader = answer.reader
+        self.builder = answer.builder
+        self.was_sent = False
+        self.saw_token = False
         self.unreported_tokens = 0
         self.reported_s = attempt.timer.now_s()
 
@@ -85,45 +110,60 @@
     tokens: int
 
 
-async def run_engine_attempt(attempt: Attempt, call: EngineCall) -> AttemptResult:
+async def run_engine_attempt(
+    attempt: Attempt, call: EngineCall, answer: EngineAnswer
+) -> AttemptResult:
     """Send the request to the engine and hand its answer on.
 
+    A connection that breaks is followed by one that resumes at the next token, and
+    where the engine no longer holds the request, by a run from the start, of which
+    nothing is handed on that contradicts what went before.
+
     Parameters
     ----------
     attempt : Attempt
         Where to and with what.
     call : EngineCall
         The request.
+    answer : EngineAnswer
+        What came of it in earlier attempts.
 
     Returns
     -------
     AttemptFinished or AttemptFailed
         For the dispatcher. Only after ``AttemptFinished`` is the answer whole.
     """
-    run = _Run(attempt, call)
-    for connection in range(MAX_CONNECTIONS):
-        if connection > 1:
-            await attempt.timer.sleep_until(attempt.timer.now_s() + RESUME_DELAY_S)
+    run = _Run(attempt, call, answer)
+    for plan in CONNECTION_PLANS:
+        await attempt.timer.sleep_until(attempt.timer.now_s() + plan.delay_s)
         try:
-            await _use_connection(run, is_resume=connection > 0)
+            await _use_connection(run, is_resume=plan.is_resume)
             await _hand_over_end(run)
             return finished(attempt)
         except CallerFault as refusal:
             await _hand_over_refusal(attempt, refusal)
             return finished(attempt)
-        except AnswerFault as fault:
-            last = _with_history(run, fault)
-        if not last.can_resume or call.request.choices > 1:
+        except DivergedFault:
+            fault = AnswerFault(Verdict.MAY_HAVE_RUN, "mismatch")
+            return failed(attempt, fault)._replace(output_began=True)
+        except AnswerFault as met:
+            fault = _with_history(run, met)
+        if not fault.can_resume:
             break
-        run.has_run = True
-    return failed(attempt, last)
+        run.was_sent = True
+    # What was handed on does not stand in the way of another run: its tokens are
+    # compared, and only those that are new are handed on.
+    return failed(attempt, fault)._replace(output_began=run.reader.has_diverged)
 
 
 def _with_history(run: _Run, fault: AnswerFault) -> AnswerFault:
     # Once a request has been sent, no later refusal makes it unsent.
-    if not run.has_run or fault.verdict is not Verdict.NOT_RUN:
+    if not run.was_sent or fault.verdict is not Verdict.NOT_RUN:
         return fault
-    return AnswerFault(Verdict.MAY_HAVE_RUN, "reset", fault.retry_after_s)
+    can_resume = fault.kind == "refused"
+    return AnswerFault(
+        Verdict.MAY_HAVE_RUN, "reset", fault.retry_after_s, can_resume=can_resume
+    )
 
 
 async def _use_connection(run: _Run, *, is_resume: bool) -> None:
@@ -131,7 +171,10 @@
     body = {**run.call.request.body, "priority": attempt.start.priority}
     headers = {"Content-Type": "application/json", **own_headers(attempt)}
     if is_resume:
+        run.reader.resume()
         headers[RESUME_HEADER] = str(run.reader.next_offset)
+    else:
+        run.reader.restart()
     timeout = httpx.Timeout(
         connect=CONNECT_TIMEOUT_S,
         read=PROGRESS_TIMEOUT_S,
@@ -163,6 +206,8 @@
     async for chunk in response.aiter_raw():
         try:
             read = _accept(run, splitter.feed(chunk))
+        except DivergedFault:
+            raise
         except EventTooLargeError as error:
             raise AnswerFault(Verdict.MAY_HAVE_RUN, "server_error") from error
         except (StreamFault, LookupError, TypeError, AttributeError, ValueError):
@@ -179,17 +224,17 @@
 
 
 def _accept(run: _Run, events: list[SseEvent]) -> _Read:
-    before = run.reader.next_offset
+    before = run.reader.taken_tokens
     output = []
     for event in events:
-        chunk = run.reader.accept(event)
-        if chunk is None:
+        text = run.reader.accept(event)
+        if text is None:
             continue
         if run.call.request.is_stream:
-            output.append(f"data: {event.data}\n\n")
+            output.append(f"data: {text}\n\n")
         else:
-            run.builder.add(chunk)
-    return _Read("".join(output).encode(), run.reader.next_offset - before)
+            run.builder.add(text)
+    return _Read("".join(output).encode(), run.reader.taken_tokens - before)
 
 
 async def _put_output(run: _Run, output: bytes) -> None:
@@ -203,7 +248,8 @@
     attempt = run.attempt
     start = attempt.start
     attempt.exchange.generated_tokens += tokens
-    if run.reader.next_offset == tokens:
+    if not run.saw_token:
+        run.saw_token = True
         attempt.notify(FirstToken(start.request_id, start.attempt))
     run.unreported_tokens += tokens
     now_s = attempt.timer.now_s()
--- a/src/_pistachiopond/entry/exchange.py
+++ b/src/_pistachiopond/entry/exchange.py
@@ -12,7 +12,7 @@
 from opentelemetry.trace import Span
 
 from _pistachiopond.decisions.dispatch_types import RequestFacts
-from _pistachiopond.entry.answers import Usage
+from _pistachiopond.entry.answers import EngineAnswer, Usage
 from _pistachiopond.entry.completions import CompletionRequest
 from _pistachiopond.entry.headers import RawHeaders
 from _pistachiopond.schema.verdict import Failure
@@ -90,6 +90,8 @@
         Tokens that engines sent, over all attempts.
     usage : Usage or None
         As the engine counted it.
+    answer : EngineAnswer or None
+        What has come of an engine's answer, over all attempts.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         self.was_dispatched = False
         self.generated_tokens = 0
         self.usage: Usage | None = None
+        self.answer = _new_answer(call)
         self.attempt_scopes: dict[int, anyio.CancelScope] = {}
         streams = anyio.create_memory_object_stream[Part](PARTS_IN_FLIGHT)
         self._sender: MemoryObjectSendStream[Part] = streams[0]
@@ -138,6 +141,17 @@
             scope.cancel()
 
 
+def _new_answer(call: EngineCall | ServiceCall) -> EngineAnswer | None:
+    if isinstance(call, ServiceCall):
+        return None
+    request = call.request
+    return EngineAnswer(
+        choices=request.choices,
+        is_chat=request.is_chat,
+        forwards_usage=request.wants_usage,
+    )
+
+
 class DispatchPort(NamedTuple):
     """The service ``dispatch``.
 
@@ -148,7 +162,10 @@
     leave : callable
         ``leave(exchange)`` says that the caller's task has done with it, in any
         case and exactly once.
+    waiting : callable
+        How many requests wait for a server, by model or adapter.
     """
 
     submit: Callable[[Exchange], None]
     leave: Callable[[Exchange], None]
+    waiting: Callable[[], dict[str, int]]
--- a/src/_pistachiopond/entry/handler.py
+++ b/src/_pistachiopond/entry/handler.py
@@ -6,10 +6,12 @@
 
 import anyio
 from opentelemetry.trace import Span, Tracer
+from result import Ok, Result
 
 from _pistachiopond.decisions.dispatch_types import RequestFacts
 from _pistachiopond.entry.active import ActiveRequest, ActiveRequests
 from _pistachiopond.entry.admission import Admitted, Work, admit, make_work
+from _pistachiopond.entry.arrivals import Arrival
 from _pistachiopond.entry.caller import CallerGoneError, CallerLink, Receive, Send
 from _pistachiopond.entry.completions import MODELS_PATH
 from _pistachiopond.entry.exchange import DispatchPort, Exchange, Head
@@ -18,7 +20,7 @@
 from _pistachiopond.entry.index import ManifestIndex, find_customer
 from _pistachiopond.entry.keyed_calls import run_keyed_call
 from _pistachiopond.entry.observations import Observations, Timings
-from _pistachiopond.entry.ports import Calls, Limits, Reservation
+from _pistachiopond.entry.ports import Calls, Crashes, Limits, Reservation
 from _pistachiopond.kernel.timer import Timer
 from _pistachiopond.observe.logs import log_trouble
 from _pistachiopond.observe.tracing import context_from
@@ -26,7 +28,7 @@
 
 JSON_HEADERS: Final = ((b"content-type", b"application/json"),)
 
-RecordArrival = Callable[[RequestFacts], None]
+RecordArrival = Callable[[Arrival], None]
 
 
 class HandlerParts(NamedTuple):
@@ -46,6 +48,7 @@
     dispatch: DispatchPort
     limits: Limits
     calls: Calls
+    crashes: Crashes
     active: ActiveRequests
     observations: Observations
     timer: Timer
@@ -174,28 +177,53 @@
 ) -> None:
     facts = work.facts
     call.parts.observations.arrived(facts)
-    call.parts.record_arrival(facts)
-    reservation: Reservation | None = None
-    wanted_tokens = facts.prompt_tokens + facts.max_tokens
-    if admitted.customer and wanted_tokens:
-        reserved = await call.parts.limits.reserve(
-            admitted.customer, float(wanted_tokens)
-        )
+    exchange = Exchange(facts, work.call, call.span)
+    try:
+        reserved = await _reserve(call, facts)
         if reserved.is_err():
             await _fail(call, reserved.err())
             return
-        reservation = reserved.ok()
-    exchange = Exchange(facts, work.call, call.span)
-    active.exchange = exchange
-    try:
-        if _is_keyed(admitted, work):
-            await _run_keyed(call, admitted, work, exchange)
-        else:
-            await _run(call, exchange)
+        active.exchange = exchange
+        try:
+            if _is_keyed(admitted, work):
+                await _run_keyed(call, admitted, work, exchange)
+            else:
+                await _run(call, exchange)
+        finally:
+            _leave(call, exchange, reserved.ok())
     finally:
-        call.parts.dispatch.leave(exchange)
-        if reservation is not None:
-            call.parts.limits.settle(reservation, used_tokens(exchange))
+        _record_arrival(call, admitted, exchange)
+
+
+async def _reserve(
+    call: _Call, facts: RequestFacts
+) -> Result[Reservation | None, Failure]:
+    """Ask whether the request may run now; nothing is held after a refusal."""
+    suspected = await call.parts.crashes.admit(facts.fingerprint)
+    if suspected.is_err():
+        return suspected
+    wanted_tokens = facts.prompt_tokens + facts.max_tokens
+    if not facts.customer or not wanted_tokens:
+        return Ok(None)
+    return await call.parts.limits.reserve(facts.customer, float(wanted_tokens))
+
+
+def _leave(call: _Call, exchange: Exchange, reservation: Reservation | None) -> None:
+    call.parts.dispatch.leave(exchange)
+    if exchange.is_whole:
+        call.parts.crashes.finished(exchange.facts.fingerprint)
+    if reservation is not None:
+        call.parts.limits.settle(reservation, used_tokens(exchange))
+
+
+def _record_arrival(call: _Call, admitted: Admitted, exchange: Exchange) -> None:
+    arrival = Arrival(
+        call.arrived_s,
+        admitted.route.path_prefix,
+        exchange.facts,
+        exchange.generated_tokens,
+    )
+    call.parts.record_arrival(arrival)
 
 
 async def _run(call: _Call, exchange: Exchange) -> None:
--- a/src/_pistachiopond/entry/observations.py
+++ b/src/_pistachiopond/entry/observations.py
@@ -1,8 +1,8 @@
 """Counts what this daemon sees: for its metrics and for its control daemon."""
 
 from collections import Counter as TallyOf
-from collections.abc import Callable
-from typing import NamedTuple, final
+from collections.abc import Callable, Mapping
+from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.dispatch_types import (
     AttemptFailed,
@@ -19,7 +19,7 @@
 from _pistachiopond.schema.suspects import CrashReport
 from _pistachiopond.schema.verdict import Failure
 
-MAX_KEPT_CRASHES = 64
+MAX_KEPT_CRASHES: Final = 64
 
 
 class Timings(NamedTuple):
@@ -79,8 +79,8 @@
         self, requests: Callable[[], int], attempts: Callable[[], int]
     ) -> None:
         """Show how much is under way, as gauges."""
-        self.metrics.gauge("pond_entry_open_requests", "Requests.", requests)
-        self.metrics.gauge("pond_entry_open_attempts", "Attempts.", attempts)
+        self.metrics.gauge("pond_entry_open_requests", "Open requests.", requests)
+        self.metrics.gauge("pond_entry_open_attempts", "Open attempts.", attempts)
 
     def arrived(self, facts: RequestFacts) -> None:
         """Count a request that was admitted."""
@@ -140,19 +140,34 @@
         self._crashes.append(report)
         del self._crashes[:-MAX_KEPT_CRASHES]
 
-    def take_report(self) -> EntryReport:
-        """Return what was counted since the last report, and start anew."""
+    def take_report(
+        self, waiting: Mapping[str, int], is_ejected: Callable[[str], bool]
+    ) -> EntryReport:
+        """Return what was counted since the last report, and start anew.
+
+        Parameters
+        ----------
+        waiting : mapping
+            Requests in the queue now, by model or adapter.
+        is_ejected : callable
+            Whether a server gets no work at present.
+        """
         report = EntryReport(
             demand=tuple(
-                ModelDemand(name, count, float(self._tokens[name]), 0)
-                for name, count in sorted(self._arrived.items())
+                ModelDemand(
+                    name,
+                    self._arrived[name],
+                    float(self._tokens[name]),
+                    waiting.get(name, 0),
+                )
+                for name in sorted({*self._arrived, *waiting})
             ),
             servers=tuple(
                 ServerObservation(
                     server=name,
                     answers=self._answers[name],
                     failures=self._failures[name],
-                    is_ejected=False,
+                    is_ejected=is_ejected(name),
                     says_leaving=name in self._leaving,
                 )
                 for name in sorted({*self._answers, *self._failures, *self._leaving})
--- /dev/null
+++ b/testing/entry/running.py
@@ -0,0 +1,72 @@
+"""Runs the entry daemon's services inside a test, on free ports."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import anyio
+import httpx
+
+from _pistachiopond.entry.fleet import Fleet
+from _pistachiopond.entry.process import EntryProcess, make_process, make_services
+from _pistachiopond.kernel.service import Kernel, run_services
+from _pistachiopond.schema.revision import Revision
+from _pistachiopond.schema.routing import RoutingView
+from _pistachiopond.schema.settings import EntrySettings
+from testing.entry.fakes import FakeControl, FakeGuards, wait_until
+from testing.entry.manifests import DATA_CENTRE, KEY
+
+
+class RunningEntry(NamedTuple):
+    """An entry daemon that serves, and its surroundings."""
+
+    url: str
+    http: httpx.AsyncClient
+    control: FakeControl
+    guards: FakeGuards
+    kernel: Kernel
+    process: EntryProcess
+
+    def metric(self, name: str, **labels: str) -> float:
+        """Return the value of a metric, 0 when it has never been counted."""
+        return self.process.metrics.registry.get_sample_value(name, labels) or 0.0
+
+
+@asynccontextmanager
+async def run_entry_in_test(
+    revision: Revision,
+    routing: RoutingView,
+    change: Callable[[EntrySettings], EntrySettings] = lambda settings: settings,
+) -> AsyncIterator[RunningEntry]:
+    """Run an entry daemon with a fake control daemon until the block ends."""
+    control = FakeControl(revision, routing)
+    await control.start()
+    settings = change(
+        EntrySettings(
+            listen_address="127.0.0.1:0",
+            data_centre=DATA_CENTRE,
+            region="norge-vest",
+            control_addresses=(control.address,),
+            drain_notice_s=0.05,
+            drain_limit_s=20.0,
+        )
+    )
+    process = make_process(settings)
+    guards = FakeGuards()
+    kernel = Kernel()
+    told: list[str] = []
+    services = make_services(process, guards.services, told.append)
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_services, kernel, services)
+        await wait_until(lambda: bool(told))
+        fleet = kernel.find("fleet", Fleet)
+        await wait_until(lambda: fleet.state.routing is not None)
+        scheme = "http" if settings.caller_tls is None else "https"
+        url = f"{scheme}://{told[0]}"
+        headers = {"Authorization": f"Bearer {KEY}"}
+        async with httpx.AsyncClient(
+            base_url=url, headers=headers, timeout=60, trust_env=False, verify=False
+        ) as http:
+            yield RunningEntry(url, http, control, guards, kernel, process)
+        kernel.request_stop()
+    await control.stop()
