--- a/src/_pistachiopond/standin/host.py
+++ b/src/_pistachiopond/standin/host.py
@@ -1,7 +1,8 @@
 """Runs one stand-in: its application behind faults, on one listening socket."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
 import anyio
@@ -57,15 +58,26 @@
 
 async def serve_part(part: Part, listen_address: str, timer: Timer) -> None:
     """Serve until SIGTERM or SIGINT."""
+    async with serving(part, listen_address, timer) as address:
+        print(to_json(Ready(part.kind, part.name, address)), flush=True)
+        await _wait_for_signal()
+
+
+@asynccontextmanager
+async def serving(
+    part: Part, listen_address: str, timer: Timer
+) -> AsyncGenerator[str, None]:
+    """Serve for as long as the context is entered; gives the bound address."""
     server = FaultyServer(listen_address)
     async with anyio.create_task_group() as group:
         hooks = _make_hooks(part, server, group.start_soon)
         await server.listen(make_app(part, server, timer, hooks))
-        ready = Ready(part.kind, part.name, server.address)
-        print(to_json(ready), flush=True)
-        await _wait_for_signal()
-        await server.close()
-        group.cancel_scope.cancel()
+        try:
+            yield server.address
+        finally:
+            with anyio.CancelScope(shield=True):
+                await server.close()
+            group.cancel_scope.cancel()
 
 
 def make_app(
--- a/src/_pistachiopond/standin/program.py
+++ b/src/_pistachiopond/standin/program.py
@@ -10,11 +10,10 @@
 from _pistachiopond.kernel.timer import RealTimer
 from _pistachiopond.standin.batcher import BatchTiming
 from _pistachiopond.standin.engine import EngineOptions, StandinEngine
-from _pistachiopond.standin.engine_control import EngineControl
-from _pistachiopond.standin.engine_requests import EngineRequests
 from _pistachiopond.standin.host import Part, serve_part
 from _pistachiopond.standin.ledger import Ledger
 from _pistachiopond.standin.log import LogOptions, StandinLog
+from _pistachiopond.standin.parts import make_engine_part, make_service_part
 from _pistachiopond.standin.service import StandinService
 from _pistachiopond.standin.store import StandinStore, StoreOptions
 from _pistachiopond.standin.vms import StandinVms
@@ -110,26 +109,8 @@
     *, name: str, listen: str = ANY_PORT, ledger_path: Path | None = None
 ) -> None:
     """Serve a plain service that records every execution."""
-    ledger = Ledger(ledger_path)
-    plain = StandinService(name, uuid.uuid4().hex, ledger)
-
-    def leave() -> None:
-        plain.leaving = True
-
-    def restart() -> None:
-        plain.incarnation = uuid.uuid4().hex
-
-    part = Part(
-        "service",
-        name,
-        plain.routes(),
-        ledger,
-        restart,
-        leave,
-        plain.refuse_new,
-        lambda: plain.leaving,
-    )
-    anyio.run(serve_part, part, listen, RealTimer())
+    plain = StandinService(name, uuid.uuid4().hex, Ledger(ledger_path))
+    anyio.run(serve_part, make_service_part(plain), listen, RealTimer())
 
 
 @app.command
@@ -175,21 +156,7 @@
 async def _run_engine(options: EngineOptions, timing: BatchTiming, listen: str) -> None:
     timer = RealTimer()
     running = StandinEngine(options, timing, timer)
-
-    def leave() -> None:
-        running.leaving = True
-
-    part = Part(
-        "engine",
-        options.name,
-        EngineControl(running).routes() + EngineRequests(running).routes(),
-        running.ledger,
-        running.restart,
-        leave,
-        running.refuse_new,
-        lambda: running.leaving,
-    )
     async with anyio.create_task_group() as group:
         await group.start(running.run)
-        await serve_part(part, listen, timer)
+        await serve_part(make_engine_part(running), listen, timer)
         group.cancel_scope.cancel()
--- a/src/_pistachiopond/standin/service.py
+++ b/src/_pistachiopond/standin/service.py
@@ -41,8 +41,8 @@
     """A service that answers every path."""
 
     def __init__(self, name: str, incarnation: str, ledger: Ledger) -> None:
-        self._name = name
-        self._ledger = ledger
+        self.name = name
+        self.ledger = ledger
         self._refusing = False
         self.incarnation = incarnation
         self.leaving = False
@@ -71,10 +71,10 @@
         body = await request.body()
         digest = hashlib.sha256(body).hexdigest()
         key = request.headers.get(IDEMPOTENCY_HEADER)
-        run = self._ledger.count_run(key or request_id)
-        self._ledger.add(_entry(request, self.incarnation, request_id, digest, key))
+        run = self.ledger.count_run(key or request_id)
+        self.ledger.add(_entry(request, self.incarnation, request_id, digest, key))
         answer = ServiceAnswer(
-            self._name, request_id, request.method, request.url.path, run, digest
+            self.name, request_id, request.method, request.url.path, run, digest
         )
         return json_answer(answer, headers=headers)
 
--- /dev/null
+++ b/testing/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the cli package."""
--- /dev/null
+++ b/testing/live/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs with real processes and stand-ins."""
--- /dev/null
+++ b/testing/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the standin package."""
--- /dev/null
+++ b/testing/standin/serving.py
@@ -0,0 +1,68 @@
+"""Serves stand-ins inside the test's own process, on a free port."""
+
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import anyio
+import httpx
+
+from _pistachiopond.kernel.timer import RealTimer
+from _pistachiopond.standin.batcher import BatchTiming
+from _pistachiopond.standin.engine import EngineOptions, StandinEngine
+from _pistachiopond.standin.host import Part, serving
+from _pistachiopond.standin.parts import make_engine_part
+
+FAST = BatchTiming(token_gap_s=0.001)
+PATIENCE_S = 30.0
+
+
+class Served(NamedTuple):
+    """A stand-in that serves, and a client of it."""
+
+    address: str
+    http: httpx.AsyncClient
+
+
+@asynccontextmanager
+async def serve(part: Part) -> AsyncGenerator[Served, None]:
+    async with serving(part, "127.0.0.1:0", RealTimer()) as address:
+        url = f"http://{address}"
+        async with httpx.AsyncClient(base_url=url, timeout=PATIENCE_S) as http:
+            yield Served(address, http)
+
+
+@asynccontextmanager
+async def serve_engine(
+    options: EngineOptions | None = None, timing: BatchTiming = FAST
+) -> AsyncGenerator[Served, None]:
+    engine = StandinEngine(options or EngineOptions("one"), timing, RealTimer())
+    async with anyio.create_task_group() as group:
+        await group.start(engine.run)
+        async with serve(make_engine_part(engine)) as served:
+            yield served
+        group.cancel_scope.cancel()
+
+
+async def load_model(
+    http: httpx.AsyncClient,
+    name: str = "m",
+    version: str = "1",
+    memory_mb: int = 100,
+    fencing_number: int = 1,
+    order_number: int = 1,
+) -> httpx.Response:
+    parameters = {
+        "fencing_number": fencing_number,
+        "order_number": order_number,
+        "version": version,
+        "memory_mb": memory_mb,
+        "wait": True,
+    }
+    url = f"/v2/repository/models/{name}/load"
+    return await http.post(url, json={"parameters": parameters})
+
+
+async def set_fault(http: httpx.AsyncClient, **fault: object) -> None:
+    answer = await http.post("/faults", json={"faults": [fault]})
+    answer.raise_for_status()
