--- /dev/null
+++ b/testing/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the example manifests."""
