--- a/src/_pistachiopond/standin/engine_requests.py
+++ b/src/_pistachiopond/standin/engine_requests.py
@@ -29,7 +29,7 @@
     json_answer,
     read_body,
 )
-from _pistachiopond.standin.ledger import RequestEntry
+from _pistachiopond.standin.ledger import RequestEntry, find_tag
 
 RESUME_HEADER: Final = "x-resume-offset"
 QUEUE_RETRY_AFTER_S: Final = "1"
@@ -103,6 +103,7 @@
             return _refuse(admitted.unwrap_err(), request_id)
         generation = admitted.unwrap()
         entry = _entry(request, self._engine.now.identity, generation)
+        entry = entry._replace(tag=find_tag(raw_body))
         return await self._answer(request, generation, entry)
 
     def _admit(
@@ -205,6 +206,7 @@
         query=request.url.query,
         model=generation.body.model,
         content_digest=generation.content_digest,
+        tag="",
         idempotency_key=request.headers.get(IDEMPOTENCY_HEADER),
         headers=tuple(request.headers.items()),
         outcome="started",
--- a/src/_pistachiopond/standin/ledger.py
+++ b/src/_pistachiopond/standin/ledger.py
@@ -1,5 +1,6 @@
 """What a stand-in really did, for tests to compare with what callers were told."""
 
+import re
 from collections import Counter
 from collections.abc import Iterable
 from pathlib import Path
@@ -8,6 +9,7 @@
 from _pistachiopond.schema.codec import to_json, to_plain
 
 MAX_ENTRIES: Final = 200_000
+_TAG: Final = re.compile(rb"\[\[tag=([A-Za-z0-9._-]{1,64})\]\]")
 
 Outcome = Literal["started", "finished", "cancelled", "crashed"]
 
@@ -21,6 +23,9 @@
         Everything that came, so that a leaked key is found.
     content_digest : str
         SHA-256 of the body.
+    tag : str
+        What stands between ``[[tag=`` and ``]]`` in the body or the path, so that
+        a test finds its request again whatever has been done to it on its way.
     outcome : str
         How far it got.
     tokens : int
@@ -34,6 +39,7 @@
     query: str
     model: str
     content_digest: str
+    tag: str
     idempotency_key: str | None
     headers: tuple[tuple[str, str], ...]
     outcome: Outcome
@@ -68,6 +74,15 @@
 Entry = RequestEntry | OrderEntry | MemoryEntry
 
 
+def find_tag(*places: bytes) -> str:
+    """Return the first tag in any of the places, or the empty text."""
+    for place in places:
+        found = _TAG.search(place)
+        if found is not None:
+            return found.group(1).decode()
+    return ""
+
+
 @final
 class Ledger:
     """Everything that one stand-in did, in order."""
--- a/src/_pistachiopond/standin/service.py
+++ b/src/_pistachiopond/standin/service.py
@@ -13,7 +13,7 @@
     error_answer,
     json_answer,
 )
-from _pistachiopond.standin.ledger import Ledger, RequestEntry
+from _pistachiopond.standin.ledger import Ledger, RequestEntry, find_tag
 
 METHODS: Final = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 IDEMPOTENCY_HEADER: Final = "idempotency-key"
@@ -72,7 +72,9 @@
         digest = hashlib.sha256(body).hexdigest()
         key = request.headers.get(IDEMPOTENCY_HEADER)
         run = self.ledger.count_run(key or request_id)
-        self.ledger.add(_entry(request, self.incarnation, request_id, digest, key))
+        tag = find_tag(body, request.url.path.encode())
+        entry = _entry(request, self.incarnation, request_id, digest, key)
+        self.ledger.add(entry._replace(tag=tag))
         answer = ServiceAnswer(
             self.name, request_id, request.method, request.url.path, run, digest
         )
@@ -90,6 +92,7 @@
         query=request.url.query,
         model="",
         content_digest=digest,
+        tag="",
         idempotency_key=key,
         headers=tuple(request.headers.items()),
         outcome="finished",
--- /dev/null
+++ b/tools/programs.py
@@ -0,0 +1,191 @@
+"""Starts the system's programs as processes, for the demo and the live tests.
+
+Every process is stopped by its own process id.
+"""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Final, final
+
+import httpx
+
+from _pistachiopond.schema.codec import to_json
+from _pistachiopond.schema.settings import ControlSettings, EntrySettings
+
+READY_LIMIT_S: Final = 60.0
+STOP_LIMIT_S: Final = 60.0
+POLL_S: Final = 0.02
+
+
+class StartError(RuntimeError):
+    """A program ended or stayed silent instead of becoming ready."""
+
+
+@final
+class Program:
+    """One running process."""
+
+    def __init__(self, name: str, arguments: Sequence[str], folder: Path) -> None:
+        self.name = name
+        self.address = ""
+        self.out_path = folder / f"{name}.out"
+        self.err_path = folder / f"{name}.err"
+        with self.out_path.open("ab") as out, self.err_path.open("ab") as err:
+            self._process = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
+    @property
+    def url(self) -> str:
+        """The address with its scheme."""
+        return f"http://{self.address}"
+
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process still runs."""
+        if self.is_running():
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        self.send(signal.SIGKILL)
+        self._process.wait(STOP_LIMIT_S)
+
+    def stop(self) -> int:
+        """Ask the process to stop, and return its exit code."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        return self.wait()
+
+    def wait(self) -> int:
+        """Wait for the end; a process that does not end in time is killed."""
+        try:
+            return self._process.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self._process.returncode
+
+    def resident_mb(self) -> float:
+        """Return the resident memory, in MB."""
+        for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024.0
+        return 0.0
+
+    def describe_end(self) -> str:
+        """Return the last lines that the process wrote."""
+        text = self.err_path.read_text(errors="replace").splitlines()[-15:]
+        return f"{self.name} ended with {self._process.poll()}:\n" + "\n".join(text)
+
+
+def free_address() -> str:
+    """Return a loopback address whose port is free at present."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def start_standin(
+    kind: str, name: str, folder: Path, *options: str, listen: str = "127.0.0.1:0"
+) -> Program:
+    """Start a stand-in and wait until it accepts connections.
+
+    Parameters
+    ----------
+    kind : str
+        A subcommand of ``pond-standin``.
+    name : str
+        Unique in the folder; engines and services bear it.
+    folder : Path
+        For its output.
+    options : str
+        Further options of the subcommand.
+    listen : str
+        Where it listens.
+    """
+    named = ["--name", name] if kind in ("engine", "service") else []
+    arguments = ["-m", "pistachiopond.standin", kind, "--listen", listen]
+    program = Program(name, [*arguments, *named, *options], folder)
+    program.address = json.loads(_first_line(program))["address"]
+    return program
+
+
+def launch_control(name: str, folder: Path, settings: ControlSettings) -> Program:
+    """Start a control daemon; `wait_for_port` says when it listens."""
+    return _launch("control", name, folder, settings, settings.listen_address)
+
+
+def launch_entry(name: str, folder: Path, settings: EntrySettings) -> Program:
+    """Start an entry daemon; `wait_for_ready` says when it serves."""
+    return _launch("entry", name, folder, settings, settings.listen_address)
+
+
+def wait_for_port(program: Program) -> None:
+    """Wait until something listens on the program's address."""
+    host, port = program.address.rsplit(":", 1)
+
+    def listens() -> bool:
+        with socket.socket() as probe:
+            probe.settimeout(1.0)
+            return probe.connect_ex((host, int(port))) == 0
+
+    _wait(program, listens)
+
+
+def wait_for_ready(program: Program) -> None:
+    """Wait until an entry daemon says that it is ready."""
+
+    def ready() -> bool:
+        try:
+            answer = httpx.get(f"{program.url}/healthz/ready", timeout=2.0)
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == 200
+
+    _wait(program, ready)
+
+
+def _launch(
+    module: str, name: str, folder: Path, settings: Any, address: str
+) -> Program:
+    path = folder / f"{name}.json"
+    path.write_text(to_json(settings), encoding="utf-8")
+    arguments = ["-m", f"pistachiopond.{module}", "--settings", str(path)]
+    program = Program(name, arguments, folder)
+    program.address = address
+    return program
+
+
+def _first_line(program: Program) -> str:
+    def printed() -> bool:
+        return b"\n" in program.out_path.read_bytes()
+
+    _wait(program, printed)
+    return program.out_path.read_text().splitlines()[0]
+
+
+def _wait(program: Program, condition: Any) -> None:
+    until_s = time.monotonic() + READY_LIMIT_S
+    while not condition():
+        if not program.is_running():
+            raise StartError(program.describe_end())
+        if time.monotonic() > until_s:
+            raise StartError(f"{program.name} did not become ready in time")
+        time.sleep(POLL_S)
