Shared: sets in the codec, handlers and liveness in the control ports

JSON text of a revision failed on its set of withdrawn digests; sets are now written as sorted lists. The control ports gain what the gRPC server calls (services limits, calls, crashes), the log's outage time and the proof that an incarnation is gone.

--- a/src/_pistachiopond/control/ports.py
+++ b/src/_pistachiopond/control/ports.py
@@ -6,7 +6,17 @@
 from result import Result
 
 from _pistachiopond.platform.log import LogFailure, LogPage
+from _pistachiopond.schema.limits import LimitsView
 from _pistachiopond.schema.revision import Revision
+from _pistachiopond.schema.suspects import CrashReport, SuspectView
+from _pistachiopond.transport.generated.pond_pb2 import (
+    ClaimCallReply,
+    ClaimCallRequest,
+    DrawReply,
+    DrawRequest,
+    FinishCallReply,
+    FinishCallRequest,
+)
 
 
 class Holding(NamedTuple):
@@ -55,9 +65,23 @@
 
 
 class Membership(NamedTuple):
-    """The service ``membership``."""
+    """The service ``membership``.
+
+    Attributes
+    ----------
+    members : callable
+        Those that may be given work, this one included.
+    gone_since_s : callable
+        ``gone_since_s(address, incarnation)`` gives since when that process is
+        known to be gone for good, or None.
+    """
 
     members: Callable[[], tuple[Member, ...]]
+    gone_since_s: Callable[[str, str], float | None]
+
+
+def _never_down() -> float:
+    return 0.0
 
 
 class LogAccess(NamedTuple):
@@ -67,10 +91,13 @@
     ----------
     append, read : callable
         As in `platform.log.LogClient`.
+    down_for_s : callable
+        How long the log has not answered; 0 while it does.
     """
 
     append: Callable[[str, str], Awaitable[Result[int, LogFailure]]]
     read: Callable[[str, int, int, float], Awaitable[Result[LogPage, LogFailure]]]
+    down_for_s: Callable[[], float] = _never_down
 
 
 class Configuration(NamedTuple):
@@ -89,3 +116,24 @@
     revision: Callable[[], Revision | None]
     fresh_age_s: Callable[[], float]
     keys_closed: Callable[[], bool]
+
+
+class DrawHandler(NamedTuple):
+    """The service ``limits``: grants tokens, and says where to draw them."""
+
+    handle_draw: Callable[[DrawRequest], Awaitable[DrawReply]]
+    view: Callable[[], LimitsView]
+
+
+class CallHandler(NamedTuple):
+    """The service ``calls``: decides on keyed calls."""
+
+    handle_claim: Callable[[ClaimCallRequest], Awaitable[ClaimCallReply]]
+    handle_finish: Callable[[FinishCallRequest], Awaitable[FinishCallReply]]
+
+
+class CrashHandler(NamedTuple):
+    """The service ``crashes``: takes crash reports, and says who is a suspect."""
+
+    handle_crashes: Callable[[tuple[CrashReport, ...]], Awaitable[None]]
+    view: Callable[[], SuspectView]
--- a/src/_pistachiopond/schema/codec.py
+++ b/src/_pistachiopond/schema/codec.py
@@ -24,6 +24,8 @@
         return {name: to_plain(item) for name, item in value._asdict().items()}
     if isinstance(value, (list, tuple)):
         return [to_plain(item) for item in value]
+    if isinstance(value, (set, frozenset)):
+        return sorted(to_plain(item) for item in value)
     if isinstance(value, dict):
         return {name: to_plain(item) for name, item in value.items()}
     return value
--- a/testing/schema/test_codec.py
+++ b/testing/schema/test_codec.py
@@ -7,6 +7,7 @@
 
 from _pistachiopond.schema.codec import from_json, from_plain, to_json, to_plain
 from _pistachiopond.schema.manifest import Customer, Manifest, Model
+from _pistachiopond.schema.revision import Revision
 from _pistachiopond.schema.settings import EntrySettings
 
 JSON_VALUES = st.recursive(
@@ -32,6 +33,11 @@
         manifest = small_manifest()
         self.assertEqual(from_json(Manifest, to_json(manifest)).ok(), manifest)
 
+    def test_a_set_survives_in_one_order(self) -> None:
+        revision = Revision(1, small_manifest(), frozenset({"b", "a"}), 0)
+        self.assertIn('"withdrawn_digests":["a","b"]', to_json(revision))
+        self.assertEqual(from_json(Revision, to_json(revision)).ok(), revision)
+
     def test_an_unknown_field_is_refused_with_its_path(self) -> None:
         plain = to_plain(small_manifest())
         plain["models"][0]["memroy_mb"] = 5
