--- /dev/null
+++ b/src/_pistachiopond/decisions/flapping.py
@@ -0,0 +1,41 @@
+"""Keeps a daemon that comes and goes from being given work each time it comes."""
+
+from typing import Final, NamedTuple
+
+HALF_LIFE_S: Final = 60.0
+DAMP_ABOVE: Final = 3.0
+RELEASE_BELOW: Final = 1.5
+HIGHEST_PENALTY: Final = 6.0
+
+
+class Damping(NamedTuple):
+    """How often a daemon changed its standing of late.
+
+    Attributes
+    ----------
+    penalty : float
+        1 for each change, halved every `HALF_LIFE_S`.
+    changed_s : float
+        When the penalty was last worked out.
+    is_damped : bool
+        Above `DAMP_ABOVE`, until it has sunk below `RELEASE_BELOW`.
+    """
+
+    penalty: float = 0.0
+    changed_s: float = 0.0
+    is_damped: bool = False
+
+
+def add_change(damping: Damping, now_s: float) -> Damping:
+    """Return the damping after one more change."""
+    penalty = min(_penalty(damping, now_s) + 1.0, HIGHEST_PENALTY)
+    return Damping(penalty, now_s, is_damped(damping, now_s) or penalty > DAMP_ABOVE)
+
+
+def is_damped(damping: Damping, now_s: float) -> bool:
+    """Return whether the daemon should be given no work yet."""
+    return damping.is_damped and _penalty(damping, now_s) >= RELEASE_BELOW
+
+
+def _penalty(damping: Damping, now_s: float) -> float:
+    return damping.penalty * 0.5 ** ((now_s - damping.changed_s) / HALF_LIFE_S)
--- /dev/null
+++ b/src/_pistachiopond/decisions/orders.py
@@ -0,0 +1,330 @@
+"""The book of orders that one holder of a shard has given and not yet settled.
+
+Each order is announced in the log and read back before it is sent, sent again
+until the engine's report shows its effect, and settled once no copy of it can be
+in flight. The caller carries out the actions and tells the book what came of them.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Final, Literal, NamedTuple, final
+
+from _pistachiopond.decisions.intents import IN_FLIGHT_LIMIT_S
+from _pistachiopond.decisions.memory import Report, effect_of
+from _pistachiopond.decisions.ownership import Held
+from _pistachiopond.schema.records import (
+    Intent,
+    IntentRecord,
+    Order,
+    OrderVerb,
+    SettlementRecord,
+    ShardState,
+)
+
+ANNOUNCE_RETRY_S: Final = 5.0
+SETTLE_RETRY_S: Final = 3.0
+RESEND_AFTER_S: Final = 10.0
+FIRST_BACKOFF_S: Final = 1.0
+LONGEST_BACKOFF_S: Final = 16.0
+MAX_SENDS: Final = 8
+
+AnswerKind = Literal["answered", "stale", "not_sent", "unknown"]
+
+
+class Announce(NamedTuple):
+    """Append this record to the shard's stream."""
+
+    record: IntentRecord
+
+
+class Send(NamedTuple):
+    """Send the order now, with the epoch as its fencing number."""
+
+    order: Order
+    epoch: int
+
+
+class Settle(NamedTuple):
+    """Append this record to the shard's stream."""
+
+    record: SettlementRecord
+
+
+BookAction = Announce | Send | Settle
+
+
+class Pending(NamedTuple):
+    """One order and how far it has come.
+
+    Attributes
+    ----------
+    order : Order
+        What was asked for.
+    epoch : int
+        The claim under which it was begun.
+    announced_s : float
+        When its intent was last handed over to be appended; -inf for never.
+    open_sends : int
+        Exchanges with the engine that have not ended.
+    sends : int
+        Exchanges begun in all.
+    next_send_s : float
+        Not before then.
+    last_answer_s : float
+        When the last exchange ended; -inf for none.
+    doubt_until_s : float
+        Until then a copy without an answer may still arrive.
+    is_over : bool
+        Confirmed, or given up: it is not sent again.
+    settle_s : float
+        When its settlement was last handed over; -inf for never.
+    """
+
+    order: Order
+    epoch: int
+    announced_s: float = float("-inf")
+    open_sends: int = 0
+    sends: int = 0
+    next_send_s: float = float("-inf")
+    last_answer_s: float = float("-inf")
+    doubt_until_s: float = float("-inf")
+    is_over: bool = False
+    settle_s: float = float("-inf")
+
+
+class _Settled(NamedTuple):
+    intent: Intent
+    read_s: float
+
+
+@final
+class OrderBook:
+    """The unsettled orders of one incarnation in one shard."""
+
+    def __init__(self, me: str, address: str) -> None:
+        self._me = me
+        self._address = address
+        self._next_number = 0
+        self._pending: dict[int, Pending] = {}
+        self._settled: list[_Settled] = []
+        self._in_log: dict[tuple[str, int], Intent] = {}
+        self._stray_settle_s = float("-inf")
+
+    def pending(self) -> tuple[Pending, ...]:
+        """Return the orders that are not settled."""
+        return tuple(self._pending.values())
+
+    def is_open(self, server: str, verb: OrderVerb, model: str, adapter: str) -> bool:
+        """Return whether such an order is under way."""
+        return any(
+            not item.is_over
+            and (item.order.server, item.order.verb) == (server, verb)
+            and (item.order.model, item.order.adapter) == (model, adapter)
+            for item in self._pending.values()
+        )
+
+    def begin(self, order: Order, epoch: int) -> Order:
+        """Take an order into the book, and return it with its number."""
+        numbered = order._replace(number=self._next_number)
+        self._next_number += 1
+        self._pending[numbered.number] = Pending(numbered, epoch)
+        return numbered
+
+    def intents(self) -> tuple[Intent, ...]:
+        """Return every order whose memory counts, this incarnation's or another's.
+
+        That is what the log says, what is about to be announced, and what was
+        settled after the engine was last asked.
+        """
+        known = dict(self._in_log)
+        for item in self._pending.values():
+            intent = Intent(self._me, self._address, item.epoch, item.order)
+            known.setdefault((self._me, item.order.number), intent)
+        for settled in self._settled:
+            key = (settled.intent.holder, settled.intent.order.number)
+            known.setdefault(key, settled.intent)
+        return tuple(known.values())
+
+    def take_state(
+        self, state: ShardState, reports: Mapping[str, Report], now_s: float
+    ) -> None:
+        """Take what the shard's stream and the engines say now.
+
+        A settled intent goes on counting until its engine has been asked again:
+        what it loaded may not be in a report that is older than the settlement.
+        """
+        current = {(item.holder, item.order.number): item for item in state.intents}
+        gone = [item for key, item in self._in_log.items() if key not in current]
+        self._settled += [_Settled(item, now_s) for item in gone]
+        self._settled = [item for item in self._settled if not _is_seen(item, reports)]
+        self._in_log = current
+        for intent in gone:
+            if intent.holder == self._me:
+                self._pending.pop(intent.order.number, None)
+        self._confirm(reports)
+
+    def _confirm(self, reports: Mapping[str, Report]) -> None:
+        for number, item in self._pending.items():
+            report = reports.get(item.order.server)
+            if report is None or item.sends == 0 or item.open_sends > 0:
+                continue
+            if report.asked_s <= item.last_answer_s:
+                continue
+            self._pending[number] = _after_report(item, report)
+
+    def next_actions(self, held: Held | None, now_s: float) -> list[BookAction]:
+        """Return what is to be done now, and take note that it is being done.
+
+        Parameters
+        ----------
+        held : Held or None
+            This incarnation's authority at this moment.
+        now_s : float
+            By its clock.
+        """
+        actions: list[BookAction] = []
+        for number, item in list(self._pending.items()):
+            if held is None or held.epoch != item.epoch:
+                item = item._replace(is_over=True)
+                self._pending[number] = item
+            action = self._next_for(item, now_s)
+            if action is not None:
+                actions.append(action)
+        actions += self._settlements(now_s)
+        return actions
+
+    def _next_for(self, item: Pending, now_s: float) -> BookAction | None:
+        number = item.order.number
+        if item.is_over:
+            self._forget_unannounced(item, now_s)
+            return None
+        if (self._me, number) not in self._in_log:
+            if now_s - item.announced_s < ANNOUNCE_RETRY_S:
+                return None
+            self._pending[number] = item._replace(announced_s=now_s)
+            intent = Intent(self._me, self._address, item.epoch, item.order)
+            return Announce(IntentRecord(intent))
+        if item.open_sends > 0 or now_s < item.next_send_s:
+            return None
+        if item.sends >= MAX_SENDS:
+            self._pending[number] = item._replace(is_over=True)
+            return None
+        self._pending[number] = item._replace(open_sends=1, sends=item.sends + 1)
+        return Send(item.order, item.epoch)
+
+    def _forget_unannounced(self, item: Pending, now_s: float) -> None:
+        number = item.order.number
+        in_log = (self._me, number) in self._in_log
+        if in_log or item.sends > 0:
+            return
+        # Should its intent come up later, it is settled as one that was not sent.
+        if now_s - item.announced_s >= ANNOUNCE_RETRY_S:
+            del self._pending[number]
+
+    def _settlements(self, now_s: float) -> list[BookAction]:
+        over = [
+            item.order.number
+            for item in self._pending.values()
+            if _may_settle(item, now_s)
+            and (self._me, item.order.number) in self._in_log
+        ]
+        for number in over:
+            item = self._pending[number]
+            self._pending[number] = item._replace(settle_s=now_s)
+        if now_s - self._stray_settle_s >= SETTLE_RETRY_S:
+            strays = self._strays()
+            if strays:
+                self._stray_settle_s = now_s
+            over += strays
+        if not over:
+            return []
+        record = SettlementRecord(self._me, -1, self._me, tuple(sorted(over)))
+        return [Settle(record)]
+
+    def _strays(self) -> list[int]:
+        return [
+            number
+            for holder, number in self._in_log
+            if holder == self._me and number not in self._pending
+        ]
+
+    def note_answer(self, number: int, kind: AnswerKind, now_s: float) -> None:
+        """Take note of how an exchange with the engine ended.
+
+        Parameters
+        ----------
+        number : int
+            The order's.
+        kind : {"answered", "stale", "not_sent", "unknown"}
+            ``unknown`` means that the order may still take effect.
+        now_s : float
+            When it ended.
+        """
+        item = self._pending.get(number)
+        if item is None:
+            return
+        backoff_s = min(FIRST_BACKOFF_S * 2 ** (item.sends - 1), LONGEST_BACKOFF_S)
+        wait_s = RESEND_AFTER_S if kind == "answered" else backoff_s
+        doubt_s = item.doubt_until_s
+        if kind == "unknown":
+            doubt_s = now_s + IN_FLIGHT_LIMIT_S
+        self._pending[number] = item._replace(
+            open_sends=0,
+            next_send_s=now_s + wait_s,
+            last_answer_s=now_s,
+            doubt_until_s=doubt_s,
+            is_over=item.is_over or kind == "stale",
+        )
+
+    def abandon(self, now_s: float) -> SettlementRecord | None:
+        """Give up everything that is surely not in flight, for a shutdown."""
+        numbers = [
+            number
+            for (holder, number) in self._in_log
+            if holder == self._me and _is_safe(self._pending.get(number), now_s)
+        ]
+        if not numbers:
+            return None
+        return SettlementRecord(self._me, -1, self._me, tuple(sorted(numbers)))
+
+
+def _is_seen(item: _Settled, reports: Mapping[str, Report]) -> bool:
+    report = reports.get(item.intent.order.server)
+    return report is not None and report.asked_s > item.read_s
+
+
+def _after_report(item: Pending, report: Report) -> Pending:
+    effect = effect_of(item.order, report.state)
+    if effect == "underway":
+        later_s = report.asked_s + RESEND_AFTER_S
+        return item._replace(next_send_s=max(item.next_send_s, later_s))
+    ended = _ended_at_engine(item, report)
+    if effect != "done" and not ended:
+        return item
+    # An engine that checks numbers answers a late copy without acting on it again.
+    doubt_s = float("-inf") if ended else item.doubt_until_s
+    return item._replace(is_over=True, doubt_until_s=doubt_s)
+
+
+def _ended_at_engine(item: Pending, report: Report) -> bool:
+    if not report.state.checks_fencing:
+        return False
+    return any(
+        (known.fencing_number, known.order_number) == (item.epoch, item.order.number)
+        and known.state != "running"
+        for known in report.state.orders
+    )
+
+
+def _is_safe(item: Pending | None, now_s: float) -> bool:
+    return item is None or (item.open_sends == 0 and now_s >= item.doubt_until_s)
+
+
+def _may_settle(item: Pending, now_s: float) -> bool:
+    if not item.is_over or now_s - item.settle_s < SETTLE_RETRY_S:
+        return False
+    return _is_safe(item, now_s)
+
+
+def intents_about(server: str, intents: Iterable[Intent]) -> tuple[Intent, ...]:
+    """Return the intents that concern one server."""
+    return tuple(item for item in intents if item.order.server == server)
--- /dev/null
+++ b/src/_pistachiopond/decisions/ownership.py
@@ -0,0 +1,279 @@
+"""Decides when to claim, renew and release a shard, and whether it is held now.
+
+The holder counts its lease from before it sent the claim or renewal; all others
+count it from when they read it. Each allows for the error of its own clock's rate,
+so another claims only after the holder has stopped. The log decides between claims
+that cross: the first that names the last claim or renewal in force wins.
+"""
+
+import zlib
+from typing import Final, NamedTuple, final
+
+from _pistachiopond.decisions.shard_fold import SHARD_FOLD
+from _pistachiopond.decisions.stream_reader import Page, StreamReader
+from _pistachiopond.schema.records import (
+    ClaimRecord,
+    ReleaseRecord,
+    RenewalRecord,
+    ShardState,
+)
+
+CLOCK_RATE_ERROR: Final = 0.01
+CANDIDATES: Final = 3
+CLAIM_STAGGER_S: Final = 2.0
+CLAIM_RETRY_S: Final = 3.0
+RENEWALS_PER_LEASE: Final = 3.0
+SHORTEST_RETRY_S: Final = 0.5
+TAIL_AGE_LIMIT_S: Final = 6.0
+
+SERVER_SHARDS: Final = 1
+
+
+class Claimer(NamedTuple):
+    """The daemon that would hold the shard.
+
+    Attributes
+    ----------
+    incarnation : str
+        Unique for each process start.
+    address : str
+        Where it answers by gRPC.
+    """
+
+    incarnation: str
+    address: str
+
+
+class ShardTerms(NamedTuple):
+    """How one shard is held.
+
+    Attributes
+    ----------
+    shard : str
+        Its name; its stream is ``shard-{name}``.
+    lease_s : float
+        How long a claim or renewal lasts.
+    """
+
+    shard: str
+    lease_s: float
+
+
+class Held(NamedTuple):
+    """Authority over a shard, by the holder's own clock.
+
+    Attributes
+    ----------
+    epoch : int
+        The claim's offset; the fencing number.
+    acquired_s : float
+        When the claim was read back.
+    valid_until_s : float
+        When authority ends by this daemon's clock.
+    """
+
+    epoch: int
+    acquired_s: float
+    valid_until_s: float
+
+
+def server_shard(server: str) -> str:
+    """Return the shard that a backend server belongs to.
+
+    All belong to one: a plan that unloads one replica because another exists must
+    be made by one daemon.
+    """
+    return f"servers-{hash_to(server, SERVER_SHARDS)}"
+
+
+def hash_to(name: str, count: int) -> int:
+    """Return the number of the shard, below `count`, that `name` belongs to."""
+    return zlib.crc32(name.encode()) % count
+
+
+def stream_of(shard: str) -> str:
+    """Return the name of a shard's stream."""
+    return f"shard-{shard}"
+
+
+@final
+class ShardClaimant:
+    """One daemon's view of one shard, and its own hold on it."""
+
+    def __init__(self, terms: ShardTerms, me: Claimer) -> None:
+        self._terms = terms
+        self._me = me
+        self._reader = StreamReader(SHARD_FOLD)
+        self._sent_s: dict[int, float] = {}
+        self._next_sequence = 0
+        self._held: Held | None = None
+        self._learned_s = 0.0
+        self._tail_s = float("-inf")
+        self._last_sent_s = float("-inf")
+        self._gave_up_epoch = -1
+
+    @property
+    def state(self) -> ShardState | None:
+        """Return what the stream says; None until a state is proved."""
+        return self._reader.state
+
+    def next_offset(self) -> int:
+        """Return the offset to read from."""
+        return self._reader.next_offset()
+
+    def take_page(self, page: Page, asked_s: float, now_s: float) -> bool:
+        """Take what the log answered.
+
+        Parameters
+        ----------
+        page : Page
+            The answer to a read from `next_offset`.
+        asked_s : float
+            When the read was sent.
+        now_s : float
+            When the answer came.
+
+        Returns
+        -------
+        bool
+            Whether anything changed.
+        """
+        before = self._reader.state
+        advance = self._reader.take_page(page)
+        for step in advance.steps:
+            self._note_authority(step.state, step.outcome, now_s)
+        after = self._reader.state
+        if advance.jumped or (before is None and after is not None):
+            self._learned_s = now_s
+        self._drop_lost_hold()
+        if self._reader.is_at_tail(page):
+            self._tail_s = asked_s
+        return after is not before
+
+    def _note_authority(self, state: ShardState, outcome: object, now_s: float) -> None:
+        if not isinstance(outcome, (ClaimRecord, RenewalRecord)):
+            return
+        self._learned_s = now_s
+        if outcome.holder != self._me.incarnation:
+            return
+        sent_s = self._sent_s.get(outcome.sequence)
+        if sent_s is None or state.epoch <= self._gave_up_epoch:
+            return
+        lease_s = state.lease_s * (1 - CLOCK_RATE_ERROR)
+        is_new = self._held is None or self._held.epoch != state.epoch
+        acquired_s = now_s if is_new or self._held is None else self._held.acquired_s
+        self._held = Held(state.epoch, acquired_s, sent_s + lease_s)
+        self._sent_s = {
+            key: value for key, value in self._sent_s.items() if key > outcome.sequence
+        }
+
+    def _drop_lost_hold(self) -> None:
+        state = self._reader.state
+        if self._held is None or state is None:
+            return
+        if state.epoch != self._held.epoch or state.is_released:
+            self._held = None
+
+    def held(self, now_s: float) -> Held | None:
+        """Return this daemon's authority if it has any now.
+
+        Ask again after every wait: the answer is of this moment only.
+        """
+        if self._held is None or now_s >= self._held.valid_until_s:
+            return None
+        return self._held
+
+    def holder_address(self) -> str | None:
+        """Return where the holder answers, as far as the log tells."""
+        state = self._reader.state
+        if state is None or state.epoch < 0 or state.is_released:
+            return None
+        return state.address
+
+    def claim_wait_s(self, now_s: float, rank: int) -> float:
+        """Return how long until this daemon may claim; 0 for now.
+
+        Parameters
+        ----------
+        now_s : float
+            By this daemon's clock.
+        rank : int
+            Its place among the candidates; each waits a little for the one before.
+        """
+        state = self._reader.state
+        if state is None or not self._reader.is_complete:
+            return CLAIM_RETRY_S
+        stagger_s = rank * CLAIM_STAGGER_S
+        if state.epoch < 0 or state.is_released:
+            return max(0.0, self._learned_s + stagger_s - now_s)
+        lapse_s = self._learned_s + state.lease_s * (1 + CLOCK_RATE_ERROR)
+        return max(0.0, lapse_s + stagger_s - now_s)
+
+    def next_append(
+        self, now_s: float, rank: int
+    ) -> ClaimRecord | RenewalRecord | None:
+        """Return what to append now, and take note that it is being sent.
+
+        Parameters
+        ----------
+        now_s : float
+            By this daemon's clock; the append must be sent after this call.
+        rank : int
+            Its place among the candidates.
+        """
+        if self.held(now_s) is not None:
+            return self._renewal(now_s)
+        if rank >= CANDIDATES or now_s - self._tail_s > TAIL_AGE_LIMIT_S:
+            return None
+        if now_s - self._last_sent_s < CLAIM_RETRY_S:
+            return None
+        if self.claim_wait_s(now_s, rank) > 0:
+            return None
+        return self._claim(now_s)
+
+    def _claim(self, now_s: float) -> ClaimRecord | None:
+        state = self._reader.state
+        if state is None:
+            return None
+        return ClaimRecord(
+            self._me.incarnation,
+            self._me.address,
+            self._terms.lease_s,
+            self._note_sent(now_s),
+            state,
+        )
+
+    def _renewal(self, now_s: float) -> RenewalRecord | None:
+        state = self._reader.state
+        if state is None or self._held is None:
+            return None
+        if now_s < self._renew_at_s(state):
+            return None
+        return RenewalRecord(
+            self._me.incarnation, self._held.epoch, self._note_sent(now_s), state
+        )
+
+    def _renew_at_s(self, state: ShardState) -> float:
+        assert self._held is not None
+        authority_s = self._held.valid_until_s - state.lease_s * (1 - CLOCK_RATE_ERROR)
+        regular_s = authority_s + state.lease_s / RENEWALS_PER_LEASE
+        retry_s = self._last_sent_s + max(
+            SHORTEST_RETRY_S, state.lease_s / (RENEWALS_PER_LEASE * 4)
+        )
+        return max(regular_s, retry_s)
+
+    def _note_sent(self, now_s: float) -> int:
+        sequence = self._next_sequence
+        self._next_sequence += 1
+        self._sent_s[sequence] = now_s
+        self._last_sent_s = now_s
+        return sequence
+
+    def give_up(self, now_s: float) -> ReleaseRecord | None:
+        """Stop holding at once, and return the release to append, if any."""
+        held = self.held(now_s)
+        self._held = None
+        if held is None:
+            return None
+        self._gave_up_epoch = held.epoch
+        return ReleaseRecord(self._me.incarnation, held.epoch)
