pond-control: the whole path in a first version

Follows config, heartbeats with peers, claims shards, polls engines, plans by make_plan, announces, sends, confirms and settles orders, and pushes views.

--- a/src/_pistachiopond/control/configuration.py
+++ b/src/_pistachiopond/control/configuration.py
@@ -1,4 +1,4 @@
-"""The service ``configuration``: follows the ``config`` stream of the log.
+"""The service ``config-follower``: follows the ``config`` stream of the log.
 
 It folds each record, keeps the proof that there is no newer one, and writes a
 snapshot when one is due. What peers relay goes through the same fold.
@@ -8,7 +8,6 @@
 from typing import Any, Final, NamedTuple, final
 
 import anyio
-from absl import logging
 from anyio.abc import TaskStatus
 from prometheus_client import Counter, Gauge
 
@@ -33,6 +32,7 @@
 from _pistachiopond.decisions.stream_reader import Step, StreamReader
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.kernel.timer import Timer, every
+from _pistachiopond.observe.logs import log_change
 from _pistachiopond.platform.log import LogPage, LogRecord
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.heartbeat import LogStatement
@@ -40,7 +40,7 @@
 from _pistachiopond.schema.revision import Revision
 from _pistachiopond.schema.status import PublicationStatus
 
-READ_WAIT_S: Final = 2.0
+READ_WAIT_S: Final = 1.5
 READ_LIMIT: Final = 200
 RETRY_S: Final = 0.25
 SNAPSHOT_CHECK_PERIOD_S: Final = 2.0
@@ -50,6 +50,9 @@
 REVISION: Final = Gauge("pond_config_revision", "The revision in force")
 FRESH_AGE: Final = Gauge("pond_config_fresh_age_seconds", "Age of the newest proof")
 CLOSED: Final = Gauge("pond_keys_closed", "1 while keyed routes refuse")
+GONE_BACK: Final = Counter(
+    "pond_config_log_gone_back", "Reads in which the log ended before what was read"
+)
 OUTCOMES: Final = Counter("pond_config_records", "Records folded", ["outcome"])
 
 
@@ -73,6 +76,11 @@
     state: ConfigState | None
 
 
+class _Kept(NamedTuple):
+    payload: str
+    appended_s: float
+
+
 @final
 class ConfigFollower:
     """The configuration as this daemon knows it."""
@@ -82,13 +90,14 @@
         self._timer = timer
         self._exchange = exchange
         self._reader = StreamReader(CONFIG_FOLD)
-        self._records: dict[int, str] = {}
+        self._records: dict[int, _Kept] = {}
         self._tail_read_s: float | None = None
         self._last_page: LogPage | None = None
         self._page_s = 0.0
         self._snapshot_offset = -1
         self._snapshot_s = float("-inf")
         self._revision: Revision | None = None
+        self._snapshot_wanted_s: float | None = None
         self.publications: list[PublicationStatus] = []
         self.changed = anyio.Event()
         self.members: Callable[[], tuple[str, ...]] = lambda: (me.address,)
@@ -116,17 +125,14 @@
         if self._reader.is_at_tail(page) and not self._reader.has_gone_back:
             self._tail_read_s = asked_s
         if self._reader.has_gone_back:
-            logging.log_every_n_seconds(
-                logging.ERROR,
-                "the log ends before what was read; keeping the revision in force",
-                60,
-            )
+            GONE_BACK.inc()
         self._update()
 
     def _keep(self, page: LogPage) -> None:
         now_s = self._timer.now_s()
         for record in page.records:
-            self._records[record.offset] = record.payload
+            kept = _Kept(record.payload, now_s - record.age_s)
+            self._records[record.offset] = kept
             snapshot = CONFIG_FOLD.snapshot_in(record.payload)
             if snapshot is not None and record.offset > self._snapshot_offset:
                 self._snapshot_offset = record.offset
@@ -138,17 +144,23 @@
         outcome = step.outcome
         OUTCOMES.labels(type(outcome).__name__.lower()).inc()
         if isinstance(outcome, Accepted):
-            logging.info("revision %d is in force", outcome.number)
-            self._remember(PublicationStatus(outcome.publication_id, offset, "accepted"))
+            log_change("revision in force", revision=outcome.number)
+            self._remember(
+                PublicationStatus(outcome.publication_id, offset, "accepted")
+            )
         elif isinstance(outcome, Refused):
-            logging.info("publication %s: %s", outcome.publication_id, outcome.reason)
+            log_change(
+                "publication refused",
+                publication_id=outcome.publication_id,
+                reason=outcome.reason,
+            )
             self._remember(
                 PublicationStatus(
                     outcome.publication_id, offset, outcome.reason, outcome.details
                 )
             )
         elif not isinstance(outcome, Passed):
-            logging.info("%d keys are withdrawn", len(outcome.digests))
+            log_change("keys withdrawn", count=len(outcome.digests))
 
     def _remember(self, publication: PublicationStatus) -> None:
         self.publications.append(publication)
@@ -171,7 +183,7 @@
         wanted = range(from_offset, covers + 1)
         first = min(self._records, default=covers + 1)
         if from_offset >= 0 and all(offset in self._records for offset in wanted):
-            payloads = tuple(self._records[offset] for offset in wanted)
+            payloads = tuple(self._records[offset].payload for offset in wanted)
             return RelayedPage(from_offset, first, covers + 1, payloads, None)
         return RelayedPage(from_offset, first, covers + 1, (), self._reader.state)
 
@@ -242,7 +254,12 @@
         now_s = self._timer.now_s()
         if page is None or state is None or not self._reader.is_at_tail(page):
             return None
-        oldest_s = page.records[0].age_s if page.records else 0.0
+        retained_s = (
+            kept.appended_s
+            for offset, kept in self._records.items()
+            if offset >= page.first_offset
+        )
+        oldest_s = min(retained_s, default=now_s)
         has_snapshot = self._snapshot_offset >= page.first_offset
         due_in_s = snapshot_due_in_s(
             SnapshotInput(
@@ -251,7 +268,7 @@
                 next_offset=page.next_offset,
                 last_snapshot_offset=self._snapshot_offset if has_snapshot else -1,
                 last_snapshot_age_s=now_s - self._snapshot_s,
-                oldest_record_age_s=max(oldest_s, 1.0),
+                oldest_record_age_s=now_s - oldest_s,
                 rank=rank_of(
                     f"snapshot-{state.covers_offset}",
                     self._me.address,
@@ -269,24 +286,23 @@
         self._snapshot_wanted_s = None
         return SnapshotRecord(state)
 
-    _snapshot_wanted_s: float | None = None
 
-
-def make_configuration_service(me: Identity, timer: Timer) -> Service:
-    """Return the service ``configuration``."""
+def make_follower_service(me: Identity, timer: Timer) -> Service:
+    """Return the service ``config-follower``."""
 
     async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
         log = kernel.find("log", LogAccess)
         exchange = kernel.find("exchange", Exchange)
+        exchange.note_progress("configuration", timer.now_s())
         follower = ConfigFollower(me, timer, exchange)
         async with anyio.create_task_group() as group:
             group.start_soon(_follow, follower, log, exchange, timer)
             group.start_soon(_write_snapshots, follower, log, timer)
             task_status.started(follower)
-            await kernel.stop_event("configuration").wait()
+            await kernel.stop_event("config-follower").wait()
             group.cancel_scope.cancel()
 
-    return Service("configuration", run)
+    return Service("config-follower", run)
 
 
 async def _follow(
--- /dev/null
+++ b/src/_pistachiopond/control/engine_orders.py
@@ -0,0 +1,97 @@
+"""Sends orders to model engines, and says what an answer proves."""
+
+from typing import Any, Final
+
+import httpx
+
+from _pistachiopond.decisions.orders import AnswerKind
+from _pistachiopond.schema.records import Order
+
+ORDER_TIMEOUT_S: Final = 5.0
+FENCE_MODEL: Final = "pond-fence"
+FENCE_NUMBER_BASE: Final = 1 << 40
+
+
+async def send_order(
+    http: httpx.AsyncClient, base_url: str, order: Order, epoch: int
+) -> AnswerKind:
+    """Send one order once.
+
+    Parameters
+    ----------
+    http : httpx.AsyncClient
+        Its connections.
+    base_url : str
+        The engine's.
+    order : Order
+        What it is to do.
+    epoch : int
+        The fencing number.
+
+    Returns
+    -------
+    str
+        ``unknown`` where the order may take effect later, or never.
+    """
+    path, body = _request(order, epoch)
+    try:
+        response = await http.post(
+            f"{base_url}{path}", json=body, timeout=ORDER_TIMEOUT_S
+        )
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+        return "not_sent"
+    except httpx.HTTPError:
+        return "unknown"
+    return _kind(response)
+
+
+def _kind(response: httpx.Response) -> AnswerKind:
+    if response.status_code == 409 and "stale_fencing_number" in response.text:
+        return "stale"
+    if response.status_code < 500:
+        return "answered"
+    if response.headers.get("X-Verdict") == "not_run":
+        return "not_sent"
+    return "unknown"
+
+
+def _request(order: Order, epoch: int) -> tuple[str, dict[str, Any]]:
+    parameters: dict[str, Any] = {
+        "fencing_number": epoch,
+        "order_number": order.number,
+        "version": order.version,
+    }
+    if order.memory_mb:
+        parameters["memory_mb"] = order.memory_mb
+    if order.verb in ("load", "unload"):
+        path = f"/v2/repository/models/{order.model}/{order.verb}"
+        return path, {"parameters": parameters}
+    body = {
+        "lora_name": order.adapter,
+        "base_model": order.model,
+        "parameters": parameters,
+    }
+    if order.verb == "load_adapter":
+        body["lora_path"] = order.adapter
+        return "/v1/load_lora_adapter", body
+    return "/v1/unload_lora_adapter", body
+
+
+async def send_fence(
+    http: httpx.AsyncClient, base_url: str, epoch: int, number: int
+) -> None:
+    """Show the engine a fencing number by an order without effect.
+
+    It unloads a model that nobody loads; an engine that checks fencing numbers
+    refuses older ones from then on. What it has seen is read from its state.
+    """
+    order = Order(
+        number=FENCE_NUMBER_BASE + number,
+        server="",
+        verb="unload",
+        model=FENCE_MODEL,
+        version="0",
+        adapter="",
+        memory_mb=0,
+    )
+    await send_order(http, base_url, order, epoch)
--- /dev/null
+++ b/src/_pistachiopond/control/engines.py
@@ -0,0 +1,179 @@
+"""The service ``engines``: asks each model engine for its state, once a second.
+
+At most a few questions are open at a time, and none waits longer than its limit,
+so that servers which do not answer delay no others.
+"""
+
+from collections.abc import Mapping
+from typing import Any, Final, final
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup, TaskStatus
+from prometheus_client import Counter
+
+from _pistachiopond.control.exchange import Exchange
+from _pistachiopond.control.ports import Configuration
+from _pistachiopond.decisions.memory import Report
+from _pistachiopond.kernel.service import Kernel, Service
+from _pistachiopond.kernel.timer import Timer, every
+from _pistachiopond.schema.codec import from_plain
+from _pistachiopond.schema.engine import EngineState
+from _pistachiopond.schema.manifest import BackendServer
+
+TICK_S: Final = 0.25
+POLL_PERIOD_S: Final = 1.0
+POLL_TIMEOUT_S: Final = 2.0
+POLLS_PER_S: Final = 20
+OPEN_POLLS: Final = 16
+
+POLLS: Final = Counter("pond_engine_polls", "Questions to engines", ["result"])
+
+
+@final
+class Engines:
+    """What the engines last said."""
+
+    def __init__(self, timer: Timer, exchange: Exchange) -> None:
+        self._timer = timer
+        self._exchange = exchange
+        self._reports: dict[str, Report] = {}
+        self._asked_s: dict[str, float] = {}
+        self._open: set[str] = set()
+        self._limiter = anyio.CapacityLimiter(OPEN_POLLS)
+        self.changed = anyio.Event()
+
+    def reports(self) -> Mapping[str, Report]:
+        """Return the newest report of each engine that ever answered."""
+        return self._reports
+
+    def age_s(self, server: str) -> float:
+        """Return how long ago the engine was asked for its newest report."""
+        report = self._reports.get(server)
+        return float("inf") if report is None else self._timer.now_s() - report.asked_s
+
+    def due(self, servers: tuple[BackendServer, ...]) -> list[BackendServer]:
+        """Return the servers to be asked now; many are asked less often each."""
+        now_s = self._timer.now_s()
+        period_s = max(POLL_PERIOD_S, len(servers) / POLLS_PER_S)
+        return [
+            server
+            for server in servers
+            if server.name not in self._open
+            and now_s - self._asked_s.get(server.name, float("-inf")) >= period_s
+        ]
+
+    def keep_only(self, names: frozenset[str]) -> None:
+        """Forget engines that the manifest does not list any more."""
+        for name in self._reports.keys() - names:
+            del self._reports[name]
+
+    async def poll(self, http: httpx.AsyncClient, server: BackendServer) -> None:
+        """Ask one engine, and keep its answer."""
+        async with self._limiter:
+            asked_s = self._timer.now_s()
+            self._asked_s[server.name] = asked_s
+            state = await _ask(http, server)
+            self._open.discard(server.name)
+        POLLS.labels("failed" if state is None else "answered").inc()
+        if state is None:
+            return
+        before = self._reports.get(server.name)
+        if before is not None and before.asked_s >= asked_s:
+            return
+        self._reports[server.name] = Report(state, asked_s)
+        if state.leaving:
+            self._exchange.note_leaving(server.name, asked_s, seen_here=True)
+        if before is None or _is_news(before.state, state):
+            self.changed.set()
+            self.changed = anyio.Event()
+
+    def start_due(
+        self,
+        group: TaskGroup,
+        http: httpx.AsyncClient,
+        servers: tuple[BackendServer, ...],
+    ) -> None:
+        """Begin asking those that are due."""
+        for server in self.due(servers):
+            self._open.add(server.name)
+            group.start_soon(self.poll, http, server)
+
+
+def _is_news(before: EngineState, after: EngineState) -> bool:
+    return (
+        before.models != after.models
+        or before.leaving != after.leaving
+        or before.incarnation != after.incarnation
+    )
+
+
+async def _ask(http: httpx.AsyncClient, server: BackendServer) -> EngineState | None:
+    try:
+        response = await http.get(f"{server.url}/state", timeout=POLL_TIMEOUT_S)
+        response.raise_for_status()
+        plain = response.json()
+    except (httpx.HTTPError, ValueError):
+        return None
+    return from_plain(EngineState, _known_fields(plain)).ok()
+
+
+def _known_fields(plain: Any) -> Any:
+    """Leave out what later engines may add, at each level that is read."""
+    if not isinstance(plain, dict):
+        return plain
+    kept = {name: plain[name] for name in EngineState._fields if name in plain}
+    kept["models"] = [_pick(item, _MODEL_FIELDS) for item in plain.get("models", ())]
+    for model in kept["models"]:
+        model["adapters"] = [
+            _pick(item, _ADAPTER_FIELDS) for item in model.get("adapters", ())
+        ]
+    kept["orders"] = [_pick(item, _ORDER_FIELDS) for item in plain.get("orders", ())]
+    return kept
+
+
+_MODEL_FIELDS: Final = ("name", "version", "memory_mb", "state", "adapters")
+_ADAPTER_FIELDS: Final = ("name", "memory_mb", "state")
+_ORDER_FIELDS: Final = ("fencing_number", "order_number", "state")
+
+
+def _pick(plain: Any, fields: tuple[str, ...]) -> Any:
+    if not isinstance(plain, dict):
+        return plain
+    return {name: plain[name] for name in fields if name in plain}
+
+
+def engine_servers(configuration: Configuration) -> tuple[BackendServer, ...]:
+    """Return the backend servers that run a model engine."""
+    revision = configuration.revision()
+    if revision is None:
+        return ()
+    return tuple(
+        server for server in revision.manifest.backend_servers if server.memory_mb > 0
+    )
+
+
+def make_engines_service(timer: Timer) -> Service:
+    """Return the service ``engines``."""
+
+    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
+        configuration = kernel.find("configuration", Configuration)
+        exchange = kernel.find("exchange", Exchange)
+        engines = Engines(timer, exchange)
+        limits = httpx.Limits(max_keepalive_connections=OPEN_POLLS * 4)
+        async with (
+            httpx.AsyncClient(limits=limits, trust_env=False) as http,
+            anyio.create_task_group() as group,
+        ):
+
+            async def on_tick(now_s: float) -> None:
+                servers = engine_servers(configuration)
+                engines.keep_only(frozenset(server.name for server in servers))
+                engines.start_due(group, http, servers)
+
+            group.start_soon(every, timer, TICK_S, on_tick)
+            task_status.started(engines)
+            await kernel.stop_event("engines").wait()
+            group.cancel_scope.cancel()
+
+    return Service("engines", run)
--- /dev/null
+++ b/src/_pistachiopond/control/membership.py
@@ -0,0 +1,205 @@
+"""The service ``fleet``: heartbeats with peers, and the platform's list of VMs.
+
+It carries what other services put into the exchange, and answers peers' heartbeats
+from the event loop that does the daemon's work, so that a daemon whose loop hangs
+does not answer.
+"""
+
+from typing import Any, Final, final
+from urllib.parse import urlsplit
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup, TaskStatus
+from prometheus_client import Counter, Gauge
+
+from _pistachiopond.control.configuration import ConfigFollower
+from _pistachiopond.control.exchange import Exchange
+from _pistachiopond.control.ports import LogAccess, Member, Membership
+from _pistachiopond.decisions.membership import Fleet, ListedDaemon
+from _pistachiopond.kernel.service import Kernel, Service
+from _pistachiopond.kernel.timer import Timer, every
+from _pistachiopond.platform.vmlist import ListedVm, ListVms, make_vm_list
+from _pistachiopond.schema.codec import from_json, to_json
+from _pistachiopond.schema.heartbeat import Heartbeat
+from _pistachiopond.schema.settings import ControlSettings
+from _pistachiopond.transport.channels import Channels, call
+from _pistachiopond.transport.generated.pond_pb2 import (
+    HeartbeatReply,
+    HeartbeatRequest,
+)
+from _pistachiopond.transport.generated.pond_pb2_grpc import PeerStub
+
+HEARTBEAT_PERIOD_S: Final = 1.0
+HEARTBEAT_TIMEOUT_S: Final = 1.5
+LIST_PERIOD_S: Final = 3.0
+LIST_VMS_PER_S: Final = 20
+
+SENT: Final = Counter("pond_heartbeats_sent", "Heartbeats sent", ["result"])
+MEMBERS: Final = Gauge("pond_members", "Control daemons believed to be alive")
+
+
+@final
+class FleetService:
+    """The state of the service ``fleet``."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        exchange: Exchange,
+        follower: ConfigFollower,
+        log: LogAccess,
+        timer: Timer,
+    ) -> None:
+        self.fleet = fleet
+        self.list_reached = False
+        self._exchange = exchange
+        self._follower = follower
+        self._log = log
+        self._timer = timer
+
+    def now_s(self) -> float:
+        """Return the time by this daemon's clock."""
+        return self._timer.now_s()
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what this daemon tells a peer now."""
+        now_s = self._timer.now_s()
+        reaches_log = self._log.down_for_s() == 0.0
+        return Heartbeat(
+            *self.fleet.me,
+            beat=self.fleet.beat,
+            own=self._follower.statement(reaches_log=reaches_log),
+            statements=self._exchange.statements_to_pass(now_s),
+            rumours=self.fleet.rumours(),
+            owners=self._exchange.owners_to_pass(),
+            peers=self.fleet.peer_hints(),
+            leaving=self._exchange.leaving_to_pass(now_s),
+            drains=self._exchange.drains,
+        )
+
+    def take(self, heartbeat: Heartbeat, asked_s: float | None) -> None:
+        """Take a peer's heartbeat.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            A request of the peer, or its answer to one of ours.
+        asked_s : float or None
+            When ours was sent. Statements of a request are not taken: nobody knows
+            how long it was on its way.
+        """
+        now_s = self._timer.now_s()
+        self.fleet.take_heartbeat(heartbeat, now_s)
+        for hint in heartbeat.owners:
+            self._exchange.take_owner(hint)
+        for server in heartbeat.leaving:
+            self._exchange.note_leaving(server, now_s, seen_here=False)
+        self._exchange.take_drains(heartbeat.drains)
+        if asked_s is None:
+            return
+        self._exchange.take_statement(heartbeat.own, asked_s)
+        for statement in heartbeat.statements:
+            if statement.address != self.fleet.me.address:
+                self._exchange.take_statement(statement, asked_s)
+
+    async def handle_heartbeat(self, request: HeartbeatRequest) -> HeartbeatReply:
+        """Answer a peer's heartbeat."""
+        heartbeat = from_json(Heartbeat, request.heartbeat_json)
+        if heartbeat.is_ok():
+            self.take(heartbeat.unwrap(), None)
+        return HeartbeatReply(heartbeat_json=to_json(self.heartbeat()).encode())
+
+    async def send_to(self, channels: Channels, address: str) -> None:
+        """Send one heartbeat and take its answer."""
+        asked_s = self._timer.now_s()
+        request = HeartbeatRequest(heartbeat_json=to_json(self.heartbeat()).encode())
+        method = PeerStub(channels.get(address)).Heartbeat
+        answer = await call(method, request, HEARTBEAT_TIMEOUT_S)
+        SENT.labels("answered" if answer.is_ok() else "failed").inc()
+        if answer.is_err():
+            return
+        heartbeat = from_json(Heartbeat, answer.unwrap().heartbeat_json)
+        if heartbeat.is_ok():
+            self.take(heartbeat.unwrap(), asked_s)
+
+    async def tick(self, group: TaskGroup, channels: Channels, now_s: float) -> None:
+        """Send this period's heartbeats; answers are taken as they come."""
+        makes_progress = self._exchange.makes_progress(now_s)
+        for address in self.fleet.tick(now_s, makes_progress=makes_progress):
+            group.start_soon(self.send_to, channels, address)
+        MEMBERS.set(len(self.fleet.members(now_s)))
+
+    def take_list(self, vms: tuple[ListedVm, ...]) -> None:
+        """Take the platform's list of VMs."""
+        now_s = self._timer.now_s()
+        daemons = (
+            ListedDaemon(vm.address, vm.data_centre, vm.state == "leaving")
+            for vm in vms
+            if vm.kind == "entry"
+        )
+        self.fleet.take_list(daemons, now_s)
+        revision = self._follower.revision()
+        if revision is None:
+            return
+        names = {
+            urlsplit(server.url).netloc: server.name
+            for server in revision.manifest.backend_servers
+        }
+        for vm in vms:
+            if vm.kind == "backend" and vm.state == "leaving" and vm.address in names:
+                self._exchange.note_leaving(names[vm.address], now_s, seen_here=True)
+
+    async def read_list_for_good(self, list_vms: ListVms) -> None:
+        """Read the list again and again; a long list less often, to bound bytes."""
+        while True:
+            answer = await list_vms()
+            self.list_reached = answer.is_ok()
+            period_s = LIST_PERIOD_S
+            if answer.is_ok():
+                vms = answer.unwrap()
+                self.take_list(vms)
+                period_s = max(period_s, len(vms) / LIST_VMS_PER_S)
+            await self._timer.sleep_until(self._timer.now_s() + period_s)
+
+    def members(self) -> tuple[Member, ...]:
+        """Return those that may be given work."""
+        return tuple(
+            Member(*identity) for identity in self.fleet.members(self._timer.now_s())
+        )
+
+
+def make_fleet_service(
+    fleet: Fleet, settings: ControlSettings, timer: Timer
+) -> Service:
+    """Return the service ``fleet``."""
+
+    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
+        follower = kernel.find("config-follower", ConfigFollower)
+        exchange = kernel.find("exchange", Exchange)
+        log = kernel.find("log", LogAccess)
+        channels = kernel.find("channels", Channels)
+        service = FleetService(fleet, exchange, follower, log, timer)
+        follower.members = lambda: tuple(member.address for member in service.members())
+        follower.data_centres = fleet.data_centres
+        async with (
+            httpx.AsyncClient(trust_env=False) as http,
+            anyio.create_task_group() as group,
+        ):
+            list_vms = make_vm_list(http, settings.vm_list_url)
+            group.start_soon(service.read_list_for_good, list_vms)
+
+            async def on_tick(now_s: float) -> None:
+                await service.tick(group, channels, now_s)
+
+            group.start_soon(every, timer, HEARTBEAT_PERIOD_S, on_tick)
+            task_status.started(service)
+            await kernel.stop_event("fleet").wait()
+            group.cancel_scope.cancel()
+
+    return Service("fleet", run)
+
+
+def as_membership(service: FleetService) -> Membership:
+    """Return the port that other services use."""
+    return Membership(service.members, service.fleet.gone_since_s)
--- /dev/null
+++ b/src/_pistachiopond/control/orders.py
@@ -0,0 +1,340 @@
+"""The service ``orders``: plans for the backend servers and carries the plan out.
+
+Only the holder of the servers' shard does. Each step is checked against memory,
+the weight store's limits and the authority of the moment; the book of orders sees
+to announcing, sending, confirming and settling.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import Any, Final, final
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup, TaskStatus
+from prometheus_client import Counter, Gauge
+
+from _pistachiopond.control.demand import Demand
+from _pistachiopond.control.engine_orders import send_fence, send_order
+from _pistachiopond.control.engines import Engines
+from _pistachiopond.control.exchange import Exchange
+from _pistachiopond.control.ownership import Shard, Shards
+from _pistachiopond.control.ports import Configuration, LogAccess, Membership
+from _pistachiopond.decisions.drains import Drains
+from _pistachiopond.decisions.intents import ForeignInput, judge_foreign
+from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.memory import free_mb
+from _pistachiopond.decisions.orders import Announce, BookAction, OrderBook, Send
+from _pistachiopond.decisions.ownership import Held, server_shard
+from _pistachiopond.decisions.placement import make_plan
+from _pistachiopond.decisions.placement_types import PlacementPlan
+from _pistachiopond.decisions.planning import (
+    PlanFacts,
+    WantedOrder,
+    adapter_orders,
+    placement_input,
+    usable_report,
+)
+from _pistachiopond.decisions.weights_queue import (
+    count_loads,
+    may_start_adapter,
+    may_start_model,
+)
+from _pistachiopond.kernel.service import Kernel, Service
+from _pistachiopond.kernel.timer import Timer, every
+from _pistachiopond.observe.logs import log_change
+from _pistachiopond.schema.codec import to_json
+from _pistachiopond.schema.heartbeat import DrainedReplica
+from _pistachiopond.schema.manifest import Manifest
+from _pistachiopond.schema.records import Intent, Order, SettlementRecord
+
+TICK_S: Final = 0.25
+PLAN_PERIOD_S: Final = 1.0
+FIRST_REPORTS_S: Final = 5.0
+FENCE_PERIOD_S: Final = 2.0
+SETTLE_PERIOD_S: Final = 3.0
+STOP_LIMIT_S: Final = 8.0
+
+ORDERS: Final = Counter("pond_orders", "Orders begun", ["verb"])
+ANSWERS: Final = Counter("pond_order_answers", "How exchanges ended", ["kind"])
+UNPLACED: Final = Gauge("pond_models_unplaced", "Listed models without a place")
+UNSETTLED: Final = Gauge("pond_intents_unsettled", "Orders that may be in effect")
+
+
+@final
+class Planner:
+    """The state of the service ``orders``."""
+
+    def __init__(
+        self, me: Identity, kernel: Kernel, http: httpx.AsyncClient, timer: Timer
+    ) -> None:
+        self._me = me
+        self._http = http
+        self._timer = timer
+        self._configuration = kernel.find("configuration", Configuration)
+        self._membership = kernel.find("membership", Membership)
+        self._engines = kernel.find("engines", Engines)
+        self._exchange = kernel.find("exchange", Exchange)
+        self._demand = kernel.find("demand", Demand)
+        self._log = kernel.find("log", LogAccess)
+        shard = kernel.find("shards", Shards).get(server_shard(""))
+        assert shard is not None
+        self._shard: Shard = shard
+        self._book = OrderBook(me.incarnation, me.address)
+        self._drains = Drains()
+        self._planned_s = float("-inf")
+        self._last_load_s = float("-inf")
+        self._fenced_s: dict[str, float] = {}
+        self._fences = 0
+        self._settled_s: dict[tuple[str, int], float] = {}
+        self.unplaced: tuple[str, ...] = ()
+        self.is_stopping = False
+
+    # -- the loop ----------------------------------------------------------------
+
+    async def on_tick(self, group: TaskGroup, now_s: float) -> None:
+        """Follow the stream and the reports, plan, and start what is due."""
+        self._exchange.note_progress("orders", now_s)
+        state = self._shard.state()
+        if state is None:
+            return
+        self._book.take_state(state, self._engines.reports(), now_s)
+        UNSETTLED.set(len(self._book.intents()))
+        held = self._shard.held()
+        revision = self._configuration.revision()
+        if held is not None and revision is not None and not self.is_stopping:
+            self._settle_foreign(group, revision.manifest, held, now_s)
+            if now_s - self._planned_s >= PLAN_PERIOD_S:
+                self._planned_s = now_s
+                self._plan(revision.manifest, held, now_s)
+        for action in self._book.next_actions(self._shard.held(), now_s):
+            group.start_soon(self._carry_out, action)
+
+    async def _carry_out(self, action: BookAction) -> None:
+        if isinstance(action, Send):
+            await self._send(action)
+            return
+        if (
+            isinstance(action, Announce)
+            and self._authority(action.record.intent.epoch) is None
+        ):
+            return
+        await self._log.append(self._shard.stream, to_json(action.record))
+
+    def _authority(self, epoch: int) -> Held | None:
+        held = self._shard.held()
+        return held if held is not None and held.epoch == epoch else None
+
+    async def _send(self, action: Send) -> None:
+        order = action.order
+        url = self._url(order.server)
+        if url is None or self._authority(action.epoch) is None:
+            self._book.note_answer(order.number, "not_sent", self._timer.now_s())
+            return
+        kind = await send_order(self._http, url, order, action.epoch)
+        ANSWERS.labels(kind).inc()
+        self._book.note_answer(order.number, kind, self._timer.now_s())
+
+    def _url(self, server: str) -> str | None:
+        revision = self._configuration.revision()
+        if revision is None:
+            return None
+        servers = revision.manifest.backend_servers
+        return next((item.url for item in servers if item.name == server), None)
+
+    # -- orders of earlier holders ------------------------------------------------
+
+    def _settle_foreign(
+        self, group: TaskGroup, manifest: Manifest, held: Held, now_s: float
+    ) -> None:
+        intents = self._book.intents()
+        if all(item.holder == self._me.incarnation for item in intents):
+            return
+        decision = judge_foreign(
+            intents,
+            self._engines.reports(),
+            self._foreign_input(intents, manifest, held),
+            now_s,
+        )
+        for server in decision.to_fence:
+            self._fence(group, server, held, now_s)
+        self._append_settlements(group, decision.settled, held, now_s)
+
+    def _foreign_input(
+        self, intents: Iterable[Intent], manifest: Manifest, held: Held
+    ) -> ForeignInput:
+        gone_s = {
+            item.holder: self._membership.gone_since_s(item.address, item.holder)
+            for item in intents
+            if item.holder != self._me.incarnation
+        }
+        return ForeignInput(
+            self._me.incarnation,
+            held.epoch,
+            held.acquired_s,
+            frozenset(
+                item.name for item in manifest.backend_servers if item.checks_fencing
+            ),
+            {key: value for key, value in gone_s.items() if value is not None},
+        )
+
+    def _fence(self, group: TaskGroup, server: str, held: Held, now_s: float) -> None:
+        url = self._url(server)
+        last_s = self._fenced_s.get(server, float("-inf"))
+        if url is None or now_s - last_s < FENCE_PERIOD_S:
+            return
+        self._fenced_s[server] = now_s
+        self._fences += 1
+        group.start_soon(send_fence, self._http, url, held.epoch, self._fences)
+
+    def _append_settlements(
+        self, group: TaskGroup, settled: tuple[Intent, ...], held: Held, now_s: float
+    ) -> None:
+        by_holder: dict[str, list[int]] = {}
+        for intent in settled:
+            key = (intent.holder, intent.order.number)
+            if now_s - self._settled_s.get(key, float("-inf")) < SETTLE_PERIOD_S:
+                continue
+            self._settled_s[key] = now_s
+            by_holder.setdefault(intent.holder, []).append(intent.order.number)
+        for holder, numbers in by_holder.items():
+            record = SettlementRecord(
+                self._me.incarnation, held.epoch, holder, tuple(sorted(numbers))
+            )
+            log_change("orders of an earlier holder settled", holder=holder)
+            group.start_soon(self._log.append, self._shard.stream, to_json(record))
+
+    # -- planning ----------------------------------------------------------------
+
+    def _plan(self, manifest: Manifest, held: Held, now_s: float) -> None:
+        facts = self._facts(manifest, held, now_s)
+        if not self._has_first_reports(facts, held, now_s):
+            return
+        plan = make_plan(placement_input(facts, now_s))
+        self.unplaced = plan.unplaced
+        UNPLACED.set(len(plan.unplaced))
+        self._follow_drains(plan, held, now_s)
+        for order in adapter_orders(facts, now_s):
+            self._begin_adapter(order, facts, held)
+        for step in plan.unloads:
+            self._begin_unload(
+                WantedOrder(step.server, "unload", step.model, step.version, "", 0),
+                held,
+            )
+        self._begin_loads(plan, facts, held, now_s)
+
+    def _facts(self, manifest: Manifest, held: Held, now_s: float) -> PlanFacts:
+        return PlanFacts(
+            manifest=manifest,
+            reports=self._engines.reports(),
+            intents=self._book.intents(),
+            leaving=frozenset(self._exchange.leaving(now_s)),
+            draining_since_s=self._drains.since_s(),
+            acquired_s=held.acquired_s,
+            tokens_per_s=self._demand.tokens_per_s(),
+        )
+
+    def _has_first_reports(self, facts: PlanFacts, held: Held, now_s: float) -> bool:
+        if now_s - held.acquired_s >= FIRST_REPORTS_S:
+            return True
+        return all(
+            usable_report(server.name, facts, now_s) is not None
+            for server in facts.manifest.backend_servers
+            if server.memory_mb > 0
+        )
+
+    def _follow_drains(self, plan: PlacementPlan, held: Held, now_s: float) -> None:
+        wanted = [DrainedReplica(*step) for step in plan.drains]
+        notice = self._drains.take_plan(wanted, held.epoch, now_s)
+        self._exchange.take_drains(notice)
+
+    def _begin_loads(
+        self, plan: PlacementPlan, facts: PlanFacts, held: Held, now_s: float
+    ) -> None:
+        limits = facts.manifest.weight_store
+        models = {model.name: model for model in facts.manifest.models}
+        for step in plan.loads:
+            loads = count_loads(
+                self._book.intents(),
+                facts.reports,
+                self._me.incarnation,
+                now_s - held.acquired_s,
+            )
+            if not may_start_model(loads, limits, self._last_load_s, now_s):
+                return
+            if self._room_mb(step.server, facts) < step.memory_mb:
+                continue
+            wanted = WantedOrder(
+                step.server,
+                "load",
+                step.model,
+                step.version,
+                "",
+                models[step.model].memory_mb,
+            )
+            if self._begin(wanted, held):
+                self._last_load_s = now_s
+
+    def _begin_adapter(self, wanted: WantedOrder, facts: PlanFacts, held: Held) -> None:
+        if wanted.verb == "load_adapter":
+            loads = count_loads(
+                self._book.intents(), facts.reports, self._me.incarnation, math.inf
+            )
+            if not may_start_adapter(loads, facts.manifest.weight_store):
+                return
+            if self._room_mb(wanted.server, facts) < wanted.memory_mb:
+                return
+        self._begin(wanted, held)
+
+    def _begin_unload(self, wanted: WantedOrder, held: Held) -> None:
+        self._begin(wanted, held)
+
+    def _room_mb(self, server: str, facts: PlanFacts) -> int:
+        """Return the free memory by the newest report and by all intents of now."""
+        report = usable_report(server, facts, self._timer.now_s())
+        if report is None:
+            return 0
+        listed = next(
+            item for item in facts.manifest.backend_servers if item.name == server
+        )
+        memory_mb = min(listed.memory_mb, report.state.memory_mb)
+        state = report.state._replace(memory_mb=memory_mb)
+        return free_mb(server, state, self._book.intents())
+
+    def _begin(self, wanted: WantedOrder, held: Held) -> bool:
+        if self._book.is_open(wanted.server, wanted.verb, wanted.model, wanted.adapter):
+            return False
+        ORDERS.labels(wanted.verb).inc()
+        order = Order(0, *wanted)
+        self._book.begin(order, held.epoch)
+        return True
+
+    # -- shutdown ----------------------------------------------------------------
+
+    async def abandon(self) -> None:
+        """Say in the log which orders are surely not in flight any more."""
+        record = self._book.abandon(self._timer.now_s())
+        if record is not None:
+            await self._log.append(self._shard.stream, to_json(record))
+
+
+def make_orders_service(me: Identity, timer: Timer) -> Service:
+    """Return the service ``orders``."""
+
+    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
+        async with httpx.AsyncClient(trust_env=False) as http:
+            planner = Planner(me, kernel, http, timer)
+            async with anyio.create_task_group() as group:
+
+                async def on_tick(now_s: float) -> None:
+                    await planner.on_tick(group, now_s)
+
+                group.start_soon(every, timer, TICK_S, on_tick)
+                task_status.started(planner)
+                await kernel.stop_event("orders").wait()
+                planner.is_stopping = True
+                group.cancel_scope.cancel()
+            with anyio.move_on_after(STOP_LIMIT_S):
+                await planner.abandon()
+
+    return Service("orders", run)
--- a/src/_pistachiopond/control/ports.py
+++ b/src/_pistachiopond/control/ports.py
@@ -16,6 +16,8 @@
     DrawRequest,
     FinishCallReply,
     FinishCallRequest,
+    ProbationReply,
+    ProbationRequest,
 )
 
 
@@ -135,5 +137,6 @@
 class CrashHandler(NamedTuple):
     """The service ``crashes``: takes crash reports, and says who is a suspect."""
 
+    handle_probation: Callable[[ProbationRequest], Awaitable[ProbationReply]]
     handle_crashes: Callable[[tuple[CrashReport, ...]], Awaitable[None]]
     view: Callable[[], SuspectView]
--- /dev/null
+++ b/src/_pistachiopond/control/views.py
@@ -0,0 +1,196 @@
+"""The service ``views``: makes what entry daemons watch, and tells them of changes."""
+
+from typing import Any, Final, NamedTuple, final
+
+import anyio
+from anyio.abc import TaskStatus
+from prometheus_client import Counter, Gauge
+
+from _pistachiopond.control.configuration import ConfigFollower
+from _pistachiopond.control.engines import Engines
+from _pistachiopond.control.exchange import UNKNOWN_AGE_S, Exchange
+from _pistachiopond.control.ports import CrashHandler, DrawHandler
+from _pistachiopond.decisions.views import ViewInput, is_news, make_view
+from _pistachiopond.kernel.service import Kernel, Service, UnknownServiceError
+from _pistachiopond.kernel.timer import Timer, every
+from _pistachiopond.schema.codec import to_json
+from _pistachiopond.schema.limits import LimitsView
+from _pistachiopond.schema.revision import Revision
+from _pistachiopond.schema.routing import RoutingView
+from _pistachiopond.schema.suspects import SuspectView
+from _pistachiopond.transport.generated.pond_pb2 import View
+
+TICK_S: Final = 0.25
+REPEAT_S: Final = 1.0
+
+PUSHED: Final = Counter("pond_view_parts", "Parts of views that changed", ["part"])
+WATCHERS: Final = Gauge("pond_view_watchers", "Entry daemons that watch")
+
+
+class Parts(NamedTuple):
+    """The parts of a view, each with the number of its last change.
+
+    Attributes
+    ----------
+    revision, routing, suspects, limits : bytes
+        As JSON; empty before there is one.
+    numbers : tuple of int
+        For each part, the number of the change that brought it.
+    """
+
+    revision: bytes = b""
+    routing: bytes = b""
+    suspects: bytes = b""
+    limits: bytes = b""
+    numbers: tuple[int, int, int, int] = (0, 0, 0, 0)
+
+
+@final
+class Views:
+    """What is to be watched, and the event that tells of a change."""
+
+    def __init__(self, kernel: Kernel, timer: Timer) -> None:
+        self._kernel = kernel
+        self._timer = timer
+        self._follower = kernel.find("config-follower", ConfigFollower)
+        self._engines = kernel.find("engines", Engines)
+        self._exchange = kernel.find("exchange", Exchange)
+        self._sequence = 0
+        self._change = 0
+        self._revision: Revision | None = None
+        self.routing: RoutingView | None = None
+        self.parts = Parts()
+        self.changed = anyio.Event()
+        self.is_closed = False
+
+    def refresh(self) -> None:
+        """Make the parts anew, and tell watchers if any of them changed."""
+        fresh = self._fresh_parts()
+        before = self.parts
+        self._change += 1
+        numbers = tuple(
+            old_number if old == new else self._change
+            for old, new, old_number in zip(
+                before[:4], fresh[:4], before.numbers, strict=True
+            )
+        )
+        if numbers == before.numbers:
+            return
+        for name, old, new in zip(Parts._fields, before[:4], fresh[:4], strict=False):
+            if old != new:
+                PUSHED.labels(name).inc()
+        self.parts = fresh._replace(numbers=numbers)
+        self._tell()
+
+    def _tell(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def close(self) -> None:
+        """End all watches: entry daemons turn to another control daemon."""
+        self.is_closed = True
+        self._tell()
+
+    def _fresh_parts(self) -> Parts:
+        return Parts(
+            self._revision_json(),
+            self._routing_json(),
+            to_json(self._suspects()).encode(),
+            to_json(self._limits()).encode(),
+        )
+
+    def _revision_json(self) -> bytes:
+        revision = self._follower.revision()
+        if revision is self._revision or revision is None:
+            return self.parts.revision
+        # What only moves the cover, as a snapshot does, is no news to entries.
+        before = self._revision
+        self._revision = revision
+        if before is not None and before._replace(covers_offset=-1) == (
+            revision._replace(covers_offset=-1)
+        ):
+            return self.parts.revision
+        return to_json(revision).encode()
+
+    def _routing_json(self) -> bytes:
+        revision = self._follower.revision()
+        if revision is None:
+            return b""
+        now_s = self._timer.now_s()
+        facts = ViewInput(
+            revision.manifest,
+            self._engines.reports(),
+            frozenset(self._exchange.leaving(now_s)),
+            frozenset(self._exchange.drains.replicas),
+        )
+        view = make_view(facts, self._sequence + 1, now_s)
+        if not is_news(self.routing, view):
+            return self.parts.routing
+        self._sequence += 1
+        self.routing = view
+        return to_json(view).encode()
+
+    def _suspects(self) -> SuspectView:
+        try:
+            return self._kernel.find("crashes", CrashHandler).view()
+        except UnknownServiceError:
+            return SuspectView()
+
+    def _limits(self) -> LimitsView:
+        try:
+            return self._kernel.find("limits", DrawHandler).view()
+        except UnknownServiceError:
+            return LimitsView()
+
+    def message(self, seen: tuple[int, int, int, int] | None) -> View:
+        """Return what a watcher lacks that has seen the changes `seen`.
+
+        Parameters
+        ----------
+        seen : tuple of int or None
+            The numbers of the parts that it has; None for none.
+        """
+        parts = self.parts
+        have = seen or (-1, -1, -1, -1)
+        freshness = self._follower.freshness()
+        chosen = [
+            part if number > had else b""
+            for part, number, had in zip(parts[:4], parts.numbers, have, strict=True)
+        ]
+        return View(
+            revision_json=chosen[0],
+            routing_json=chosen[1],
+            suspects_json=chosen[2],
+            limits_json=chosen[3],
+            fresh_age_s=min(freshness.fresh_age_s, UNKNOWN_AGE_S),
+            keys_closed=freshness.keys_closed,
+        )
+
+
+def make_views_service(timer: Timer) -> Service:
+    """Return the service ``views``."""
+
+    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
+        views = Views(kernel, timer)
+        exchange = kernel.find("exchange", Exchange)
+
+        async def on_tick(now_s: float) -> None:
+            exchange.note_progress("views", now_s)
+            views.refresh()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(every, timer, TICK_S, on_tick)
+            group.start_soon(_follow_revision, views, kernel)
+            task_status.started(views)
+            await kernel.stop_event("views").wait()
+            views.close()
+            group.cancel_scope.cancel()
+
+    return Service("views", run)
+
+
+async def _follow_revision(views: Views, kernel: Kernel) -> None:
+    follower = kernel.find("config-follower", ConfigFollower)
+    while True:
+        await follower.changed.wait()
+        views.refresh()
--- /dev/null
+++ b/src/_pistachiopond/decisions/drains.py
@@ -0,0 +1,49 @@
+"""Keeps the list of draining replicas that entry daemons are told, in bounded size."""
+
+from collections.abc import Iterable
+from typing import final
+
+from _pistachiopond.schema.heartbeat import MAX_DRAINS, DrainedReplica, DrainNotice
+
+
+@final
+class Drains:
+    """The replicas that the present holder drains, and since when it says so."""
+
+    def __init__(self) -> None:
+        self._since_s: dict[DrainedReplica, float] = {}
+        self._sequence = 0
+        self._epoch = -1
+
+    def take_plan(
+        self, wanted: Iterable[DrainedReplica], epoch: int, now_s: float
+    ) -> DrainNotice:
+        """Follow a plan, and return the notice to spread.
+
+        Parameters
+        ----------
+        wanted : iterable of DrainedReplica
+            What the plan drains; beyond `MAX_DRAINS`, the rest waits its turn.
+        epoch : int
+            The claim under which the plan was made.
+        now_s : float
+            By this daemon's clock.
+        """
+        wanted = list(wanted)
+        if epoch != self._epoch:
+            # Others may follow another list until they hear of this epoch's.
+            self._since_s = {}
+            self._epoch = epoch
+        kept = {key: at_s for key, at_s in self._since_s.items() if key in set(wanted)}
+        for replica in wanted:
+            if len(kept) >= MAX_DRAINS:
+                break
+            kept.setdefault(replica, now_s)
+        if kept != self._since_s or self._sequence == 0:
+            self._sequence += 1
+        self._since_s = kept
+        return DrainNotice(epoch, self._sequence, tuple(sorted(kept)))
+
+    def since_s(self) -> dict[DrainedReplica, float]:
+        """Return since when each replica is on the list."""
+        return dict(self._since_s)
--- /dev/null
+++ b/src/_pistachiopond/decisions/planning.py
@@ -0,0 +1,256 @@
+"""Turns reports, intents and demand into placement's input, and its plan into orders.
+
+Placement thinks in replicas with all their adapters; engines take orders for models
+and adapters one by one. A replica counts as ready only when all of it is.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Final, NamedTuple
+
+from _pistachiopond.decisions.memory import (
+    LOADING_VERBS,
+    Report,
+    Slot,
+    counted_slots,
+    slot_of,
+)
+from _pistachiopond.decisions.orders import intents_about
+from _pistachiopond.decisions.placement_types import (
+    ModelLoad,
+    PlacementInput,
+    PlacementOptions,
+    PlacementServer,
+    Replica,
+    ReplicaState,
+    replica_memory_mb,
+)
+from _pistachiopond.schema.engine import EngineModel
+from _pistachiopond.schema.heartbeat import DrainedReplica
+from _pistachiopond.schema.manifest import BackendServer, Manifest, Model
+from _pistachiopond.schema.records import Intent
+
+USABLE_REPORT_AGE_S: Final = 6.0
+DRAIN_NOTICE_S: Final = 6.0
+
+
+class PlanFacts(NamedTuple):
+    """What a plan is made from.
+
+    Attributes
+    ----------
+    manifest : Manifest
+        The one in force.
+    reports : mapping of str to Report
+        The engines' newest reports.
+    intents : tuple of Intent
+        Every order whose effect may come or have come.
+    leaving : frozenset of str
+        Servers that are leaving.
+    draining_since_s : mapping of DrainedReplica to float
+        Since when each replica has been named as draining.
+    acquired_s : float
+        Reports older than this prove nothing to the present holder.
+    tokens_per_s : mapping of str to float
+        Demand by the name that callers used, models and adapters.
+    """
+
+    manifest: Manifest
+    reports: Mapping[str, Report]
+    intents: tuple[Intent, ...]
+    leaving: frozenset[str]
+    draining_since_s: Mapping[DrainedReplica, float]
+    acquired_s: float
+    tokens_per_s: Mapping[str, float]
+
+
+def usable_report(server: str, facts: PlanFacts, now_s: float) -> Report | None:
+    """Return the engine's report if a decision may rest on it."""
+    report = facts.reports.get(server)
+    if report is None or report.asked_s <= facts.acquired_s:
+        return None
+    if now_s - report.asked_s > USABLE_REPORT_AGE_S:
+        return None
+    return report
+
+
+def placement_input(facts: PlanFacts, now_s: float) -> PlacementInput:
+    """Return what placement decides from.
+
+    Parameters
+    ----------
+    facts : PlanFacts
+        What is known.
+    now_s : float
+        By this daemon's clock.
+    """
+    manifest = facts.manifest
+    engines = [item for item in manifest.backend_servers if item.memory_mb > 0]
+    replicas = [
+        replica for server in engines for replica in _replicas(server, facts, now_s)
+    ]
+    return PlacementInput(
+        models=manifest.models,
+        servers=tuple(_server(server, facts, now_s) for server in engines),
+        replicas=tuple(replicas),
+        loads=_loads(manifest, facts.tokens_per_s),
+        objective=manifest.objective,
+        options=PlacementOptions(
+            loads_in_flight=manifest.weight_store.full_speed_loads
+        ),
+    )
+
+
+def _server(server: BackendServer, facts: PlanFacts, now_s: float) -> PlacementServer:
+    report = usable_report(server.name, facts, now_s)
+    memory_mb = server.memory_mb
+    if report is not None:
+        memory_mb = min(memory_mb, report.state.memory_mb)
+    return PlacementServer(
+        name=server.name,
+        data_centre=server.data_centre,
+        region=server.region,
+        rack=server.rack,
+        memory_mb=memory_mb,
+        accelerators=server.accelerators,
+        is_usable=report is not None,
+        is_leaving=server.name in facts.leaving,
+    )
+
+
+def _loads(
+    manifest: Manifest, tokens_per_s: Mapping[str, float]
+) -> tuple[ModelLoad, ...]:
+    loads = []
+    for model in manifest.models:
+        names = [model.name, *(adapter.name for adapter in model.adapters)]
+        total = sum(tokens_per_s.get(name, 0.0) for name in names)
+        loads.append(ModelLoad(model.name, round(total, 1)))
+    return tuple(loads)
+
+
+def _replicas(server: BackendServer, facts: PlanFacts, now_s: float) -> list[Replica]:
+    report = facts.reports.get(server.name)
+    intents = intents_about(server.name, facts.intents)
+    if report is None:
+        slots: dict[Slot, int] = {
+            slot_of(item.order): item.order.memory_mb
+            for item in intents
+            if item.order.verb in LOADING_VERBS
+        }
+        resident: dict[tuple[str, str], EngineModel] = {}
+    else:
+        slots = counted_slots(server.name, report.state, intents)
+        resident = {(item.name, item.version): item for item in report.state.models}
+    versions = sorted({(slot.model, slot.version) for slot in slots})
+    return [
+        _replica(server.name, key, slots, resident.get(key), intents, facts, now_s)
+        for key in versions
+    ]
+
+
+def _replica(
+    server: str,
+    key: tuple[str, str],
+    slots: Mapping[Slot, int],
+    resident: EngineModel | None,
+    intents: tuple[Intent, ...],
+    facts: PlanFacts,
+    now_s: float,
+) -> Replica:
+    name, version = key
+    held_mb = sum(
+        memory_mb
+        for slot, memory_mb in slots.items()
+        if (slot.model, slot.version) == key
+    )
+    model = next((item for item in facts.manifest.models if item.name == name), None)
+    state = _state(key, model, resident, intents)
+    if model is not None and model.version == version and state != "unloading":
+        held_mb = max(held_mb, replica_memory_mb(model))
+    mark = DrainedReplica(server, name, version)
+    since_s = facts.draining_since_s.get(mark)
+    if state == "ready" and since_s is not None:
+        state = "draining"
+    is_drained = since_s is not None and now_s - since_s >= DRAIN_NOTICE_S
+    return Replica(server, name, version, held_mb, state, is_drained)
+
+
+def _state(
+    key: tuple[str, str],
+    model: Model | None,
+    resident: EngineModel | None,
+    intents: tuple[Intent, ...],
+) -> ReplicaState:
+    about = [
+        item.order
+        for item in intents
+        if (item.order.model, item.order.version) == key and not item.order.adapter
+    ]
+    if any(order.verb == "unload" for order in about):
+        return "unloading"
+    if resident is None:
+        return "loading"
+    if resident.state == "ready" and missing_adapters(model, resident):
+        return "loading"
+    return resident.state
+
+
+def missing_adapters(model: Model | None, resident: EngineModel) -> tuple[str, ...]:
+    """Return the listed adapters that the resident version has not ready.
+
+    An older version that is being replaced keeps what it has: it counts as whole.
+    """
+    if model is None or model.version != resident.version:
+        return ()
+    ready = {item.name for item in resident.adapters if item.state == "ready"}
+    return tuple(item.name for item in model.adapters if item.name not in ready)
+
+
+class WantedOrder(NamedTuple):
+    """An order that the plan asks for; the fields are those of `Order`."""
+
+    server: str
+    verb: str
+    model: str
+    version: str
+    adapter: str
+    memory_mb: int
+
+
+def adapter_orders(facts: PlanFacts, now_s: float) -> list[WantedOrder]:
+    """Return the adapter orders that make ready replicas whole, and no more."""
+    wanted: list[WantedOrder] = []
+    models = {model.name: model for model in facts.manifest.models}
+    for server in facts.manifest.backend_servers:
+        report = usable_report(server.name, facts, now_s)
+        if report is None or server.name in facts.leaving:
+            continue
+        for resident in report.state.models:
+            model = models.get(resident.name)
+            if model is None or model.version != resident.version:
+                continue
+            if resident.state == "ready":
+                wanted += _adapters_of(server.name, model, resident)
+    return wanted
+
+
+def _adapters_of(
+    server: str, model: Model, resident: EngineModel
+) -> Iterable[WantedOrder]:
+    there = {item.name: item.state for item in resident.adapters}
+    for adapter in model.adapters:
+        if adapter.name not in there:
+            yield WantedOrder(
+                server,
+                "load_adapter",
+                model.name,
+                model.version,
+                adapter.name,
+                adapter.memory_mb,
+            )
+    listed = {adapter.name for adapter in model.adapters}
+    for name, state in there.items():
+        if name not in listed and state == "ready":
+            yield WantedOrder(
+                server, "unload_adapter", model.name, model.version, name, 0
+            )
