--- a/src/_pistachiopond/control/ports.py
+++ b/src/_pistachiopond/control/ports.py
@@ -23,12 +23,16 @@
     valid_until_s : float
         When authority ends on this daemon's clock unless renewed; already
         shortened by the bound on clock-rate error.
+    predecessor_acquired_s : float or None
+        The latest time, on this daemon's clock, at which the holder before may have
+        acquired it; None where that is not known.
     """
 
     shard: str
     epoch: int
     acquired_s: float
     valid_until_s: float
+    predecessor_acquired_s: float | None = None
 
 
 class Ownership(NamedTuple):
