--- a/testing/decisions/__init__.py
+++ b/testing/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the decision modules."""
+"""Tests of the pure decisions."""
