--- /dev/null
+++ b/src/_pistachiopond/replay/faults.py
@@ -0,0 +1,71 @@
+"""Fault scripts: what fails in a replay, and when."""
+
+from typing import Final, Literal, NamedTuple
+
+FaultKind = Literal[
+    "server_loss",
+    "vm_loss",
+    "data_centre_loss",
+    "log_outage",
+    "region_cut",
+    "stale_reports",
+]
+
+
+class Fault(NamedTuple):
+    """One fault.
+
+    Attributes
+    ----------
+    kind : str
+        What fails.
+    at_s, duration_s : float
+        When it begins and how long it lasts.
+    share : float
+        For servers and VMs: the share of them that fails, at least one.
+    """
+
+    kind: FaultKind
+    at_s: float
+    duration_s: float
+    share: float = 0.1
+
+
+Scenario = tuple[Fault, ...]
+SINGLE_FAULTS: Final[tuple[FaultKind, ...]] = (
+    "server_loss",
+    "vm_loss",
+    "data_centre_loss",
+    "log_outage",
+    "region_cut",
+    "stale_reports",
+)
+FAULT_PAIRS: Final[tuple[tuple[FaultKind, FaultKind], ...]] = (
+    ("server_loss", "stale_reports"),
+    ("server_loss", "log_outage"),
+    ("vm_loss", "server_loss"),
+    ("data_centre_loss", "log_outage"),
+    ("region_cut", "stale_reports"),
+)
+
+
+def make_scenario(name: str, length_s: float) -> Scenario:
+    """Return the faults of a scenario for a trace of that length.
+
+    Parameters
+    ----------
+    name : str
+        ``calm``, one kind of fault, or several joined by ``+``.
+    length_s : float
+        Faults begin at a quarter of it and last a quarter.
+    """
+    if name == "calm":
+        return ()
+    kinds = name.split("+")
+    unknown = [kind for kind in kinds if kind not in SINGLE_FAULTS]
+    if unknown:
+        raise ValueError(f"unknown fault {unknown[0]!r}; choose from {SINGLE_FAULTS}")
+    return tuple(
+        Fault(kind, length_s / 4, length_s / 4)  # type: ignore[arg-type]
+        for kind in kinds
+    )
