--- a/src/_pistachiopond/entry/process.py
+++ b/src/_pistachiopond/entry/process.py
@@ -11,6 +11,7 @@
 
 import anyio
 from anyio.abc import TaskStatus
+from prometheus_client import REGISTRY
 
 from _pistachiopond.decisions.dispatch import Dispatcher, make_dispatcher
 from _pistachiopond.decisions.dispatch_options import DispatchOptions
@@ -66,14 +67,14 @@
 MakeGuards = Callable[[EntryProcess], list[Service]]
 
 
-def make_process(settings: EntrySettings) -> EntryProcess:
+def make_process(settings: EntrySettings, metrics: Metrics) -> EntryProcess:
     """Return what the services share, for a new start of the process."""
     return EntryProcess(
         settings=settings,
         entry_id=secrets.token_hex(8),
         timer=RealTimer(),
         channels=Channels(settings.peer_tls),
-        metrics=Metrics(),
+        metrics=metrics,
     )
 
 
@@ -154,7 +155,7 @@
     settings: EntrySettings, make_guards: MakeGuards, tell_address: TellAddress
 ) -> None:
     """Run the daemon until SIGTERM or SIGINT, then stop gracefully."""
-    process = make_process(settings)
+    process = make_process(settings, Metrics(REGISTRY))
     kernel = Kernel()
     services = make_services(process, make_guards, tell_address)
     log_change("starting", entry_id=process.entry_id)
--- a/src/_pistachiopond/observe/metrics.py
+++ b/src/_pistachiopond/observe/metrics.py
@@ -48,10 +48,10 @@
 
 @final
 class Metrics(Collector):
-    """The metrics of one process."""
+    """The metrics of one process, in the given registry or one of its own."""
 
-    def __init__(self) -> None:
-        self.registry = CollectorRegistry()
+    def __init__(self, registry: CollectorRegistry | None = None) -> None:
+        self.registry = CollectorRegistry() if registry is None else registry
         self._histograms: dict[str, tuple[str, LatencyHistogram]] = {}
         self._gauges: dict[str, tuple[str, MakeGauge]] = {}
         self.registry.register(self)
--- a/testing/entry/running.py
+++ b/testing/entry/running.py
@@ -10,6 +10,7 @@
 from _pistachiopond.entry.fleet import Fleet
 from _pistachiopond.entry.process import EntryProcess, make_process, make_services
 from _pistachiopond.kernel.service import Kernel, run_services
+from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.schema.revision import Revision
 from _pistachiopond.schema.routing import RoutingView
 from _pistachiopond.schema.settings import EntrySettings
@@ -51,7 +52,7 @@
             drain_limit_s=20.0,
         )
     )
-    process = make_process(settings)
+    process = make_process(settings, Metrics())
     guards = FakeGuards()
     kernel = Kernel()
     told: list[str] = []
