--- a/src/_pistachiopond/decisions/placement.py
+++ b/src/_pistachiopond/decisions/placement.py
@@ -5,6 +5,7 @@
 one stopped. See ``docs/design/placement.md`` for the ways weighed.
 """
 
+import heapq
 import math
 from typing import Final
 
@@ -24,7 +25,8 @@
 )
 from _pistachiopond.schema.manifest import Model
 
-SCALE_UP_ROUNDS: Final = 32
+HOT_SERVERS: Final = 4
+HOT_MODELS: Final = 3
 
 
 def make_plan(source: PlacementInput) -> PlacementPlan:
@@ -176,21 +178,26 @@
 
 
 def _scale_up(board: Board) -> None:
-    """Add replicas of the hottest models until no server is too busy."""
-    for _ in range(SCALE_UP_ROUNDS):
-        if not board.has_free_slot() or not _relieve_hottest(board):
-            return
+    """Add replicas of the hottest models until no server is too busy.
+
+    Only the few hottest servers and their hottest models are looked at, so that
+    the cost of a plan is bounded when the whole fleet is too busy.
+    """
+    while board.has_free_slot() and _relieve_hottest(board):
+        pass
 
 
 def _relieve_hottest(board: Board) -> bool:
-    busy = sorted(
-        (name for name, server in board.servers.items() if server.is_usable),
-        key=lambda name: (-board.utilisation(name), name),
+    """Plan one more load, or drains that make room for one; return if one came."""
+    usable = [name for name, server in board.servers.items() if server.is_usable]
+    hottest = heapq.nsmallest(
+        HOT_SERVERS, usable, key=lambda name: (-board.utilisation(name), name)
     )
-    for name in busy:
+    for name in hottest:
         if board.utilisation(name) <= board.options.high_utilisation:
             return False
-        if any(_add_replica(board, model, name) for model in _hot_models(board, name)):
+        models = _hot_models(board, name)[:HOT_MODELS]
+        if any(_add_replica(board, model, name) for model in models):
             return True
     return False
 
@@ -238,7 +245,8 @@
     if room is None or room.server.name in _too_busy(board):
         return False
     take_room(board, room)
-    return bool(room.drains)
+    board.hold_slot()
+    return True
 
 
 def _too_busy(board: Board) -> set[str]:
@@ -250,4 +258,4 @@
     """Withdraw drains that would leave a listed model without a ready replica."""
     for replica in sorted(board.draining):
         if replica.model in board.models and not board.ready(replica.model):
-            board.draining.discard(replica)
+            board.cancel_drain(replica)
--- a/src/_pistachiopond/decisions/placement_board.py
+++ b/src/_pistachiopond/decisions/placement_board.py
@@ -39,9 +39,12 @@
         self.free_mb: Final = {
             server.name: server.memory_mb for server in source.servers
         }
+        self.regions: Final = {server.region for server in source.servers}
+        self.data_centres: Final = {server.data_centre for server in source.servers}
         self.loads: Final[list[LoadStep]] = []
         self.draining: Final[set[Replica]] = set()
         self._loads_in_flight = 0
+        self._serving: Final[dict[str, list[Replica]]] = {}
         self._utilisation: Final = dict.fromkeys(self.servers, 0.0)
         for replica in source.replicas:
             self._add(replica)
@@ -52,6 +55,7 @@
         if replica.server not in self.servers:
             return
         self.by_model.setdefault(replica.model, []).append(replica)
+        self._serving.pop(replica.model, None)
         self.by_server[replica.server].append(replica)
         self.free_mb[replica.server] -= replica.memory_mb
         if replica.state == "loading":
@@ -59,6 +63,13 @@
 
     def serving(self, model_name: str) -> list[Replica]:
         """Return replicas that answer, or soon will, and are to stay."""
+        known = self._serving.get(model_name)
+        if known is None:
+            known = self._find_serving(model_name)
+            self._serving[model_name] = known
+        return known
+
+    def _find_serving(self, model_name: str) -> list[Replica]:
         return [
             replica
             for replica in self.by_model.get(model_name, ())
@@ -107,6 +118,10 @@
         """Return whether the weight store carries one more load at full speed."""
         return self._loads_in_flight < self.options.loads_in_flight
 
+    def hold_slot(self) -> None:
+        """Keep a slot for a load whose room is still being made."""
+        self._loads_in_flight += 1
+
     def can_host(self, server: PlacementServer, model: Model) -> bool:
         """Return whether the server may take the model and does not have it."""
         if not server.is_usable or server.is_leaving:
@@ -137,6 +152,14 @@
             return
         self._spread_load(replica.model, -1.0)
         self.draining.add(replica)
+        self._serving.pop(replica.model, None)
+        self._spread_load(replica.model, +1.0)
+
+    def cancel_drain(self, replica: Replica) -> None:
+        """Let the replica take work after all."""
+        self._spread_load(replica.model, -1.0)
+        self.draining.discard(replica)
+        self._serving.pop(replica.model, None)
         self._spread_load(replica.model, +1.0)
 
     def drain_steps(self) -> tuple[DrainStep, ...]:
--- a/src/_pistachiopond/decisions/placement_room.py
+++ b/src/_pistachiopond/decisions/placement_room.py
@@ -156,13 +156,10 @@
 
 def is_spare_needed(board: Board, replicas: list[Replica]) -> bool:
     """Return whether these replicas of a model cover too few failure domains."""
-    servers = board.servers.values()
-    regions = {server.region for server in servers}
-    centres = {server.data_centre for server in servers}
     held = [board.servers[replica.server] for replica in replicas]
-    if len({server.region for server in held}) < len(regions):
+    if len({server.region for server in held}) < len(board.regions):
         return True
-    least_centres = min(board.options.spare_replicas, len(centres))
+    least_centres = min(board.options.spare_replicas, len(board.data_centres))
     return len({server.data_centre for server in held}) < least_centres
 
 
