--- /dev/null
+++ b/testing/cli/test_status.py
@@ -0,0 +1,51 @@
+"""Tests of ``pond status`` and ``pond keys digest``."""
+
+import hashlib
+import unittest
+
+from _pistachiopond.cli.program import digest_key
+from _pistachiopond.cli.report import ExitCode
+from _pistachiopond.cli.status import show_status
+from testing.cli.fake_control import FakeControl, make_status, serve_control
+
+NOBODY = "127.0.0.1:9"
+
+
+class StatusTests(unittest.IsolatedAsyncioTestCase):
+    async def test_other_vms_are_found_and_unreached_ones_are_said(self) -> None:
+        second = FakeControl(make_status(number=2, offset=1))
+        async with serve_control(second) as other:
+            first = FakeControl(make_status(number=1, members=(other, NOBODY)))
+            async with serve_control(first) as address:
+                report = await show_status((address,), None)
+        self.assertEqual(report.code, ExitCode.NOT_EVERYWHERE)
+        self.assertEqual(report.data.revisions, (1, 2))
+        self.assertEqual(len(report.data.vms), 3)
+        text = "\n".join(report.lines)
+        self.assertIn(f"{NOBODY}: unknown, not reached", text)
+
+    async def test_outages_and_closed_routes_are_shown(self) -> None:
+        status = make_status()._replace(
+            log_reached=False, log_down_s=12.0, keys_closed=True
+        )
+        async with serve_control(FakeControl(status)) as address:
+            report = await show_status((address,), None)
+        self.assertEqual(report.code, ExitCode.DONE)
+        self.assertIn("LOG OUTAGE for 12 s", report.lines[0])
+        self.assertIn("KEYED ROUTES CLOSED", report.lines[0])
+
+    async def test_nobody_answering_is_unknown(self) -> None:
+        report = await show_status((NOBODY,), None)
+        self.assertEqual(report.code, ExitCode.UNKNOWN)
+
+
+class DigestTests(unittest.TestCase):
+    def test_the_line_end_does_not_belong_to_the_key(self) -> None:
+        expected = hashlib.sha256(b"secret").hexdigest()
+        self.assertEqual(digest_key("secret\n").lines, (expected,))
+
+    def test_no_key_or_several_are_refused(self) -> None:
+        for text in ("", "\n", "one\ntwo\n", " spaced "):
+            report = digest_key(text)
+            self.assertEqual(report.code, ExitCode.REFUSED)
+            self.assertNotIn(text.strip() or "\0", "".join(report.lines))
