--- a/src/_pistachiopond/decisions/dispatch_servers.py
+++ b/src/_pistachiopond/decisions/dispatch_servers.py
@@ -108,6 +108,8 @@
         usable = [s for s in ready if not self.ejector.is_ejected(s, now_s)]
         fresh = [s for s in usable if s not in tried] or usable
 
+        urgency = facts.urgency if self._options.urgency_classes else "normal"
+
         def has_room(server: str) -> bool:
             self.compared += 1
             if target.is_suspect and self.suspects_running.get(server, 0):
@@ -115,7 +117,7 @@
             load = self.load(server)
             if self.ejector.is_probing(server) and load.in_flight:
                 return False
-            return load.has_room(now_s)
+            return load.has_room(urgency, now_s)
 
         if self._options.routing != "cost":
             return self._baseline(fresh, now_s)
--- a/src/_pistachiopond/decisions/load.py
+++ b/src/_pistachiopond/decisions/load.py
@@ -9,13 +9,17 @@
 import math
 from typing import Final, final
 
+from _pistachiopond.schema.manifest import Urgency
+
 FIRST_TOKEN_LIMIT_S: Final = 0.30
-TOKEN_GAP_LIMIT_S: Final = 0.027
+TOKEN_GAP_LIMIT_S: Final = 0.028
 REPORT_DECAY_S: Final = 3.0
 INITIAL_WINDOW: Final = 8.0
 MIN_WINDOW: Final = 1.0
 MAX_WINDOW: Final = 256.0
-SHRINK_FACTOR: Final = 0.85
+SHRINK_FACTOR: Final = 0.95
+BATCH_PART: Final = 0.6
+URGENT_EXTRA: Final = 1
 SHRINK_PERIOD_S: Final = 0.5
 SERVER_TOKENS_PER_S: Final = 4_000.0
 
@@ -43,11 +47,22 @@
         """How many attempts this entry daemon may run there at once."""
         return self._window
 
-    def has_room(self, now_s: float) -> bool:
-        """Return whether one more attempt may start now."""
+    def has_room(self, urgency: Urgency, now_s: float) -> bool:
+        """Return whether one more attempt of that class may start now.
+
+        Batch work leaves a part of the window free, so that the next urgent or
+        normal request finds room at once.
+        """
         if now_s < self.paused_until_s:
             return False
-        return not self._is_adaptive or len(self._running) < int(self._window)
+        if not self._is_adaptive:
+            return True
+        limit = int(self._window)
+        if urgency == "batch":
+            limit = max(1, int(BATCH_PART * self._window))
+        if urgency == "urgent":
+            limit += URGENT_EXTRA
+        return len(self._running) < limit
 
     def started(self, request_id: str, tokens: float, now_s: float) -> None:
         """Note an attempt that starts with that much work in tokens."""
