--- a/testing/cli/fake_control.py
+++ b/testing/cli/fake_control.py
@@ -3,9 +3,8 @@
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 
-from _pistachiopond.schema.status import ControlStatus, MemberStatus
-
 from _pistachiopond.schema.codec import to_json
+from _pistachiopond.schema.status import ControlStatus, MemberStatus
 from _pistachiopond.transport.generated import pond_pb2, pond_pb2_grpc
 from _pistachiopond.transport.server import bind_server, make_server
 
