--- /dev/null
+++ b/tools/bench_capacity.py
@@ -0,0 +1,154 @@
+"""Prints how state, bytes and processor time grow with the deployment's size.
+
+``python tools/bench_capacity.py [configuration|views]``; times are the least of
+several runs, in milliseconds of processor time on this machine.
+"""
+
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from _pistachiopond.decisions.manifest_check import find_faults, find_unplaceable
+from _pistachiopond.decisions.views import is_news
+from _pistachiopond.schema.codec import from_json, to_json
+from _pistachiopond.schema.manifest import (
+    Adapter,
+    BackendServer,
+    Customer,
+    Manifest,
+    Model,
+    Route,
+)
+from _pistachiopond.schema.routing import ResidentModel, RoutingView, ServerView
+
+RUNS = 5
+REPLICAS_PER_SERVER = 5
+SIZES = ((9, 17, 5), (50, 40, 25), (200, 100, 100), (810, 230, 400))
+
+
+def least_ms(call: Callable[[], object]) -> float:
+    """Return the least processor time of one call, in milliseconds."""
+    best_s = float("inf")
+    for _ in range(RUNS):
+        began_s = time.process_time()
+        call()
+        best_s = min(best_s, time.process_time() - began_s)
+    return 1000.0 * best_s
+
+
+def held_kb(make: Callable[[], object]) -> float:
+    """Return the memory that what `make` returns keeps, in kB."""
+    tracemalloc.start()
+    kept = make()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size / 1000.0
+
+
+def make_manifest(servers: int, models: int, customers: int) -> Manifest:
+    """Return a manifest of that size, with four adapters on each model."""
+    return Manifest(
+        replaces_revision=0,
+        deployment="capacity",
+        objective="attainment_per_accelerator",
+        models=tuple(
+            Model(
+                f"model-{i}",
+                "1",
+                40_000,
+                tuple(Adapter(f"adapter-{i}-{j}", 100) for j in range(4)),
+            )
+            for i in range(models)
+        ),
+        backend_servers=tuple(
+            BackendServer(
+                f"worker-{i}",
+                f"http://10.0.{i // 250}.{i % 250}:8000",
+                f"dc-{i % 5}",
+                f"region-{i % 5 // 3}",
+                f"rack-{i % 5}-{i // 5 % 27}",
+                "engines",
+                4,
+                320_000,
+            )
+            for i in range(servers)
+        ),
+        routes=(Route("/v1", "engines", "engine"),),
+        customers=tuple(
+            Customer(f"customer-{i}", 1000.0, 10_000.0, 1.0, (f"{i:064x}",))
+            for i in range(customers)
+        ),
+    )
+
+
+def make_view(servers: int, models: int) -> RoutingView:
+    """Return a view of that size."""
+    return RoutingView(
+        1,
+        tuple(
+            ServerView(
+                f"worker-{i}",
+                f"http://10.0.{i // 250}.{i % 250}:8000",
+                f"dc-{i % 5}",
+                "engines",
+                "serving",
+                tuple(
+                    ResidentModel(
+                        f"model-{(i + j * 7) % models}",
+                        "1",
+                        tuple(f"adapter-{(i + j * 7) % models}-{k}" for k in range(4)),
+                        "ready",
+                    )
+                    for j in range(REPLICAS_PER_SERVER)
+                ),
+                1000.0,
+                0.5,
+            )
+            for i in range(servers)
+        ),
+    )
+
+
+def check(manifest: Manifest) -> tuple[str, ...]:
+    """Return what acceptance finds wrong with the manifest."""
+    return find_faults(manifest) + find_unplaceable(manifest, manifest)
+
+
+def measure_configuration() -> None:
+    """Print what one manifest costs."""
+    for servers, models, customers in SIZES:
+        manifest = make_manifest(servers, models, customers)
+        text = to_json(manifest)
+        print(
+            f"servers {servers:4d} models {models:4d} customers {customers:4d} "
+            f"bytes {len(text):7d} "
+            f"decode {least_ms(lambda text=text: from_json(Manifest, text)):7.2f} ms "
+            f"encode {least_ms(lambda m=manifest: to_json(m)):7.2f} ms "
+            f"check {least_ms(lambda m=manifest: check(m)):7.2f} ms "
+            f"held {held_kb(lambda text=text: from_json(Manifest, text)):7.0f} kB"
+        )
+
+
+def measure_views() -> None:
+    """Print what one routing view costs."""
+    for servers, models, _ in SIZES:
+        view = make_view(servers, models)
+        other = view._replace(sequence=2)
+        text = to_json(view)
+        print(
+            f"servers {servers:4d} models {models:4d} bytes {len(text):7d} "
+            f"decode {least_ms(lambda text=text: from_json(RoutingView, text)):7.2f} ms "
+            f"encode {least_ms(lambda view=view: to_json(view)):7.2f} ms "
+            f"compare {least_ms(lambda a=view, b=other: is_news(a, b)):.2f} ms "
+            f"held {held_kb(lambda text=text: from_json(RoutingView, text)):7.0f} kB"
+        )
+
+
+if __name__ == "__main__":
+    chosen = sys.argv[1:] or ["configuration", "views"]
+    if "configuration" in chosen:
+        measure_configuration()
+    if "views" in chosen:
+        measure_views()
