--- a/src/_pistachiopond/control/demand.py
+++ b/src/_pistachiopond/control/demand.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskStatus
 
 from _pistachiopond.control.exchange import Exchange
-from _pistachiopond.control.ports import CrashHandler, Ownership
+from _pistachiopond.control.ports import Ownership
 from _pistachiopond.decisions.membership import Identity
 from _pistachiopond.decisions.ownership import server_shard
 from _pistachiopond.kernel.service import Kernel, Service, UnknownServiceError
@@ -137,7 +137,7 @@
 
 async def _pass_crashes(kernel: Kernel, report: EntryReport) -> None:
     try:
-        handler = kernel.find("crashes", CrashHandler)
+        handler: Any = kernel.find("crashes", object)
     except UnknownServiceError:
         return
     await handler.handle_crashes(report.crashes)
--- a/src/_pistachiopond/control/server.py
+++ b/src/_pistachiopond/control/server.py
@@ -54,28 +54,28 @@
         self, request: pb.DrawRequest, context: grpc.aio.ServicerContext
     ) -> pb.DrawReply:
         """Grant tokens."""
-        handler = await self._find("limits", DrawHandler, context)
+        handler: DrawHandler = await self._find("limits", context)
         return await handler.handle_draw(request)
 
     async def ClaimCall(
         self, request: pb.ClaimCallRequest, context: grpc.aio.ServicerContext
     ) -> pb.ClaimCallReply:
         """Say whether a keyed call may run."""
-        handler = await self._find("calls", CallHandler, context)
+        handler: CallHandler = await self._find("calls", context)
         return await handler.handle_claim(request)
 
     async def FinishCall(
         self, request: pb.FinishCallRequest, context: grpc.aio.ServicerContext
     ) -> pb.FinishCallReply:
         """Record how a keyed call ended."""
-        handler = await self._find("calls", CallHandler, context)
+        handler: CallHandler = await self._find("calls", context)
         return await handler.handle_finish(request)
 
     async def Probation(
         self, request: pb.ProbationRequest, context: grpc.aio.ServicerContext
     ) -> pb.ProbationReply:
         """Say whether a suspect may run alone."""
-        handler = await self._find("crashes", CrashHandler, context)
+        handler: CrashHandler = await self._find("crashes", context)
         return await handler.handle_probation(request)
 
     async def Report(
@@ -91,11 +91,9 @@
         """Say what this daemon knows."""
         return pb.StatusReply(status_json=to_json(make_status(self._kernel)).encode())
 
-    async def _find(
-        self, name: str, kind: type[Any], context: grpc.aio.ServicerContext
-    ) -> Any:
+    async def _find(self, name: str, context: grpc.aio.ServicerContext) -> Any:
         try:
-            return self._kernel.find(name, kind)
+            return self._kernel.find(name, object)
         except UnknownServiceError:
             await context.abort(
                 grpc.StatusCode.UNAVAILABLE,
--- a/src/_pistachiopond/control/views.py
+++ b/src/_pistachiopond/control/views.py
@@ -9,7 +9,6 @@
 from _pistachiopond.control.configuration import ConfigFollower
 from _pistachiopond.control.engines import Engines
 from _pistachiopond.control.exchange import UNKNOWN_AGE_S, Exchange
-from _pistachiopond.control.ports import CrashHandler, DrawHandler
 from _pistachiopond.decisions.views import ViewInput, is_news, make_view
 from _pistachiopond.kernel.service import Kernel, Service, UnknownServiceError
 from _pistachiopond.kernel.timer import Timer, every
@@ -132,15 +131,17 @@
 
     def _suspects(self) -> SuspectView:
         try:
-            return self._kernel.find("crashes", CrashHandler).view()
+            handler: Any = self._kernel.find("crashes", object)
         except UnknownServiceError:
             return SuspectView()
+        return handler.view()
 
     def _limits(self) -> LimitsView:
         try:
-            return self._kernel.find("limits", DrawHandler).view()
+            handler: Any = self._kernel.find("limits", object)
         except UnknownServiceError:
             return LimitsView()
+        return handler.view()
 
     def message(self, seen: tuple[int, int, int, int] | None) -> View:
         """Return what a watcher lacks that has seen the changes `seen`.
--- a/src/_pistachiopond/decisions/ownership.py
+++ b/src/_pistachiopond/decisions/ownership.py
@@ -70,11 +70,15 @@
         When the claim was read back.
     valid_until_s : float
         When authority ends by this daemon's clock.
+    predecessor_acquired_s : float or None
+        The latest time at which the holder before may have acquired it: when its
+        first renewal was read; -inf where there was none before.
     """
 
     epoch: int
     acquired_s: float
     valid_until_s: float
+    predecessor_acquired_s: float | None = None
 
 
 def server_shard(server: str) -> str:
@@ -111,6 +115,8 @@
         self._tail_s = float("-inf")
         self._last_sent_s = float("-inf")
         self._gave_up_epoch = -1
+        self._proved_s: float | None = float("-inf")
+        self._predecessor_s: float | None = None
 
     @property
     def state(self) -> ShardState | None:
@@ -145,6 +151,8 @@
         after = self._reader.state
         if advance.jumped or (before is None and after is not None):
             self._learned_s = now_s
+        if advance.jumped:
+            self._proved_s = None
         self._drop_lost_hold()
         if self._reader.is_at_tail(page):
             self._tail_s = asked_s
@@ -154,6 +162,12 @@
         if not isinstance(outcome, (ClaimRecord, RenewalRecord)):
             return
         self._learned_s = now_s
+        if isinstance(outcome, ClaimRecord):
+            self._predecessor_s = self._proved_s
+            self._proved_s = None
+        elif self._proved_s is None:
+            # A renewal is sent by a holder: it had acquired the shard before.
+            self._proved_s = now_s
         if outcome.holder != self._me.incarnation:
             return
         sent_s = self._sent_s.get(outcome.sequence)
@@ -161,8 +175,11 @@
             return
         lease_s = state.lease_s * (1 - CLOCK_RATE_ERROR)
         is_new = self._held is None or self._held.epoch != state.epoch
-        acquired_s = now_s if is_new or self._held is None else self._held.acquired_s
-        self._held = Held(state.epoch, acquired_s, sent_s + lease_s)
+        until_s = sent_s + lease_s
+        if is_new or self._held is None:
+            self._held = Held(state.epoch, now_s, until_s, self._predecessor_s)
+        else:
+            self._held = self._held._replace(valid_until_s=until_s)
         self._sent_s = {
             key: value for key, value in self._sent_s.items() if key > outcome.sequence
         }
--- /dev/null
+++ b/testing/decisions/fleet_world.py
@@ -0,0 +1,314 @@
+"""A small world for the control decisions: a log, one engine, a few daemons.
+
+The daemons run the claimant and the book of orders as the service does. The test
+decides when time passes, who pauses or dies, which message arrives when or never.
+"""
+
+import random
+from typing import Final, NamedTuple, final
+
+from _pistachiopond.decisions.intents import (
+    IN_FLIGHT_LIMIT_S,
+    ForeignInput,
+    judge_foreign,
+)
+from _pistachiopond.decisions.memory import LOADING_VERBS, Report, free_mb
+from _pistachiopond.decisions.orders import Announce, OrderBook, Send
+from _pistachiopond.decisions.ownership import (
+    CLOCK_RATE_ERROR,
+    Claimer,
+    ShardClaimant,
+    ShardTerms,
+)
+from _pistachiopond.platform.log import LogPage, LogRecord
+from _pistachiopond.schema.codec import to_json
+from _pistachiopond.schema.engine import EngineModel, EngineOrder, EngineState
+from _pistachiopond.schema.records import Order, SettlementRecord
+
+SERVER: Final = "s"
+MEMORY_MB: Final = 100
+LEASE_S: Final = 10.0
+ANSWER_LIMIT_S: Final = 5.0
+MODELS: Final = {"a": 60, "b": 50, "c": 40}
+
+
+class Flying(NamedTuple):
+    """An order on its way to the engine."""
+
+    order: Order
+    epoch: int
+    sender: str
+    sent_s: float
+
+
+@final
+class FakeLog:
+    """One stream; appends that are under way land when the test says so."""
+
+    def __init__(self) -> None:
+        self.records: list[str] = []
+        self.first = 0
+        self.is_down = False
+        self.under_way: list[str] = []
+
+    def page(self, from_offset: int) -> LogPage:
+        start = max(from_offset, self.first)
+        records = tuple(
+            LogRecord(offset, 0.0, self.records[offset])
+            for offset in range(start, len(self.records))
+        )
+        return LogPage(self.first, len(self.records), records)
+
+
+@final
+class FakeEngine:
+    """An engine that carries out every order that reaches it."""
+
+    def __init__(self, *, checks_fencing: bool) -> None:
+        self.checks_fencing = checks_fencing
+        self.loaded: dict[str, int] = {}
+        self.highest = -1
+        self.done: list[tuple[int, int]] = []
+        self.most_used_mb = 0
+
+    def take(self, order: Order, epoch: int) -> bool:
+        if self.checks_fencing:
+            if epoch < self.highest:
+                return False
+            self.highest = epoch
+            if (epoch, order.number) in self.done:
+                return True
+        self.done.append((epoch, order.number))
+        if order.verb in LOADING_VERBS:
+            self.loaded[order.model] = order.memory_mb
+        else:
+            self.loaded.pop(order.model, None)
+        self.most_used_mb = max(self.most_used_mb, sum(self.loaded.values()))
+        return True
+
+    def state(self) -> EngineState:
+        return EngineState(
+            incarnation="i",
+            leaving=False,
+            checks_fencing=self.checks_fencing,
+            memory_mb=MEMORY_MB,
+            models=tuple(
+                EngineModel(name, "1", memory_mb, "ready")
+                for name, memory_mb in sorted(self.loaded.items())
+            ),
+            highest_fencing_number=self.highest,
+            orders=tuple(
+                EngineOrder(epoch, number, "done") for epoch, number in self.done
+            ),
+        )
+
+
+@final
+class FakeDaemon:
+    """One daemon that wants one model after another loaded."""
+
+    def __init__(self, world: "World", name: str, rate: float) -> None:
+        self.world = world
+        self.name = name
+        self.rate = rate
+        self.is_paused = False
+        self.is_dead = False
+        claimer = Claimer(name, f"127.0.0.1:{len(world.daemons) + 1}")
+        self.claimant = ShardClaimant(ShardTerms("servers-0", LEASE_S), claimer)
+        self.book = OrderBook(name, claimer.address)
+        self.outbox: list[Send] = []
+        self.reports: dict[str, Report] = {}
+        self._asked: tuple[float, EngineState] | None = None
+        self._open: dict[int, float] = {}
+
+    def now_s(self) -> float:
+        return self.world.now_s * self.rate
+
+    def run(self, rng: random.Random) -> None:
+        """Go once round the loops of the services."""
+        now_s = self.now_s()
+        self._read_log(now_s)
+        self._take_report(now_s)
+        self._time_out(now_s)
+        self._claim(now_s)
+        state = self.claimant.state
+        if state is None:
+            return
+        self.book.take_state(state, self.reports, now_s)
+        held = self.claimant.held(now_s)
+        if held is not None:
+            self._plan(rng, now_s)
+            self._settle_foreign(now_s)
+        for action in self.book.next_actions(held, now_s):
+            if isinstance(action, Send):
+                self.outbox.append(action)
+            elif not isinstance(action, Announce) or held is not None:
+                self.world.append(to_json(action.record))
+
+    def _read_log(self, now_s: float) -> None:
+        if not self.world.log.is_down:
+            page = self.world.log.page(self.claimant.next_offset())
+            self.claimant.take_page(page, now_s, now_s)
+
+    def _take_report(self, now_s: float) -> None:
+        if self._asked is not None:
+            self.reports[SERVER] = Report(self._asked[1], self._asked[0])
+        self._asked = (now_s, self.world.engine.state())
+
+    def _time_out(self, now_s: float) -> None:
+        for number, sent_s in list(self._open.items()):
+            if now_s - sent_s >= ANSWER_LIMIT_S:
+                del self._open[number]
+                self.book.note_answer(number, "unknown", now_s)
+
+    def _claim(self, now_s: float) -> None:
+        record = self.claimant.next_append(now_s, self.world.rank(self))
+        if record is not None:
+            self.world.append(to_json(record))
+
+    def _plan(self, rng: random.Random, now_s: float) -> None:
+        held = self.claimant.held(now_s)
+        report = self.reports.get(SERVER)
+        if held is None or report is None or report.asked_s <= held.acquired_s:
+            return
+        model = rng.choice(sorted(MODELS))
+        is_loaded = any(item.name == model for item in report.state.models)
+        if self.book.is_open(SERVER, "load", model, ""):
+            return
+        if self.book.is_open(SERVER, "unload", model, ""):
+            return
+        if is_loaded:
+            order = Order(0, SERVER, "unload", model, "1", "", 0)
+            self.book.begin(order, held.epoch)
+        elif free_mb(SERVER, report.state, self.book.intents()) >= MODELS[model]:
+            order = Order(0, SERVER, "load", model, "1", "", MODELS[model])
+            self.book.begin(order, held.epoch)
+
+    def _settle_foreign(self, now_s: float) -> None:
+        held = self.claimant.held(now_s)
+        if held is None:
+            return
+        engine = self.world.engine
+        fenced = frozenset({SERVER} if engine.checks_fencing else ())
+        facts = ForeignInput(
+            self.name, held.epoch, held.acquired_s, fenced, self._gone(now_s)
+        )
+        decision = judge_foreign(self.book.intents(), self.reports, facts, now_s)
+        if decision.to_fence:
+            engine.highest = max(engine.highest, held.epoch)
+        for intent in decision.settled:
+            record = SettlementRecord(
+                self.name, held.epoch, intent.holder, (intent.order.number,)
+            )
+            self.world.append(to_json(record))
+
+    def _gone(self, now_s: float) -> dict[str, float]:
+        slack_s = self.world.now_s
+        return {
+            name: now_s - (slack_s - died_s) * self.rate
+            for name, died_s in self.world.died_s.items()
+        }
+
+    def flush(self) -> None:
+        """Send what was decided, however long ago that was."""
+        for action in self.outbox:
+            self._open[action.order.number] = self.now_s()
+            flying = Flying(action.order, action.epoch, self.name, self.world.now_s)
+            self.world.flying.append(flying)
+        self.outbox = []
+
+    def hear(self, number: int, *, taken: bool) -> None:
+        """Take the engine's answer, if it is still waited for."""
+        if self.is_dead or self._open.pop(number, None) is None:
+            return
+        kind = "answered" if taken else "stale"
+        self.book.note_answer(number, kind, self.now_s())
+
+
+@final
+class World:
+    """Everything, and what may happen to it."""
+
+    def __init__(self, *, checks_fencing: bool, seed: int) -> None:
+        self.now_s = 0.0
+        self.rng = random.Random(seed)
+        self.log = FakeLog()
+        self.engine = FakeEngine(checks_fencing=checks_fencing)
+        self.flying: list[Flying] = []
+        self.daemons: list[FakeDaemon] = []
+        self.died_s: dict[str, float] = {}
+        for _ in range(3):
+            self.start_daemon()
+
+    def start_daemon(self) -> None:
+        rate = 1 + self.rng.uniform(-CLOCK_RATE_ERROR, CLOCK_RATE_ERROR) / 2
+        name = f"d{len(self.daemons)}"
+        self.daemons.append(FakeDaemon(self, name, rate))
+
+    def rank(self, daemon: FakeDaemon) -> int:
+        living = [item.name for item in self.daemons if not item.is_dead]
+        return living.index(daemon.name)
+
+    def append(self, payload: str) -> None:
+        if not self.log.is_down:
+            self.log.under_way.append(payload)
+
+    def land_appends(self, *, all_of_them: bool) -> None:
+        """Let appends take effect: some now, some later, one perhaps twice."""
+        left: list[str] = []
+        for payload in self.log.under_way:
+            fate = 0.0 if all_of_them else self.rng.random()
+            if fate < 0.75:
+                self.log.records.append(payload)
+            elif fate < 0.85:
+                left.append(payload)
+            elif fate < 0.9:
+                self.log.records.append(payload)
+                left.append(payload)
+        self.log.under_way = left
+
+    def deliver(self, *, all_of_them: bool) -> None:
+        """Let orders reach the engine: some now, some later, some never or twice."""
+        left: list[Flying] = []
+        for item in self.flying:
+            if self.now_s - item.sent_s > IN_FLIGHT_LIMIT_S * (1 - CLOCK_RATE_ERROR):
+                continue
+            fate = 0.0 if all_of_them else self.rng.random()
+            if fate < 0.4:
+                self._reach(item)
+            elif fate < 0.55:
+                self._reach(item)
+                left.append(item)
+            elif fate < 0.95:
+                left.append(item)
+        self.flying = left
+
+    def _reach(self, item: Flying) -> None:
+        taken = self.engine.take(item.order, item.epoch)
+        sender = next(one for one in self.daemons if one.name == item.sender)
+        if not sender.is_paused and self.rng.random() < 0.8:
+            sender.hear(item.order.number, taken=taken)
+
+    def advance(self, duration_s: float) -> None:
+        """Let time pass in steps in which each daemon that can goes round once."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            self.now_s += 0.5
+            self.land_appends(all_of_them=False)
+            self.deliver(all_of_them=False)
+            for daemon in self.daemons:
+                if daemon.is_paused or daemon.is_dead:
+                    continue
+                daemon.run(self.rng)
+                # A pause may come between the decision to send and the sending.
+                if self.rng.random() < 0.9:
+                    daemon.flush()
+
+    def kill(self, index: int) -> None:
+        """Let a daemon die with all that it had not sent."""
+        daemon = self.daemons[index]
+        if not daemon.is_dead:
+            daemon.is_dead = True
+            daemon.outbox = []
+            self.died_s[daemon.name] = self.now_s
+            self.start_daemon()
