--- a/testing/live/load.py
+++ b/testing/live/load.py
@@ -15,7 +15,7 @@
 
 from _pistachiopond.schema.manifest import Manifest
 from _pistachiopond.standin.engine_types import GenerateBody, prompt_text
-from _pistachiopond.standin.text import generate_text, seed_of
+from _pistachiopond.standin.text import count_prompt_tokens, generate_text, seed_of
 
 REQUEST_TIMEOUT_S: Final = 60.0
 Kind = Literal["stream", "plain", "booking"]
@@ -64,8 +64,8 @@
         0 where none came.
     code, verdict : str
         From the problem; empty otherwise.
-    tokens : int
-        Generated tokens that the caller got.
+    tokens, prompt_tokens : int
+        Generated tokens that the caller got, and those of a stream's prompt.
     first_s, last_s : float
         First and last part of the answer, on the monotonic clock.
     """
@@ -83,6 +83,7 @@
     first_s: float = 0.0
     last_s: float = 0.0
     detail: str = ""
+    prompt_tokens: int = 0
 
 
 class Told(NamedTuple):
@@ -95,6 +96,7 @@
     tokens: int = 0
     first_s: float = 0.0
     detail: str = ""
+    prompt_tokens: int = 0
 
 
 @final
@@ -162,6 +164,7 @@
             told.first_s,
             time.monotonic(),
             told.detail,
+            told.prompt_tokens,
         )
         self.sent.append(sent)
         return sent
@@ -206,7 +209,8 @@
             if answer.status_code != 200:
                 text = (await answer.aread()).decode()
                 return _problem(answer.status_code, text)
-            return await _read_stream(answer, expected)
+            told = await _read_stream(answer, expected)
+            return told._replace(prompt_tokens=count_prompt_tokens(prompt))
 
     def add_version(self, model: str, version: str) -> None:
         """Expect answers of another version as well."""
--- /dev/null
+++ b/testing/live/run.py
@@ -0,0 +1,79 @@
+"""Runs live proofs and prints a table: ``sh tools/live.sh [NAME...]``."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import anyio
+
+from testing.live.checks import Row
+from testing.live.proofs_callers import (
+    greedy_tenant,
+    kill_entry,
+    replace_all_vms,
+    withdraw_key,
+)
+from testing.live.proofs_control import (
+    conflicting_manifests,
+    frozen_owner,
+    log_outage,
+)
+
+Proof = Callable[[float], Awaitable[Row]]
+DURATION_S: Final = 20.0
+OUTAGE_S: Final = 60.0
+
+PROOFS: Final[dict[str, tuple[Proof, float]]] = {
+    "kill-entry": (kill_entry, DURATION_S),
+    "withdraw-key": (withdraw_key, DURATION_S),
+    "log-outage": (log_outage, OUTAGE_S),
+    "conflict": (conflicting_manifests, DURATION_S),
+    "replace-vms": (replace_all_vms, DURATION_S),
+    "greedy-tenant": (greedy_tenant, DURATION_S * 2),
+    "frozen-owner": (frozen_owner, DURATION_S),
+}
+HEADER: Final = (
+    "proof",
+    "sent",
+    "whole",
+    "refused",
+    "broken",
+    "wrong",
+    "not_run",
+    "may_have_run",
+    "ran",
+    "checked",
+    "breaches",
+)
+
+
+def main() -> None:
+    """Run the named proofs, or all; exit with 1 if anything was breached."""
+    names = sys.argv[1:] or list(PROOFS)
+    unknown = [name for name in names if name not in PROOFS]
+    if unknown:
+        print(f"unknown: {unknown}; known: {', '.join(PROOFS)}", file=sys.stderr)
+        raise SystemExit(2)
+    rows = []
+    for name in names:
+        proof, duration_s = PROOFS[name]
+        rows.append(anyio.run(proof, duration_s))
+        print(_line(HEADER), _line(_cells(rows[-1])), sep="\n", flush=True)
+        print(f"  {rows[-1].notes}")
+        for breach in rows[-1].breaches:
+            print(f"  BREACH: {breach}")
+    print("\n" + "\n".join([_line(HEADER), *(_line(_cells(row)) for row in rows)]))
+    raise SystemExit(1 if any(row.breaches for row in rows) else 0)
+
+
+def _cells(row: Row) -> tuple[object, ...]:
+    return (*row[:-2], len(row.breaches))
+
+
+def _line(cells: tuple[object, ...]) -> str:
+    first, *rest = cells
+    return f"{first!s:<26}" + " ".join(f"{cell!s:>12}" for cell in rest)
+
+
+if __name__ == "__main__":
+    main()
