--- a/testing/live/proofs_callers.py
+++ b/testing/live/proofs_callers.py
@@ -132,25 +132,23 @@
 async def replace_all_vms(duration_s: float) -> Row:
     """Replace every VM, one after the other, under load; nothing is cut off."""
     async with deploy((make_customer("one"), make_customer("two"))) as live:
-        stopping: set[str] = set()
         fleet = live.fleet
-        load = Load(
-            fleet.manifest,
-            lambda: tuple(url for url in fleet.entry_urls() if url not in stopping),
-        )
+        serving = list(fleet.entry_urls())
+        load = Load(fleet.manifest, lambda: tuple(serving))
+        codes: list[tuple[int, int]] = []
 
         async def replace() -> None:
             for vm in list(fleet.vms):
                 fresh = await anyio.to_thread.run_sync(fleet.add_vm)
-                stopping.add(fresh.entry.url)
                 await _wait_until_ready(fresh.entry.url)
-                stopping.discard(fresh.entry.url)
-                stop = anyio.to_thread.run_sync(fleet.remove_vm, vm)
-                codes.append(await _stop_behind_balancer(stop, stopping, vm.entry.url))
+                serving.append(fresh.entry.url)
+                async with anyio.create_task_group() as inner:
+                    inner.start_soon(_leave_when_not_ready, serving, vm.entry.url)
+                    code = await anyio.to_thread.run_sync(fleet.remove_vm, vm)
+                codes.append(code)
                 await anyio.sleep(duration_s / 20)
             load.stopping.set()
 
-        codes: list[tuple[int, int]] = []
         callers = (make_caller("one", 8.0), make_caller("two", 8.0))
         async with anyio.create_task_group() as group:
             group.start_soon(replace)
@@ -163,6 +161,20 @@
         return _with(row, f"{len(codes)} VMs; {count_codes(load.sent)}", breaches)
 
 
+async def _leave_when_not_ready(serving: list[str], url: str) -> None:
+    """Take a VM out as a balancer does, which looks every half second."""
+    async with httpx.AsyncClient() as http:
+        while url in serving:
+            try:
+                answer = await http.get(f"{url}/healthz/ready")
+                is_ready = answer.status_code == 200
+            except httpx.HTTPError:
+                is_ready = False
+            if not is_ready:
+                serving.remove(url)
+            await anyio.sleep(0.5)
+
+
 async def _wait_until_ready(url: str) -> None:
     async with httpx.AsyncClient() as http:
         with anyio.fail_after(60.0):
@@ -177,33 +189,6 @@
                 await anyio.sleep(0.05)
 
 
-async def _stop_behind_balancer(
-    stop: object, stopping: set[str], url: str
-) -> tuple[int, int]:
-    """Stop a VM while a balancer notices by its readiness, every half second."""
-    done = anyio.Event()
-    codes: list[tuple[int, int]] = []
-
-    async def watch() -> None:
-        async with httpx.AsyncClient() as http:
-            while not done.is_set():
-                try:
-                    answer = await http.get(f"{url}/healthz/ready")
-                    is_ready = answer.status_code == 200
-                except httpx.HTTPError:
-                    is_ready = False
-                if not is_ready:
-                    stopping.add(url)
-                    return
-                await anyio.sleep(0.5)
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(watch)
-        codes.append(await stop)  # type: ignore[misc]
-        done.set()
-    return codes[0]
-
-
 def _failed(load: Load, customer: str) -> list[Sent]:
     return [
         item for item in load.sent if item.customer == customer and item.end != "whole"
