Orders, views and membership: tests, and a bounded cost of heartbeats

The ring and the peers of each data centre are worked out only when somebody comes or goes, and only daemons that are being probed are judged in each period; the place of a daemon among a shard's candidates is worked out every 2 s. Statements of others travel in answers only, where their age is known.

--- a/src/_pistachiopond/control/membership.py
+++ b/src/_pistachiopond/control/membership.py
@@ -21,7 +21,7 @@
 from _pistachiopond.kernel.timer import Timer, every
 from _pistachiopond.platform.vmlist import ListedVm, ListVms, make_vm_list
 from _pistachiopond.schema.codec import from_json, to_json
-from _pistachiopond.schema.heartbeat import Heartbeat
+from _pistachiopond.schema.heartbeat import Heartbeat, LogStatement
 from _pistachiopond.schema.settings import ControlSettings
 from _pistachiopond.transport.channels import Channels, call
 from _pistachiopond.transport.generated.pond_pb2 import (
@@ -62,15 +62,21 @@
         """Return the time by this daemon's clock."""
         return self._timer.now_s()
 
-    def heartbeat(self) -> Heartbeat:
-        """Return what this daemon tells a peer now."""
+    def heartbeat(self, *, is_answer: bool) -> Heartbeat:
+        """Return what this daemon tells a peer now.
+
+        Only answers carry what others said: see `take`.
+        """
         now_s = self._timer.now_s()
         reaches_log = self._log.down_for_s() == 0.0
+        statements: tuple[LogStatement, ...] = ()
+        if is_answer:
+            statements = self._exchange.statements_to_pass(now_s)
         return Heartbeat(
             *self.fleet.me,
             beat=self.fleet.beat,
             own=self._follower.statement(reaches_log=reaches_log),
-            statements=self._exchange.statements_to_pass(now_s),
+            statements=statements,
             rumours=self.fleet.rumours(),
             owners=self._exchange.owners_to_pass(),
             peers=self.fleet.peer_hints(),
@@ -108,12 +114,13 @@
         heartbeat = from_json(Heartbeat, request.heartbeat_json)
         if heartbeat.is_ok():
             self.take(heartbeat.unwrap(), None)
-        return HeartbeatReply(heartbeat_json=to_json(self.heartbeat()).encode())
+        return HeartbeatReply(heartbeat_json=_encode(self.heartbeat(is_answer=True)))
 
     async def send_to(self, channels: Channels, address: str) -> None:
         """Send one heartbeat and take its answer."""
         asked_s = self._timer.now_s()
-        request = HeartbeatRequest(heartbeat_json=to_json(self.heartbeat()).encode())
+        heartbeat_json = _encode(self.heartbeat(is_answer=False))
+        request = HeartbeatRequest(heartbeat_json=heartbeat_json)
         method = PeerStub(channels.get(address)).Heartbeat
         answer = await call(method, request, HEARTBEAT_TIMEOUT_S)
         SENT.labels("answered" if answer.is_ok() else "failed").inc()
@@ -203,3 +210,7 @@
 def as_membership(service: FleetService) -> Membership:
     """Return the port that other services use."""
     return Membership(service.members, service.fleet.gone_since_s)
+
+
+def _encode(heartbeat: Heartbeat) -> bytes:
+    return to_json(heartbeat).encode()
--- a/src/_pistachiopond/control/ownership.py
+++ b/src/_pistachiopond/control/ownership.py
@@ -36,6 +36,7 @@
 READ_WAIT_S: Final = 2.0
 READ_LIMIT: Final = 500
 RETRY_S: Final = 0.25
+RANK_PERIOD_S: Final = 2.0
 RELEASE_TIMEOUT_S: Final = 3.0
 
 FLOOR_LEASE_S: Final = 7200.0
@@ -96,6 +97,8 @@
         self._log = log
         self._timer = timer
         self._last_epoch = -1
+        self._rank = CANDIDATES
+        self._rank_s = float("-inf")
 
     def held(self) -> Held | None:
         """Return this daemon's authority at this moment."""
@@ -106,7 +109,17 @@
         return self.claimant.state
 
     def rank(self, membership: Membership) -> int:
-        """Return this daemon's place among the candidates."""
+        """Return this daemon's place among the candidates, as of a moment ago.
+
+        A wrong place only makes two claim at once, and the log decides then.
+        """
+        now_s = self._timer.now_s()
+        if now_s - self._rank_s >= RANK_PERIOD_S:
+            self._rank = self._work_out_rank(membership)
+            self._rank_s = now_s
+        return self._rank
+
+    def _work_out_rank(self, membership: Membership) -> int:
         addresses = [
             member.address
             for member in membership.members()
--- a/src/_pistachiopond/decisions/membership.py
+++ b/src/_pistachiopond/decisions/membership.py
@@ -23,6 +23,7 @@
 )
 
 RING_PEERS: Final = 2
+CENTRE_PEERS: Final = 4
 SUSPECT_AFTER_S: Final = 3.0
 DEAD_AFTER_S: Final = 7.0
 DIRECT_EVIDENCE_S: Final = 3.0
@@ -89,6 +90,24 @@
     sends: int
 
 
+class _Ring(NamedTuple):
+    """The daemons that are not dead, as they stand to this one.
+
+    Attributes
+    ----------
+    order : tuple of str
+        All of them, in the ring's order.
+    following : tuple of str
+        The first few after this one.
+    centres : tuple of tuple of str
+        By data centre.
+    """
+
+    order: tuple[str, ...]
+    following: tuple[str, ...]
+    centres: tuple[tuple[str, ...], ...]
+
+
 @final
 class Fleet:
     """One daemon's knowledge of all the others."""
@@ -104,7 +123,9 @@
         self._asked_about: set[str] = set()
         self._tick = 0
         self._beat = 0
-        self._ring: list[str] | None = None
+        self._ring: _Ring | None = None
+        self._probed: set[str] = set()
+        self._dead: set[str] = set()
         self._to_check: list[str] = []
         for address in first_peers:
             if address != me.address:
@@ -255,14 +276,14 @@
         return targets
 
     def _judge(self, now_s: float) -> None:
-        for address, known in list(self._known.items()):
-            if known.standing == "dead":
-                self._maybe_forget(address, known, now_s)
-            elif known.probed_since_s is not None:
-                self._judge_probed(known, now_s)
+        for address in sorted(self._dead):
+            self._maybe_forget(address, self._known[address], now_s)
+        for address in sorted(self._probed):
+            self._judge_probed(self._known[address], now_s)
 
     def _judge_probed(self, known: Known, now_s: float) -> None:
-        assert known.probed_since_s is not None
+        if known.probed_since_s is None:
+            return
         silent_s = now_s - max(known.probed_since_s, known.beat_s)
         if silent_s >= DEAD_AFTER_S:
             self._die(known, now_s)
@@ -280,6 +301,8 @@
         if not known.is_listed and now_s - known.beat_s > FORGET_AFTER_S:
             del self._known[address]
             self._spread.pop(address, None)
+            self._dead.discard(address)
+            self._probed.discard(address)
             self._ring = None
 
     def _targets(self) -> list[str]:
@@ -294,44 +317,42 @@
         return [item for item in dict.fromkeys(chosen) if item in self._known]
 
     def _ring_peers(self) -> list[str]:
-        ring = self._ring_order()
-        if not ring:
-            return []
-        own = (score("ring", self.me.address), self.me.address)
-        after = [item for item in ring if (score("ring", item), item) > own]
-        before = ring[: len(ring) - len(after)]
-        return (after + before)[:RING_PEERS]
+        return list(self._ring_order().following)
 
-    def _ring_order(self) -> list[str]:
+    def _ring_order(self) -> _Ring:
         if self._ring is None:
-            living = [
-                address
-                for address, known in self._known.items()
-                if known.standing != "dead"
-            ]
-            self._ring = sorted(living, key=lambda item: (score("ring", item), item))
+            self._ring = self._make_ring()
         return self._ring
 
-    def _centre_peer(self) -> str | None:
+    def _make_ring(self) -> _Ring:
+        living = [item for item in self._known if item not in self._dead]
+        ring = sorted((score("ring", item), item) for item in living)
+        own = (score("ring", self.me.address), self.me.address)
+        after = [item for key, item in ring if (key, item) > own]
+        before = [item for key, item in ring if (key, item) <= own]
         centres: dict[str, list[str]] = {}
-        for address in self._ring_order():
+        for _, address in ring:
             centre = self._known[address].identity.data_centre
             centres.setdefault(centre, []).append(address)
+        return _Ring(
+            tuple(item for _, item in ring),
+            tuple((after + before)[:RING_PEERS]),
+            tuple(
+                tuple(ranked(self.me.address, centres[name])[:CENTRE_PEERS])
+                for name in sorted(centres)
+            ),
+        )
+
+    def _centre_peer(self) -> str | None:
+        centres = self._ring_order().centres
         if not centres:
             return None
-        names = sorted(centres)
-        peers = centres[names[self._tick % len(names)]]
+        peers = centres[self._tick % len(centres)]
         # Another one each time round, so that one deaf peer hides nothing.
-        turn = self._tick // len(names)
-        order = ranked(f"{self.me.address}/{turn % 4}", peers)
-        return order[0]
+        return peers[self._tick // len(centres) % len(peers)]
 
     def _one_dead(self) -> list[str]:
-        dead = [
-            address
-            for address, known in self._known.items()
-            if known.standing == "dead"
-        ]
+        dead = sorted(self._dead)
         if not dead:
             return []
         return [dead[self._tick // DEAD_PROBE_PERIOD_TICKS % len(dead)]]
@@ -357,7 +378,7 @@
 
     def peer_hints(self) -> tuple[PeerHint, ...]:
         """Return a few other daemons, others each time."""
-        ring = self._ring_order()
+        ring = self._ring_order().order
         if not ring:
             return ()
         start = self._tick * MAX_PEERS % len(ring)
@@ -423,12 +444,16 @@
     def _set(self, known: Known) -> None:
         address = known.identity.address
         before = self._known.get(address)
-        changed = before is None or (before.standing == "dead") != (
-            known.standing == "dead"
-        )
-        if changed:
+        is_dead = known.standing == "dead"
+        centre = known.identity.data_centre
+        if before is None or (address in self._dead) != is_dead:
+            self._ring = None
+        elif before.identity.data_centre != centre:
             self._ring = None
         self._known[address] = known
+        _put(self._dead, address, is_in=is_dead)
+        is_probed = known.probed_since_s is not None and not is_dead
+        _put(self._probed, address, is_in=is_probed)
 
     def _tell(self, address: str) -> None:
         known = self._known[address]
@@ -436,3 +461,10 @@
             return
         rumour = Rumour(*known.identity, beat=known.beat, standing=known.standing)
         self._spread[address] = _Spread(rumour, 0)
+
+
+def _put(members: set[str], name: str, *, is_in: bool) -> None:
+    if is_in:
+        members.add(name)
+    else:
+        members.discard(name)
--- /dev/null
+++ b/testing/decisions/fleet_network.py
@@ -0,0 +1,100 @@
+"""Many fleets that send each other heartbeats, on a virtual clock."""
+
+from collections.abc import Callable
+from typing import final
+
+from _pistachiopond.decisions.membership import Fleet, Identity, ListedDaemon
+from _pistachiopond.schema.heartbeat import (
+    MAX_HINTS,
+    Heartbeat,
+    LogStatement,
+    OwnerHint,
+)
+
+OWNERS = tuple(
+    OwnerHint(f"customers-{index}", 1234567, "10.0.0.1:7000")
+    for index in range(MAX_HINTS)
+)
+
+
+def identity_of(index: int, centres: int = 2, start: int = 0) -> Identity:
+    return Identity(
+        f"10.0.{index // 250}.{index % 250}:7000",
+        f"dc-{index % centres}",
+        f"{start:013d}-{index}",
+    )
+
+
+def heartbeat_of(fleet: Fleet, *, is_answer: bool) -> Heartbeat:
+    """Return a heartbeat with everything in it that a real one may carry."""
+    own = LogStatement(fleet.me.address, fleet.me.data_centre, True, 0.5, 7, 0.0)
+    statements = tuple(
+        own._replace(data_centre=name, age_s=1.25)
+        for name in sorted(fleet.data_centres())
+    )
+    return Heartbeat(
+        *fleet.me,
+        beat=fleet.beat,
+        own=own,
+        statements=statements if is_answer else (),
+        owners=OWNERS,
+        rumours=fleet.rumours(),
+        peers=fleet.peer_hints(),
+    )
+
+
+@final
+class FleetNetwork:
+    """Daemons that tick once a second; the test cuts, hangs and kills them."""
+
+    def __init__(self, count: int, centres: int = 2) -> None:
+        self.now_s = 0.0
+        self.fleets = {
+            item.address: Fleet(item, (), 0.0)
+            for item in (identity_of(index, centres) for index in range(count))
+        }
+        self.dead: set[str] = set()
+        self.hung: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.messages = 0
+        self.on_message: Callable[[Heartbeat], None] = lambda heartbeat: None
+        self.list_all()
+
+    def list_all(self) -> None:
+        listed = [
+            ListedDaemon(fleet.me.address, fleet.me.data_centre, False)
+            for fleet in self.fleets.values()
+        ]
+        for fleet in self.fleets.values():
+            fleet.take_list(listed, self.now_s)
+
+    def run(self, seconds: int) -> None:
+        for _ in range(seconds):
+            self.now_s += 1.0
+            for address, fleet in self.fleets.items():
+                if address in self.dead:
+                    continue
+                makes_progress = address not in self.hung
+                targets = fleet.tick(self.now_s, makes_progress=makes_progress)
+                for target in targets:
+                    self._exchange(address, target)
+
+    def _exchange(self, sender: str, target: str) -> None:
+        if target in self.dead or (sender, target) in self.cuts:
+            return
+        request = heartbeat_of(self.fleets[sender], is_answer=False)
+        self._count(request)
+        self.fleets[target].take_heartbeat(request, self.now_s)
+        if (target, sender) in self.cuts:
+            return
+        reply = heartbeat_of(self.fleets[target], is_answer=True)
+        self._count(reply)
+        self.fleets[sender].take_heartbeat(reply, self.now_s)
+
+    def _count(self, heartbeat: Heartbeat) -> None:
+        self.messages += 1
+        self.on_message(heartbeat)
+
+    def members_seen_by(self, address: str) -> set[str]:
+        members = self.fleets[address].members(self.now_s)
+        return {member.address for member in members}
--- /dev/null
+++ b/testing/decisions/test_views.py
@@ -0,0 +1,142 @@
+"""Tests of the view that entry daemons route by, and of what plans are made from."""
+
+import unittest
+from typing import Any
+
+from _pistachiopond.decisions.memory import Report
+from _pistachiopond.decisions.planning import (
+    DRAIN_NOTICE_S,
+    USABLE_REPORT_AGE_S,
+    PlanFacts,
+    adapter_orders,
+    placement_input,
+)
+from _pistachiopond.decisions.views import (
+    GONE_AFTER_S,
+    ViewInput,
+    is_news,
+    make_view,
+)
+from _pistachiopond.schema.engine import EngineAdapter, EngineModel, EngineState
+from _pistachiopond.schema.heartbeat import DrainedReplica
+from _pistachiopond.schema.manifest import Adapter, BackendServer, Manifest, Model
+from _pistachiopond.schema.records import Intent, Order
+
+MARK = DrainedReplica("one", "m", "1")
+MANIFEST = Manifest(
+    replaces_revision=0,
+    deployment="test",
+    objective="worst_served_customer",
+    models=(Model("m", "1", 40, (Adapter("a", 5),)),),
+    backend_servers=(
+        BackendServer("one", "http://127.0.0.1:1", "a", "r", "k", "s", 1, 100),
+        BackendServer("plain", "http://127.0.0.1:2", "a", "r", "k", "t"),
+    ),
+    routes=(),
+    customers=(),
+)
+
+
+def resident(state: str = "ready", version: str = "1", adapters: Any = None) -> Any:
+    if adapters is None:
+        adapters = (EngineAdapter("a", 5, "ready"),)
+    return EngineModel("m", version, 40, state, adapters)
+
+
+def report(*models: EngineModel, asked_s: float = 10.0, **fields: Any) -> Report:
+    state = EngineState("i", False, False, 100, models)._replace(**fields)
+    return Report(state, asked_s)
+
+
+class ViewTests(unittest.TestCase):
+    def view(self, now_s: float = 11.0, one: Any = None, **fields: Any) -> Any:
+        facts = ViewInput(
+            MANIFEST, {"one": one or report(resident())}, frozenset(), frozenset()
+        )
+        return make_view(facts._replace(**fields), 1, now_s)
+
+    def test_a_ready_model_is_shown_with_its_adapters(self) -> None:
+        server = self.view().servers[0]
+        self.assertEqual(server.availability, "serving")
+        self.assertEqual(server.residents[0].adapters, ("a",))
+
+    def test_a_leaving_server_gets_no_new_work_by_any_sign(self) -> None:
+        own_word = self.view(one=report(resident(), leaving=True))
+        self.assertEqual(own_word.servers[0].availability, "draining")
+        others = self.view(leaving=frozenset({"one", "plain"}))
+        self.assertEqual(
+            [item.availability for item in others.servers], ["draining", "draining"]
+        )
+
+    def test_a_silent_engine_is_gone_after_a_while(self) -> None:
+        silent = self.view(now_s=10.0 + GONE_AFTER_S + 0.1)
+        self.assertEqual(silent.servers[0].availability, "gone")
+        self.assertEqual(silent.servers[1].availability, "serving")
+
+    def test_a_draining_replica_is_shown_as_such(self) -> None:
+        view = self.view(draining=frozenset({MARK}))
+        self.assertEqual(view.servers[0].residents[0].state, "draining")
+
+    def test_of_two_versions_only_the_listed_one_is_shown(self) -> None:
+        one = report(resident(), resident(version="0"))
+        versions = [item.version for item in self.view(one=one).servers[0].residents]
+        self.assertEqual(versions, ["1"])
+
+    def test_an_older_report_is_no_news(self) -> None:
+        self.assertFalse(is_news(self.view(11.0), self.view(12.0)))
+        self.assertTrue(is_news(self.view(), self.view(leaving=frozenset({"one"}))))
+
+
+class PlanningTests(unittest.TestCase):
+    def facts(self, one: Report, **fields: Any) -> PlanFacts:
+        facts = PlanFacts(MANIFEST, {"one": one}, (), frozenset(), {}, 5.0, {})
+        return facts._replace(**fields)
+
+    def replica(self, one: Report, now_s: float = 11.0, **fields: Any) -> Any:
+        (replica,) = placement_input(self.facts(one, **fields), now_s).replicas
+        return replica
+
+    def intent(self, verb: str) -> Intent:
+        order = Order(0, "one", verb, "m", "1", "", 40 if verb == "load" else 0)
+        return Intent("x", "127.0.0.1:1", 1, order)
+
+    def test_a_whole_replica_is_ready(self) -> None:
+        replica = self.replica(report(resident()))
+        self.assertEqual((replica.state, replica.memory_mb), ("ready", 45))
+
+    def test_one_without_its_adapters_is_still_loading_with_all_its_memory(
+        self,
+    ) -> None:
+        replica = self.replica(report(resident(adapters=())))
+        self.assertEqual((replica.state, replica.memory_mb), ("loading", 45))
+
+    def test_an_unsettled_load_counts_as_loading(self) -> None:
+        replica = self.replica(report(), intents=(self.intent("load"),))
+        self.assertEqual((replica.state, replica.memory_mb), ("loading", 45))
+
+    def test_an_unsettled_unload_makes_a_replica_unsure(self) -> None:
+        replica = self.replica(report(resident()), intents=(self.intent("unload"),))
+        self.assertEqual(replica.state, "unloading")
+
+    def test_a_replica_is_drained_once_all_have_heard_of_it(self) -> None:
+        one = report(resident())
+        early = self.replica(one, draining_since_s={MARK: 11.0 - DRAIN_NOTICE_S / 2})
+        late = self.replica(one, draining_since_s={MARK: 11.0 - DRAIN_NOTICE_S})
+        self.assertEqual((early.state, early.is_drained), ("draining", False))
+        self.assertTrue(late.is_drained)
+
+    def test_old_reports_and_those_before_the_claim_prove_nothing(self) -> None:
+        for one, now_s in (
+            (report(resident(), asked_s=4.0), 6.0),
+            (report(resident()), 10.0 + USABLE_REPORT_AGE_S + 0.1),
+        ):
+            (server,) = placement_input(self.facts(one), now_s).servers
+            self.assertFalse(server.is_usable)
+
+    def test_missing_adapters_are_ordered_and_unlisted_ones_removed(self) -> None:
+        one = report(resident(adapters=(EngineAdapter("old", 5, "ready"),)))
+        orders = adapter_orders(self.facts(one), 11.0)
+        self.assertEqual(
+            [(item.verb, item.adapter) for item in orders],
+            [("load_adapter", "a"), ("unload_adapter", "old")],
+        )
