Orders: engines with orders under way are asked four times a second

The first placement waited: a replica that lacked only adapters held a place among the model loads, engines were asked once a second, and the book waited for its tick after the intent was read back. Now none of that.

--- a/src/_pistachiopond/control/engines.py
+++ b/src/_pistachiopond/control/engines.py
@@ -21,8 +21,9 @@
 from _pistachiopond.schema.engine import EngineState
 from _pistachiopond.schema.manifest import BackendServer
 
-TICK_S: Final = 0.25
+TICK_S: Final = 0.125
 POLL_PERIOD_S: Final = 1.0
+HURRIED_PERIOD_S: Final = 0.25
 POLL_TIMEOUT_S: Final = 2.0
 POLLS_PER_S: Final = 20
 OPEN_POLLS: Final = 16
@@ -41,8 +42,13 @@
         self._asked_s: dict[str, float] = {}
         self._open: set[str] = set()
         self._limiter = anyio.CapacityLimiter(OPEN_POLLS)
+        self._hurried: frozenset[str] = frozenset()
         self.changed = anyio.Event()
 
+    def hurry(self, servers: frozenset[str]) -> None:
+        """Ask these servers more often: orders to them are under way."""
+        self._hurried = servers
+
     def reports(self) -> Mapping[str, Report]:
         """Return the newest report of each engine that ever answered."""
         return self._reports
@@ -60,7 +66,8 @@
             server
             for server in servers
             if server.name not in self._open
-            and now_s - self._asked_s.get(server.name, float("-inf")) >= period_s
+            and now_s - self._asked_s.get(server.name, float("-inf"))
+            >= (HURRIED_PERIOD_S if server.name in self._hurried else period_s)
         ]
 
     def keep_only(self, names: frozenset[str]) -> None:
--- a/src/_pistachiopond/control/orders.py
+++ b/src/_pistachiopond/control/orders.py
@@ -41,7 +41,7 @@
     may_start_model,
 )
 from _pistachiopond.kernel.service import Kernel, Service
-from _pistachiopond.kernel.timer import Timer, every
+from _pistachiopond.kernel.timer import Timer
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.heartbeat import DrainedReplica
@@ -49,7 +49,7 @@
 from _pistachiopond.schema.records import Intent, Order, SettlementRecord
 
 TICK_S: Final = 0.25
-PLAN_PERIOD_S: Final = 1.0
+PLAN_PERIOD_S: Final = 0.5
 FIRST_REPORTS_S: Final = 5.0
 FENCE_PERIOD_S: Final = 2.0
 SETTLE_PERIOD_S: Final = 3.0
@@ -92,7 +92,11 @@
 
     # -- the loop ----------------------------------------------------------------
 
-    async def on_tick(self, group: TaskGroup, now_s: float) -> None:
+    def stream_changed(self) -> anyio.Event:
+        """Return the event that tells of the next record in the shard's stream."""
+        return self._shard.changed
+
+    def on_tick(self, group: TaskGroup, now_s: float) -> None:
         """Follow the stream and the reports, plan, and start what is due."""
         self._exchange.note_progress("orders", now_s)
         state = self._shard.state()
@@ -107,6 +111,8 @@
             if now_s - self._planned_s >= PLAN_PERIOD_S:
                 self._planned_s = now_s
                 self._plan(revision.manifest, held, now_s)
+        pending = self._book.pending()
+        self._engines.hurry(frozenset(item.order.server for item in pending))
         for action in self._book.next_actions(self._shard.held(), now_s):
             group.start_soon(self._carry_out, action)
 
@@ -318,6 +324,15 @@
             await self._log.append(self._shard.stream, to_json(record))
 
 
+async def _run_planner(planner: Planner, group: TaskGroup, timer: Timer) -> None:
+    """Go round once a period, and at once when the stream brings something."""
+    while True:
+        changed = planner.stream_changed()
+        planner.on_tick(group, timer.now_s())
+        with anyio.move_on_after(TICK_S):
+            await changed.wait()
+
+
 def make_orders_service(me: Identity, timer: Timer) -> Service:
     """Return the service ``orders``."""
 
@@ -325,11 +340,7 @@
         async with httpx.AsyncClient(trust_env=False) as http:
             planner = Planner(me, kernel, http, timer)
             async with anyio.create_task_group() as group:
-
-                async def on_tick(now_s: float) -> None:
-                    await planner.on_tick(group, now_s)
-
-                group.start_soon(every, timer, TICK_S, on_tick)
+                group.start_soon(_run_planner, planner, group, timer)
                 task_status.started(planner)
                 await kernel.stop_event("orders").wait()
                 planner.is_stopping = True
--- a/src/_pistachiopond/decisions/membership.py
+++ b/src/_pistachiopond/decisions/membership.py
@@ -366,7 +366,7 @@
 
     def rumours(self) -> tuple[Rumour, ...]:
         """Return the news for one heartbeat, the least told first."""
-        limit = 3 + 2 * math.ceil(math.log2(len(self._known) + 2))
+        limit = 3 + math.ceil(math.log2(len(self._known) + 2))
         order = sorted(self._spread.items(), key=lambda item: item[1].sends)
         chosen = order[:MAX_RUMOURS]
         for address, item in chosen:
--- a/src/_pistachiopond/decisions/planning.py
+++ b/src/_pistachiopond/decisions/planning.py
@@ -95,11 +95,24 @@
         loads=_loads(manifest, facts.tokens_per_s),
         objective=manifest.objective,
         options=PlacementOptions(
+            # Replicas that only lack adapters take no place among the model loads.
             loads_in_flight=manifest.weight_store.full_speed_loads
+            + _count_lacking_adapters(facts)
         ),
     )
 
 
+def _count_lacking_adapters(facts: PlanFacts) -> int:
+    models = {model.name: model for model in facts.manifest.models}
+    return sum(
+        1
+        for report in facts.reports.values()
+        for resident in report.state.models
+        if resident.state == "ready"
+        and missing_adapters(models.get(resident.name), resident)
+    )
+
+
 def _server(server: BackendServer, facts: PlanFacts, now_s: float) -> PlacementServer:
     report = usable_report(server.name, facts, now_s)
     memory_mb = server.memory_mb
--- a/src/_pistachiopond/schema/heartbeat.py
+++ b/src/_pistachiopond/schema/heartbeat.py
@@ -8,7 +8,7 @@
 Standing = Literal["alive", "suspected", "dead"]
 Age = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 
-MAX_RUMOURS: Final = 6
+MAX_RUMOURS: Final = 4
 MAX_STATEMENTS: Final = 8
 MAX_HINTS: Final = 4
 MAX_PEERS: Final = 2
