--- a/src/_pistachiopond/standin/host.py
+++ b/src/_pistachiopond/standin/host.py
@@ -3,7 +3,7 @@
 import signal
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import anyio
 from starlette.applications import Starlette
@@ -18,6 +18,8 @@
 from _pistachiopond.standin.ledger import Ledger
 from _pistachiopond.standin.middleware import FaultHooks, FaultMiddleware
 
+VIA_PREFIX: Final = "/via/"
+
 
 class Part(NamedTuple):
     """What a stand-in of one kind brings along.
@@ -85,7 +87,7 @@
 ) -> FaultMiddleware:
     """Return the stand-in's application, with faults around it."""
     routes = [Route("/ledger", _ledger_handler(part.ledger), methods=["GET"])]
-    inner = Starlette(routes=routes + part.routes)
+    inner = _without_via(Starlette(routes=routes + part.routes))
     return FaultMiddleware(_say_leaving(inner, part), server, timer, hooks)
 
 
@@ -117,6 +119,19 @@
     return handle
 
 
+def _without_via(inner: Any) -> Any:
+    """Drop a leading ``/via/NAME``, by which faults can tell callers apart."""
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        path = scope["path"]
+        if path.startswith(VIA_PREFIX):
+            rest = path.removeprefix(VIA_PREFIX).partition("/")[2]
+            scope = dict(scope) | {"path": f"/{rest}", "raw_path": f"/{rest}".encode()}
+        await inner(scope, receive, send)
+
+    return app
+
+
 def _say_leaving(inner: Any, part: Part) -> Any:
     async def app(scope: Any, receive: Any, send: Any) -> None:
         async def marked(message: Any) -> None:
--- a/testing/live/proofs_control.py
+++ b/testing/live/proofs_control.py
@@ -20,9 +20,8 @@
     statuses,
     wait_for,
 )
-from tools.fleet import Vm
+from tools.fleet import Fleet, Vm, via
 
-STREAMS: Final = "/streams"
 KEYS: Final = (key_of("one"), key_of("two"))
 
 
@@ -72,8 +71,8 @@
         async def break_log() -> None:
             nonlocal back_s
             await anyio.sleep(duration_s / 4)
-            fault = {"kind": "drop_before", "path_prefix": STREAMS, "count": None}
-            fleet.set_fault(fleet.platform, **fault)
+            for vm in fleet.vms:
+                cut_from_log(fleet, vm)
             await anyio.sleep(duration_s / 2)
             fleet.clear_faults(fleet.platform)
             back_s = time.monotonic()
@@ -151,6 +150,13 @@
         return row._replace(notes=notes, breaches=(*row.breaches, *breaches))
 
 
+def cut_from_log(fleet: Fleet, vm: Vm) -> None:
+    """Let the log answer nothing to one VM, until faults are cleared."""
+    path_prefix = f"{via(vm.name)}/streams"
+    fault = {"kind": "drop_before", "path_prefix": path_prefix, "count": None}
+    fleet.set_fault(fleet.platform, **fault)
+
+
 async def _owner_of_servers(live: Deployment) -> Vm:
     with anyio.fail_after(LIMIT_S):
         while True:
--- a/testing/live/run.py
+++ b/testing/live/run.py
@@ -18,6 +18,12 @@
     frozen_owner,
     log_outage,
 )
+from testing.live.proofs_faults import (
+    crashing_request,
+    faulty_backends,
+    silent_connections,
+)
+from testing.live.proofs_fleet import all_vms_killed, one_vm_cut_off
 
 Proof = Callable[[float], Awaitable[Row]]
 DURATION_S: Final = 20.0
@@ -30,6 +36,11 @@
     "conflict": (conflicting_manifests, DURATION_S),
     "replace-vms": (replace_all_vms, DURATION_S),
     "greedy-tenant": (greedy_tenant, DURATION_S * 2),
+    "one-vm-cut-off": (one_vm_cut_off, DURATION_S * 2),
+    "all-vms-killed": (all_vms_killed, DURATION_S / 2),
+    "faulty-backends": (faulty_backends, DURATION_S * 2),
+    "silent": (silent_connections, DURATION_S),
+    "crashing-request": (crashing_request, DURATION_S),
     "frozen-owner": (frozen_owner, DURATION_S),
 }
 HEADER: Final = (
--- a/testing/standin/test_faults.py
+++ b/testing/standin/test_faults.py
@@ -114,6 +114,14 @@
                 while await runs_of(http) == 0:
                     await anyio.sleep(0.02)
 
+    async def test_one_caller_alone_can_be_cut_off(self) -> None:
+        async with serve(service_part()) as (_, http):
+            await set_fault(http, kind="status", path_prefix="/via/a", count=None)
+            cut = await http.get("/via/a/x")
+            other = await http.get("/via/b/x")
+        self.assertEqual((cut.status_code, other.status_code), (503, 200))
+        self.assertEqual(other.json()["path"], "/x")
+
     async def test_an_unknown_fault_is_refused(self) -> None:
         async with serve(service_part()) as (_, http):
             answer = await http.post("/faults", json={"faults": [{"kind": "odd"}]})
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -58,6 +58,11 @@
     drain_limit_s: float = 60.0
 
 
+def via(vm_name: str) -> str:
+    """Return the prefix of the paths by which a VM calls the platform."""
+    return f"/via/{vm_name}"
+
+
 @final
 class Fleet:
     """The running processes of one deployment."""
@@ -144,6 +149,11 @@
         url = f"{self.backends[backend].url}{path}"
         return httpx.get(url, timeout=HTTP_TIMEOUT_S).json()
 
+    def platform_loads(self) -> int:
+        """Return how many models the weight store has loaded."""
+        answer = httpx.get(f"{self.platform.url}/loads", timeout=HTTP_TIMEOUT_S)
+        return int(answer.json()["models_loaded"])
+
     def set_fault(self, program: Program, **fault: Any) -> None:
         """Set a fault on a stand-in."""
         url = f"{program.url}/faults"
@@ -239,13 +249,14 @@
         centre = centres[(self._vm_count - 1) % len(centres)]
         others = tuple(peer for peer in peers if peer != control_address)
         region = servers[0].region
+        platform_url = f"{self.platform.url}{via(name)}"
         control = ControlSettings(
             listen_address=control_address,
             data_centre=centre,
             region=region,
-            log_url=self.platform.url,
-            vm_list_url=self.platform.url,
-            weight_store_url=self.platform.url,
+            log_url=platform_url,
+            vm_list_url=platform_url,
+            weight_store_url=platform_url,
             peer_addresses=others,
             lease_s=self._options.lease_s,
         )
