--- a/testing/live/proofs_control.py
+++ b/testing/live/proofs_control.py
@@ -66,10 +66,10 @@
     async with deploy((make_customer("one"), make_customer("two"))) as live:
         fleet = live.fleet
         published: list[Published] = []
-        back_s = 0.0
+        in_force_s = 0.0
 
         async def break_log() -> None:
-            nonlocal back_s
+            nonlocal in_force_s
             await anyio.sleep(duration_s / 4)
             for vm in fleet.vms:
                 cut_from_log(fleet, vm)
@@ -79,12 +79,12 @@
             customers = (*fleet.manifest.customers, make_customer("late"))
             changed = fleet.manifest._replace(replaces_revision=1, customers=customers)
             published.append(await publish(fleet, live.folder, changed))
+            in_force_s = time.monotonic() - back_s
 
         callers = (make_caller("one", 8.0), make_caller("two", 8.0))
         async with anyio.create_task_group() as group:
             group.start_soon(break_log)
             await live.load.run(callers, duration_s)
-        in_force_s = time.monotonic() - back_s
         breaches = [] if published[0].result == "accepted" else [f"{published[0]}"]
         breaches += [
             f"not in force after the outage: {place}"
