--- a/testing/live/run.py
+++ b/testing/live/run.py
@@ -23,7 +23,11 @@
     faulty_backends,
     silent_connections,
 )
-from testing.live.proofs_fleet import all_vms_killed, one_vm_cut_off
+from testing.live.proofs_fleet import (
+    all_vms_killed,
+    one_vm_cut_off,
+    snapshot_and_tail,
+)
 
 Proof = Callable[[float], Awaitable[Row]]
 DURATION_S: Final = 20.0
@@ -38,6 +42,7 @@
     "greedy-tenant": (greedy_tenant, DURATION_S * 2),
     "one-vm-cut-off": (one_vm_cut_off, DURATION_S * 2),
     "all-vms-killed": (all_vms_killed, DURATION_S / 2),
+    "snapshot-and-tail": (snapshot_and_tail, DURATION_S / 2),
     "faulty-backends": (faulty_backends, DURATION_S * 2),
     "silent": (silent_connections, DURATION_S),
     "crashing-request": (crashing_request, DURATION_S),
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -149,6 +149,11 @@
         url = f"{self.backends[backend].url}{path}"
         return httpx.get(url, timeout=HTTP_TIMEOUT_S).json()
 
+    def platform_records(self, stream: str) -> Any:
+        """Return a page of a stream, from its oldest retained record."""
+        url = f"{self.platform.url}/streams/{stream}/records"
+        return httpx.get(url, timeout=HTTP_TIMEOUT_S).json()
+
     def platform_loads(self) -> int:
         """Return how many models the weight store has loaded."""
         answer = httpx.get(f"{self.platform.url}/loads", timeout=HTTP_TIMEOUT_S)
