Rate and burst over all VMs: pools, grants and their services

A customer's limits are split over disjoint pools. In each pool level plus outstanding grants stay within its burst; grants expire, a new holder works within what no older grant can hold, and draws state totals so that lost, repeated or overtaken messages are harmless.

--- /dev/null
+++ b/src/_pistachiopond/control/limits.py
@@ -0,0 +1,133 @@
+"""The service ``limits`` of a control daemon: grants tokens of the pools it holds."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, NamedTuple, final
+
+from anyio.abc import TaskStatus
+from prometheus_client import Counter
+
+from _pistachiopond.control.ports import Configuration, Holding, Ownership
+from _pistachiopond.decisions.limits import (
+    data_centres,
+    floor_pool,
+    pool_limits,
+    pool_names,
+)
+from _pistachiopond.decisions.pools import TokenPool
+from _pistachiopond.kernel.service import Kernel, Service
+from _pistachiopond.kernel.timer import Timer
+from _pistachiopond.schema.limits import LimitsView, PoolSource
+from _pistachiopond.schema.manifest import Manifest
+from _pistachiopond.transport.draws import answer_to_message, draw_from_message
+from _pistachiopond.transport.generated import pond_pb2
+
+DRAWS: Final = Counter(
+    "pond_control_draws", "Draws of tokens by how they ended.", ["outcome"]
+)
+
+
+class LimitsApi(NamedTuple):
+    """The service ``limits`` of a control daemon.
+
+    Attributes
+    ----------
+    handle_draw : callable
+        Answers a draw; names the holder where it is another daemon.
+    view : callable
+        Where an entry daemon in this data centre may draw, the best first.
+    """
+
+    handle_draw: Callable[[pond_pb2.DrawRequest], Awaitable[pond_pb2.DrawReply]]
+    view: Callable[[], LimitsView]
+
+
+@final
+class _Held:
+    """A pool in this daemon's hands, with the revision it was configured by."""
+
+    def __init__(self, holding: Holding) -> None:
+        # 0 on the wire means that no epoch is known, and the first epoch is 0.
+        self.pool = TokenPool(
+            holding.epoch + 1, holding.acquired_s, holding.predecessor_acquired_s
+        )
+        self.epoch = holding.epoch
+        self.revision = 0
+
+
+def make_limits_service(timer: Timer, data_centre: str, shard_count: int) -> Service:
+    """Return the service ``limits``; it uses ``ownership`` and ``configuration``.
+
+    Parameters
+    ----------
+    timer : Timer
+        The timer service.
+    data_centre : str
+        Where this daemon stands; its floor pool comes first among floor pools.
+    shard_count : int
+        Into how many shards customers are split.
+    """
+
+    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
+        ownership = kernel.find("ownership", Ownership)
+        configuration = kernel.find("configuration", Configuration)
+        held: dict[str, _Held] = {}
+
+        async def handle_draw(request: pond_pb2.DrawRequest) -> pond_pb2.DrawReply:
+            # No await from the check of authority to the answer: a pause in between
+            # only delays grants, whose lifetime counts from before the request.
+            now_s = timer.now_s()
+            holding = ownership.holding(request.pool)
+            revision = configuration.revision()
+            if holding is None or revision is None:
+                held.pop(request.pool, None)
+                DRAWS.labels("not_owner").inc()
+                address = ownership.holder_address(request.pool) or ""
+                return pond_pb2.DrawReply(not_owner=True, owner_address=address)
+            mine = held.get(request.pool)
+            if mine is None or mine.epoch != holding.epoch:
+                mine = held[request.pool] = _Held(holding)
+            if mine.revision != revision.number:
+                limits = pool_limits(revision.manifest, request.pool, shard_count)
+                mine.pool.configure(limits, now_s)
+                mine.revision = revision.number
+            DRAWS.labels("answered").inc()
+            answer = mine.pool.draw(draw_from_message(request), now_s)
+            return answer_to_message(answer)
+
+        def view() -> LimitsView:
+            revision = configuration.revision()
+            if revision is None:
+                return LimitsView()
+            return make_view(
+                revision.manifest, data_centre, shard_count, ownership.holder_address
+            )
+
+        task_status.started(LimitsApi(handle_draw, view))
+        await kernel.stop_event("limits").wait()
+
+    return Service("limits", run)
+
+
+def make_view(
+    manifest: Manifest,
+    data_centre: str,
+    shard_count: int,
+    holder_address: Callable[[str], str | None],
+) -> LimitsView:
+    """Return all pools with a known holder, the best first.
+
+    Owner pools come first, then this data centre's floor pool. The other floor
+    pools follow in a different order for each data centre, so that not all turn to
+    the same one.
+    """
+    centres = data_centres(manifest)
+    start = centres.index(data_centre) if data_centre in centres else 0
+    floors = [floor_pool(name) for name in centres[start:] + centres[:start]]
+    owners = [name for name in pool_names(manifest, shard_count) if name not in floors]
+    sources = []
+    for pool in (*owners, *floors):
+        address = holder_address(pool)
+        customers = tuple(pool_limits(manifest, pool, shard_count))
+        if address and customers:
+            sources.append(PoolSource(pool, address, customers, pool in floors))
+    return LimitsView(tuple(sources))
--- /dev/null
+++ b/src/_pistachiopond/entry/grants.py
@@ -0,0 +1,214 @@
+"""The service ``limits`` of an entry daemon: reserves tokens for requests."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, final
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+from prometheus_client import Counter
+from result import Err, Ok, Result
+
+from _pistachiopond.decisions.grants import GrantBook, PlannedDraw, Shortage
+from _pistachiopond.decisions.limits import largest_request_tokens
+from _pistachiopond.entry.ports import Limits, Reservation
+from _pistachiopond.kernel.service import Kernel, Service
+from _pistachiopond.kernel.timer import Timer, every
+from _pistachiopond.schema.limits import LimitsView
+from _pistachiopond.schema.verdict import Failure, Verdict
+from _pistachiopond.transport.draws import answer_from_message, draw_to_message
+from _pistachiopond.transport.generated import pond_pb2
+
+WAIT_LIMIT_S: Final = 0.25
+TICK_S: Final = 0.05
+UNREACHABLE_RETRY_S: Final = 1.0
+GIVE_BACK_LIMIT_S: Final = 1.0
+
+SendDraw = Callable[
+    [str, pond_pb2.DrawRequest], Awaitable[Result[pond_pb2.DrawReply, str]]
+]
+BurstOf = Callable[[str], float | None]
+
+REFUSALS: Final = Counter(
+    "pond_entry_limit_refusals", "Requests refused by limits.", ["code"]
+)
+SENT_DRAWS: Final = Counter(
+    "pond_entry_draws", "Draws of tokens by how they ended.", ["outcome"]
+)
+
+
+@final
+class _Desk:
+    """The grants of this process and the requests that wait for tokens."""
+
+    def __init__(
+        self,
+        timer: Timer,
+        book: GrantBook,
+        send: SendDraw,
+        view: Callable[[], LimitsView],
+        burst_of: BurstOf,
+    ) -> None:
+        self._timer = timer
+        self._book = book
+        self._send = send
+        self._view = view
+        self._seen_view: LimitsView | None = None
+        self._burst_of = burst_of
+        self._waiting: dict[str, float] = {}
+        self._changed = anyio.Event()
+        self._group: TaskGroup | None = None
+
+    def start(self, group: TaskGroup) -> None:
+        """Run draws as tasks of that group from now on."""
+        self._group = group
+
+    async def reserve(
+        self, customer: str, tokens: float
+    ) -> Result[Reservation, Failure]:
+        """Set tokens aside; waits for a draw before it refuses."""
+        burst_tokens = self._burst_of(customer)
+        if burst_tokens is None or tokens > largest_request_tokens(burst_tokens):
+            return Err(_count(_too_large(tokens, burst_tokens or 0.0)))
+        deadline_s = self._timer.now_s() + WAIT_LIMIT_S
+        outcome = self._book.reserve(customer, tokens, self._timer.now_s())
+        if isinstance(outcome, Shortage):
+            outcome = await self._wait(customer, tokens, deadline_s)
+        if isinstance(outcome, Shortage):
+            return Err(_count(_refusal(outcome)))
+        return Ok(Reservation(outcome, customer, tokens))
+
+    def settle(self, reservation: Reservation, used_tokens: float) -> None:
+        """Count what a request used and free the rest."""
+        now_s = self._timer.now_s()
+        self._book.settle(reservation.reservation_id, used_tokens, now_s)
+
+    async def on_tick(self, now_s: float) -> None:
+        """Send the draws that are due, and let waiting requests look again."""
+        self._pump()
+        self._tell_waiting()
+
+    async def give_back(self) -> None:
+        """Return what is unspent, within a bounded time."""
+        self._book.give_back()
+        with anyio.move_on_after(GIVE_BACK_LIMIT_S):
+            for planned in self._book.plan_draws(self._timer.now_s()):
+                await self._draw(planned)
+
+    async def _wait(
+        self, customer: str, tokens: float, deadline_s: float
+    ) -> int | Shortage:
+        self._add_waiting(customer, tokens)
+        try:
+            while True:
+                outcome = self._book.reserve(customer, tokens, self._timer.now_s())
+                if not isinstance(outcome, Shortage):
+                    return outcome
+                if self._timer.now_s() >= deadline_s:
+                    return outcome
+                self._pump()
+                await self._changed.wait()
+        finally:
+            self._add_waiting(customer, -tokens)
+
+    def _add_waiting(self, customer: str, tokens: float) -> None:
+        waiting = self._waiting.get(customer, 0.0) + tokens
+        self._waiting[customer] = waiting
+        self._book.set_waiting(customer, waiting)
+
+    def _pump(self) -> None:
+        view = self._view()
+        if view is not self._seen_view:
+            self._seen_view = view
+            self._book.set_sources(view)
+        if self._group is None:
+            return
+        for planned in self._book.plan_draws(self._timer.now_s()):
+            self._group.start_soon(self._draw, planned)
+
+    async def _draw(self, planned: PlannedDraw) -> None:
+        message = draw_to_message(planned.pool, planned.draw)
+        reply = await self._send(planned.address, message)
+        now_s = self._timer.now_s()
+        if isinstance(reply, Ok) and not reply.ok_value.not_owner:
+            answer = answer_from_message(reply.ok_value)
+            self._book.on_answer(planned, answer, now_s)
+            SENT_DRAWS.labels("answered").inc()
+        else:
+            self._book.on_failure(planned, now_s)
+            SENT_DRAWS.labels("failed").inc()
+        self._tell_waiting()
+
+    def _tell_waiting(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+def make_limits_service(
+    timer: Timer,
+    entry_id: str,
+    view: Callable[[], LimitsView],
+    send: SendDraw,
+    burst_of: BurstOf,
+) -> Service:
+    """Return the service ``limits`` of an entry daemon.
+
+    Parameters
+    ----------
+    timer : Timer
+        The timer service.
+    entry_id : str
+        Unique for each start of the process.
+    view : callable
+        The newest view of pools; the same object until it changes.
+    send : callable
+        ``send(address, request)`` to a control daemon, with a timeout of about
+        `decisions.grants.DRAW_TIMEOUT_S`; an error text where no answer came.
+    burst_of : callable
+        A customer's whole burst by the revision in force, or None.
+    """
+
+    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
+        desk = _Desk(timer, GrantBook(entry_id), send, view, burst_of)
+        async with anyio.create_task_group() as group:
+            desk.start(group)
+            group.start_soon(every, timer, TICK_S, desk.on_tick)
+            task_status.started(Limits(desk.reserve, desk.settle))
+            await kernel.stop_event("limits").wait()
+            await desk.give_back()
+            group.cancel_scope.cancel()
+
+    return Service("limits", run)
+
+
+def _count(failure: Failure) -> Failure:
+    REFUSALS.labels(failure.code).inc()
+    return failure
+
+
+def _too_large(tokens: float, burst_tokens: float) -> Failure:
+    most = int(largest_request_tokens(burst_tokens))
+    return Failure(
+        Verdict.NOT_RUN,
+        "request_too_large",
+        f"The request may use {tokens:.0f} tokens and your limit for one request is "
+        f"{most}; lower max_tokens or shorten the prompt.",
+        429,
+    )
+
+
+def _refusal(shortage: Shortage) -> Failure:
+    if not shortage.is_reachable:
+        return Failure(
+            Verdict.NOT_RUN,
+            "limits_unreachable",
+            "Your token limits cannot be checked at the moment; send it again.",
+            503,
+            UNREACHABLE_RETRY_S,
+        )
+    return Failure(
+        Verdict.NOT_RUN,
+        "rate_exceeded",
+        "Your token rate is used up for now; send it again after the time given.",
+        429,
+        shortage.retry_after_s,
+    )
--- /dev/null
+++ b/src/_pistachiopond/transport/draws.py
@@ -0,0 +1,72 @@
+"""Draws of tokens as protobuf messages, and back."""
+
+from _pistachiopond.decisions.pools import (
+    Draw,
+    DrawAnswer,
+    DrawWant,
+    GrantedTotal,
+)
+from _pistachiopond.transport.generated import pond_pb2
+
+
+def draw_to_message(pool: str, draw: Draw) -> pond_pb2.DrawRequest:
+    """Return the message for a draw on that pool."""
+    items = [
+        pond_pb2.DrawItem(
+            customer=want.customer,
+            grant_id=want.grant_id,
+            hold_tokens=want.hold_tokens,
+            spent_tokens=want.spent_tokens,
+            returned_tokens=want.returned_tokens,
+        )
+        for want in draw.wants
+    ]
+    return pond_pb2.DrawRequest(
+        entry_id=draw.entry_id,
+        sequence=draw.sequence,
+        items=items,
+        pool=pool,
+        epoch=draw.epoch,
+    )
+
+
+def draw_from_message(message: pond_pb2.DrawRequest) -> Draw:
+    """Return the draw that a message carries."""
+    wants = tuple(
+        DrawWant(
+            item.customer,
+            item.grant_id,
+            item.hold_tokens,
+            item.spent_tokens,
+            item.returned_tokens,
+        )
+        for item in message.items
+    )
+    return Draw(message.entry_id, message.sequence, message.epoch, wants)
+
+
+def answer_to_message(answer: DrawAnswer) -> pond_pb2.DrawReply:
+    """Return the message for an answer."""
+    grants = [
+        pond_pb2.Grant(
+            customer=grant.customer,
+            grant_id=grant.grant_id,
+            granted_tokens=grant.granted_tokens,
+            retry_after_s=grant.retry_after_s,
+        )
+        for grant in answer.grants
+    ]
+    return pond_pb2.DrawReply(
+        grants=grants, epoch=answer.epoch, lifetime_s=answer.lifetime_s
+    )
+
+
+def answer_from_message(message: pond_pb2.DrawReply) -> DrawAnswer:
+    """Return the answer that a message carries."""
+    grants = tuple(
+        GrantedTotal(
+            grant.customer, grant.grant_id, grant.granted_tokens, grant.retry_after_s
+        )
+        for grant in message.grants
+    )
+    return DrawAnswer(message.epoch, message.lifetime_s, grants)
--- /dev/null
+++ b/testing/decisions/test_limits_promise.py
@@ -0,0 +1,416 @@
+"""No customer gets more than its rate and burst, whatever happens to messages.
+
+A model of the world: two entry daemons and one pool with a chain of holders; the
+shares of all pools add up to the whole, as `test_limits` shows. Messages are lost,
+repeated, late and out of order, processes are paused and replaced, and the
+manifest changes at each holder at its own time. Clocks run at the bounds of their
+error.
+"""
+
+import unittest
+from typing import Final, NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from _pistachiopond.decisions.grants import GrantBook, PlannedDraw
+from _pistachiopond.decisions.limits import (
+    CLOCK_RATE_ERROR,
+    GRANT_LIFETIME_S,
+    owner_pool,
+    pool_limits,
+)
+from _pistachiopond.decisions.pools import DrawAnswer, TokenPool
+from _pistachiopond.schema.limits import LimitsView, PoolSource
+from _pistachiopond.schema.manifest import Customer, Manifest
+
+CUSTOMER: Final = "kea"
+POOLS: Final = (owner_pool(0),)
+LEASE_S: Final = 4.0
+LAPSE_S: Final = 1.01 * GRANT_LIFETIME_S
+FAST: Final = 1.0 + CLOCK_RATE_ERROR
+SLOW: Final = 1.0 - CLOCK_RATE_ERROR
+TOLERANCE_TOKENS: Final = 1e-6
+
+
+def make_manifest(rate: float, burst: float) -> Manifest:
+    customer = Customer(CUSTOMER, rate, burst)
+    return Manifest(0, "d", "worst_served_customer", (), (), (), (customer,))
+
+
+class Holder:
+    """One holder of a pool, on a fast clock."""
+
+    def __init__(
+        self, pool: str, epoch: int, now_s: float, before_s: float | None
+    ) -> None:
+        self.name = pool
+        earlier = None if before_s is None else before_s * FAST
+        self.tokens = TokenPool(epoch, now_s * FAST, earlier)
+        self.acquired_s = now_s
+        self.valid_until_s = now_s + LEASE_S
+
+
+class Admission(NamedTuple):
+    """Tokens that were admitted; the most that it may still turn out to be."""
+
+    admitted_s: float
+    tokens: float
+
+
+class InForce(NamedTuple):
+    """Limits that a pool's holder has put in force."""
+
+    since_s: float
+    rate: float
+    burst: float
+
+
+class Request(NamedTuple):
+    entry: int
+    planned: PlannedDraw
+
+
+class Checked(NamedTuple):
+    """A request whose holder has checked its authority and was then paused."""
+
+    request: Request
+    holder: Holder
+    checked_s: float
+
+
+class Reply(NamedTuple):
+    request: Request
+    answer: DrawAnswer
+
+
+class LimitsMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.manifest = make_manifest(10.0, 100.0)
+        self.epoch = 0
+        self.in_force: dict[str, list[InForce]] = {pool: [] for pool in POOLS}
+        self.holders: dict[str, list[Holder]] = {pool: [] for pool in POOLS}
+        self.books: list[GrantBook] = []
+        self.starts = 0
+        self.requests: list[Request] = []
+        self.checked: list[Checked] = []
+        self.replies: list[Reply] = []
+        self.open: list[tuple[int, int, int, float]] = []
+        self.admissions: list[Admission] = []
+
+    @initialize()
+    def start(self) -> None:
+        self.books = [self.make_book(), self.make_book()]
+        for pool in POOLS:
+            self.take_over(pool)
+        self.now_s += 60.0
+        for pool in POOLS:
+            self.take_over(pool)
+        self.now_s += 30.0
+        for pool in POOLS:
+            self.holders[pool][-1].valid_until_s = self.now_s + LEASE_S
+
+    @rule(
+        entry=st.integers(0, 1),
+        share=st.sampled_from([0.0, 0.5, 1.0]),
+        used=st.sampled_from([None, 0.0, 1.0]),
+    )
+    def exchange(self, entry: int, share: float, used: float | None) -> None:
+        """Draw all there is without a fault, admit a share of it and settle it."""
+        for pool in POOLS:
+            if self.holders[pool][-1].valid_until_s <= self.now_s:
+                self.take_over(pool)
+        self.deliver_new(entry, 200.0)
+        self.admit(entry, share)
+        if used is not None:
+            while self.open:
+                self.settle_one(len(self.open) - 1, used)
+
+    @rule()
+    def drain(self) -> None:
+        """Use up at once all that can be had at this moment."""
+        for _ in range(3):
+            for entry in (0, 1):
+                self.admit(entry, 1.0)
+                self.exchange(entry, 1.0, 1.0)
+
+    @rule()
+    def settle_all_unused(self) -> None:
+        """Free every reservation, as when no request ran."""
+        while self.open:
+            self.settle_one(len(self.open) - 1, 0.0)
+
+    @rule(seconds=st.sampled_from([3, 12]), entry=st.integers(0, 1))
+    def hold_for(self, seconds: int, entry: int) -> None:
+        """Keep the leases and an entry daemon's grants alive for a while."""
+        for _ in range(seconds):
+            self.now_s += 1.0
+            for pool in POOLS:
+                self.renew_or_release(pool, True)
+            self.deliver_new(entry, 0.0)
+
+    def deliver_new(self, entry: int, tokens: float) -> None:
+        """Draw without a fault, while older messages are still on their way."""
+        older = (self.requests, self.replies)
+        self.requests, self.replies = [], []
+        self.draw(entry, tokens)
+        self.arrive_all()
+        self.reply_all()
+        self.requests, self.replies = older
+
+    @rule(entry=st.integers(0, 1), late_s=st.sampled_from([0.6, 1.5]))
+    def late_draw(self, entry: int, late_s: float) -> None:
+        """Let a draw take long on its way."""
+        self.draw(entry, 200.0)
+        self.now_s += late_s
+        self.arrive_all()
+        self.reply_all()
+
+    @rule(
+        times=st.integers(1, 2),
+        tells=st.booleans(),
+        after_s=st.sampled_from([0.0, 2.5, 6.0]),
+    )
+    def succeed(self, times: int, tells: bool, after_s: float) -> None:
+        """Let holders vanish one after the other, after each has given grants."""
+        for _ in range(times):
+            for pool in POOLS:
+                self.renew_or_release(pool, False)
+                self.take_over(pool, tells)
+            self.now_s += after_s
+            self.deliver_new(1, 200.0)
+
+    def make_book(self) -> GrantBook:
+        self.starts += 1
+        book = GrantBook(f"e{self.starts}")
+        sources = (PoolSource(pool, pool, (CUSTOMER,), False) for pool in POOLS)
+        book.set_sources(LimitsView(tuple(sources)))
+        return book
+
+    def entry_clock_s(self) -> float:
+        return self.now_s * SLOW
+
+    @rule(duration_s=st.sampled_from([0.05, 1.5, 4.0, 9.5, 10.5]))
+    def pass_time(self, duration_s: float) -> None:
+        self.now_s += duration_s
+
+    @rule(pool=st.sampled_from(POOLS), tells=st.booleans())
+    def take_over(self, pool: str, tells: bool = True) -> None:
+        """Let a successor acquire once the holder before has no authority."""
+        chain = self.holders[pool]
+        if chain and chain[-1].valid_until_s > self.now_s:
+            return
+        self.epoch += 1
+        before_s = chain[-1].acquired_s if chain and tells else None
+        holder = Holder(pool, self.epoch, self.now_s, before_s)
+        chain.append(holder)
+        self.configure(holder)
+
+    @rule(pool=st.sampled_from(POOLS), lasts=st.booleans())
+    def renew_or_release(self, pool: str, lasts: bool) -> None:
+        holder = self.holders[pool][-1]
+        if holder.valid_until_s > self.now_s:
+            holder.valid_until_s = self.now_s + (LEASE_S if lasts else 0.0)
+
+    @rule(
+        rate=st.sampled_from([4.0, 10.0, 20.0]),
+        burst=st.sampled_from([40.0, 100.0, 150.0]),
+    )
+    def publish(self, rate: float, burst: float) -> None:
+        self.manifest = make_manifest(rate, burst)
+        for pool in POOLS:
+            self.follow(pool)
+
+    def follow(self, pool: str) -> None:
+        self.configure(self.holders[pool][-1])
+
+    def configure(self, holder: Holder) -> None:
+        customer = self.manifest.customers[0]
+        change = InForce(self.now_s, customer.rate_tokens_per_s, customer.burst_tokens)
+        self.in_force[holder.name].append(change)
+        limits = pool_limits(self.manifest, holder.name, 1)
+        holder.tokens.configure(limits, self.now_s * FAST)
+
+    @rule(entry=st.integers(0, 1))
+    def restart_entry(self, entry: int) -> None:
+        self.books[entry] = self.make_book()
+        self.open = [item for item in self.open if item[0] != entry]
+
+    @rule(entry=st.integers(0, 1), tokens=st.sampled_from([0.0, 30.0, 200.0]))
+    def draw(self, entry: int, tokens: float) -> None:
+        book = self.books[entry]
+        book.set_waiting(CUSTOMER, tokens)
+        for planned in book.plan_draws(self.entry_clock_s()):
+            self.requests.append(Request(entry, planned))
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data(), late=st.booleans(), again=st.booleans())
+    def arrive(self, data: st.DataObject, late: bool, again: bool) -> None:
+        index = data.draw(st.integers(0, len(self.requests) - 1))
+        request = self.requests[index]
+        holders = self.holders[request.planned.pool]
+        holder = data.draw(st.sampled_from(holders[-2:]))
+        if not again:
+            self.requests.pop(index)
+        if self.now_s >= holder.valid_until_s:
+            return
+        checked = Checked(request, holder, self.now_s)
+        if late:
+            self.checked.append(checked)
+        else:
+            self.compute(checked)
+
+    @precondition(lambda self: self.checked)
+    @rule()
+    def wake_holder(self) -> None:
+        self.compute(self.checked.pop())
+
+    def compute(self, checked: Checked) -> None:
+        draw = checked.request.planned.draw
+        answer = checked.holder.tokens.draw(draw, checked.checked_s * FAST)
+        self.replies.append(Reply(checked.request, answer))
+
+    @precondition(lambda self: self.replies)
+    @rule(data=st.data(), again=st.booleans())
+    def reply(self, data: st.DataObject, again: bool) -> None:
+        index = data.draw(st.integers(0, len(self.replies) - 1))
+        (entry, planned), answer = self.replies[index]
+        if not again:
+            self.replies.pop(index)
+        self.books[entry].on_answer(planned, answer, self.entry_clock_s())
+
+    @precondition(lambda self: self.replies)
+    @rule()
+    def reply_all(self) -> None:
+        for (entry, planned), answer in self.replies:
+            self.books[entry].on_answer(planned, answer, self.entry_clock_s())
+        self.replies = []
+
+    @precondition(lambda self: self.requests)
+    @rule()
+    def arrive_all(self) -> None:
+        for request in self.requests:
+            holder = self.holders[request.planned.pool][-1]
+            if self.now_s < holder.valid_until_s:
+                self.compute(Checked(request, holder, self.now_s))
+        self.requests = []
+
+    @rule(entry=st.integers(0, 1), share=st.sampled_from([0.3, 1.0]))
+    def admit(self, entry: int, share: float) -> None:
+        book = self.books[entry]
+        tokens = book.held_tokens(CUSTOMER, self.entry_clock_s()) * share
+        if tokens < 1.0:
+            return
+        outcome = book.reserve(CUSTOMER, tokens, self.entry_clock_s())
+        if isinstance(outcome, int):
+            self.open.append((entry, outcome, len(self.admissions), tokens))
+            self.admissions.append(Admission(self.now_s, tokens))
+
+    @precondition(lambda self: self.open)
+    @rule(share=st.sampled_from([0.0, 0.5, 1.0]), data=st.data())
+    def settle(self, share: float, data: st.DataObject) -> None:
+        self.settle_one(data.draw(st.integers(0, len(self.open) - 1)), share)
+
+    def settle_one(self, index: int, share: float) -> None:
+        entry, number, place, tokens = self.open.pop(index)
+        self.books[entry].settle(number, tokens * share, self.entry_clock_s())
+        admission = self.admissions[place]
+        self.admissions[place] = admission._replace(tokens=tokens * share)
+
+    def allowed(self, start_s: float, end_s: float) -> float:
+        """Return the most that pools may give by what each had in force."""
+        return sum(self.allowed_by(pool, start_s, end_s) for pool in POOLS)
+
+    def allowed_by(self, pool: str, start_s: float, end_s: float) -> float:
+        # What was granted before a change may be used until it has lapsed.
+        since_s = start_s - LAPSE_S
+        changes = [item for item in self.in_force[pool] if item.since_s <= end_s]
+        older = [item for item in changes if item.since_s <= since_s]
+        counted = older[-1:] + [item for item in changes if item.since_s > since_s]
+        burst = max(item.burst for item in counted)
+        rate = max(item.rate for item in counted)
+        return burst + rate * (end_s - start_s)
+
+    @invariant()
+    def no_window_exceeds_the_limits(self) -> None:
+        if not self.admissions:
+            return
+        end_s = self.admissions[-1].admitted_s
+        total = 0.0
+        for admission in reversed(self.admissions):
+            total += admission.tokens
+            allowed = self.allowed(admission.admitted_s, end_s)
+            assert total <= allowed + TOLERANCE_TOKENS, (total, allowed)
+
+
+LimitsPromiseTests = LimitsMachine.TestCase
+LimitsPromiseTests.settings = settings(
+    derandomize=True, deadline=None, max_examples=300, stateful_step_count=25
+)
+
+
+class SequenceTests(unittest.TestCase):
+    """Sequences that break the promise when one part of the mechanism is gone."""
+
+    def setUp(self) -> None:
+        self.world = LimitsMachine()
+        self.world.start()
+
+    def drain(self) -> None:
+        self.world.drain()
+        self.world.no_window_exceeds_the_limits()
+
+    def test_running_requests_stop_the_refill(self) -> None:
+        self.world.exchange(0, 1.0, None)
+        self.world.hold_for(12, 0)
+        self.world.settle_all_unused()
+        self.drain()
+
+    def test_a_successor_waits_for_older_grants(self) -> None:
+        self.world.exchange(0, 0.0, None)
+        self.world.succeed(1, True, 6.0)
+        self.drain()
+
+    def test_two_successors_in_a_row_do_not_both_give(self) -> None:
+        self.world.exchange(0, 0.0, None)
+        self.world.succeed(2, True, 2.5)
+        self.world.succeed(1, True, 2.5)
+        self.drain()
+
+    def test_holders_keep_part_of_the_burst_for_successors(self) -> None:
+        for _ in range(2):
+            self.world.exchange(0, 0.0, None)
+        self.world.succeed(1, True, 2.5)
+        self.drain()
+
+    def test_a_lowered_burst_takes_hold_though_grants_are_renewed(self) -> None:
+        self.world.exchange(0, 1.0, None)
+        self.world.publish(4.0, 40.0)
+        self.world.hold_for(12, 0)
+        self.world.settle_all_unused()
+        self.world.hold_for(12, 0)
+        self.drain()
+
+    def test_tokens_of_a_lapsed_grant_cannot_be_returned(self) -> None:
+        self.world.exchange(0, 0.0, None)
+        self.world.now_s += 1.5
+        self.world.draw(0, 0.0)
+        self.world.now_s += 10.5
+        self.drain()
+        self.world.arrive_all()
+        self.drain()
+
+    def test_a_late_answer_does_not_revive_an_expired_grant(self) -> None:
+        self.world.exchange(0, 0.0, None)
+        self.world.now_s += 9.5
+        self.world.late_draw(0, 1.5)
+        self.drain()
