Customers above their share leave room in the windows

Cause: a customer that floods fills every window while others pause, so their next request waits until one of its requests ends.

--- a/src/_pistachiopond/decisions/dispatch.py
+++ b/src/_pistachiopond/decisions/dispatch.py
@@ -40,6 +40,7 @@
     Waiting,
 )
 from _pistachiopond.decisions.retry import RetryBudgets, decide_retry
+from _pistachiopond.decisions.shares import UseShares
 from _pistachiopond.schema.manifest import Urgency
 from _pistachiopond.schema.verdict import Failure, Verdict, combine_verdicts
 
@@ -85,8 +86,9 @@
         self._budgets = RetryBudgets()
         self._crashes = CrashWatch(options.daemon)
         self.servers = Servers(options, random.Random(seed))
+        self._shares = UseShares(self._weight_of)
         self.queue = FairQueue(
-            lambda customer: self._weights.get(customer, 1.0),
+            self._weight_of,
             is_fair=options.fair_queueing,
             has_classes=options.urgency_classes,
         )
@@ -139,6 +141,9 @@
             return deadlines.waited_too_long(Verdict.NOT_RUN, self._retry_s())
         return None
 
+    def _weight_of(self, customer: str) -> float:
+        return self._weights.get(customer, 1.0)
+
     def _is_unknown(self, model: str | None) -> bool:
         if model is None or self._models is None:
             return False
@@ -182,7 +187,7 @@
             target = min(heads, key=lambda t: heads[t][0])
             waiting = heads.pop(target)[1]
             request = self._requests[waiting.request_id]
-            server = self.servers.choose(request.facts, target, request.tried, now_s)
+            server = self._choose(request, target, now_s)
             if server is None:
                 continue
             self.queue.take(waiting)
@@ -191,6 +196,14 @@
                 self._refresh(heads, other)
         return actions
 
+    def _choose(self, request: _Request, target: Target, now_s: float) -> str | None:
+        is_over = self._options.fair_queueing and self._shares.is_over(
+            request.facts.customer, now_s
+        )
+        return self.servers.choose(
+            request.facts, target, request.tried, now_s, is_over_share=is_over
+        )
+
     def _dispatch_on(self, server: str, now_s: float) -> list[Action]:
         """Start what the server may run, after it has got room."""
         ready = self.servers.ready
@@ -219,6 +232,7 @@
         request.was_suspect = target.is_suspect
         request.tried.append(server)
         self.servers.started(server, facts, request.cost_tokens, now_s)
+        self._shares.add(facts.customer, request.cost_tokens, now_s)
         if target.is_suspect:
             running = self.servers.suspects_running
             running[server] = running.get(server, 0) + 1
--- a/src/_pistachiopond/decisions/dispatch_options.py
+++ b/src/_pistachiopond/decisions/dispatch_options.py
@@ -31,7 +31,7 @@
 
     daemon: str
     place: Place
-    hold_s: float = 10.0
+    hold_s: float = 30.0
     max_waiting: int = 5_000
     fair_queueing: bool = True
     urgency_classes: bool = True
--- a/src/_pistachiopond/decisions/dispatch_servers.py
+++ b/src/_pistachiopond/decisions/dispatch_servers.py
@@ -101,7 +101,13 @@
         return known
 
     def choose(
-        self, facts: RequestFacts, target: Target, tried: Sequence[str], now_s: float
+        self,
+        facts: RequestFacts,
+        target: Target,
+        tried: Sequence[str],
+        now_s: float,
+        *,
+        is_over_share: bool = False,
     ) -> str | None:
         """Return the server for the request, or None when none has room now."""
         ready = self.ready(target)
@@ -117,7 +123,7 @@
             load = self.load(server)
             if self.ejector.is_probing(server) and load.in_flight:
                 return False
-            return load.has_room(urgency, now_s)
+            return load.has_room(urgency, now_s, is_over_share=is_over_share)
 
         if self._options.routing != "cost":
             return self._baseline(fresh, now_s)
--- a/src/_pistachiopond/decisions/load.py
+++ b/src/_pistachiopond/decisions/load.py
@@ -20,6 +20,7 @@
 SHRINK_FACTOR: Final = 0.95
 GROWTH: Final = 2.0
 BATCH_PART: Final = 0.4
+OVER_SHARE_PART: Final = 0.7
 URGENT_EXTRA: Final = 1
 SHRINK_PERIOD_S: Final = 0.5
 SERVER_TOKENS_PER_S: Final = 4_000.0
@@ -48,11 +49,13 @@
         """How many attempts this entry daemon may run there at once."""
         return self._window
 
-    def has_room(self, urgency: Urgency, now_s: float) -> bool:
+    def has_room(
+        self, urgency: Urgency, now_s: float, *, is_over_share: bool = False
+    ) -> bool:
         """Return whether one more attempt of that class may start now.
 
-        Batch work leaves a part of the window free, so that the next urgent or
-        normal request finds room at once.
+        Batch work, and customers above their share, leave a part of the window
+        free, so that the next request of another finds room at once.
         """
         if now_s < self.paused_until_s:
             return False
@@ -61,7 +64,9 @@
         limit = int(self._window)
         if urgency == "batch":
             limit = max(1, int(BATCH_PART * self._window))
-        if urgency == "urgent":
+        elif is_over_share:
+            limit = max(1, int(OVER_SHARE_PART * self._window))
+        elif urgency == "urgent":
             limit += URGENT_EXTRA
         return len(self._running) < limit
 
--- a/testing/decisions/test_dispatch.py
+++ b/testing/decisions/test_dispatch.py
@@ -68,7 +68,7 @@
         self.assertEqual(arrive(dispatcher, make_facts("1"), 1.0), [])
 
     def test_unreachable_model_is_held_and_then_refused_as_not_run(self) -> None:
-        dispatcher = make_ready_dispatcher([])
+        dispatcher = make_ready_dispatcher([], hold_s=10.0)
         self.assertEqual(arrive(dispatcher, make_facts("1"), 0.0), [])
         self.assertEqual(dispatcher.handle(Tick(), 1.0), [])
         self.assertEqual(dispatcher.handle(Tick(), 10.9), [])
