--- a/src/_pistachiopond/replay/experiment.py
+++ b/src/_pistachiopond/replay/experiment.py
@@ -108,14 +108,13 @@
     return _checked(experiment, measures)
 
 
-def compare(experiments: Sequence[Experiment]) -> list[Outcome]:
-    """Run replays side by side and relate them to each other.
+def relate(outcomes: Sequence[Outcome]) -> list[Outcome]:
+    """Add the measures that compare runs with each other.
 
     A run of ``central`` for the same workload gives the others their share of
     the upper bound; a run without the heavy customer gives the ratio of the
     other customers' first-token delay.
     """
-    outcomes = [run_experiment(experiment) for experiment in experiments]
     return [_related(outcome, outcomes) for outcome in outcomes]
 
 
--- a/src/_pistachiopond/replay/simulator.py
+++ b/src/_pistachiopond/replay/simulator.py
@@ -555,7 +555,7 @@
     def _counts(self) -> Counts:
         control = self.control
         return Counts(
-            seconds=max(1.0, self.loop.now_s),
+            seconds=max(1.0, self._length_s),
             accelerators=sum(h.facts.accelerators for h in self.holders.values()),
             moves=control.moves,
             generated_tokens=sum(
