--- a/src/_pistachiopond/entry/index.py
+++ b/src/_pistachiopond/entry/index.py
@@ -41,6 +41,8 @@
         Keys that are in force, by their SHA-256 in hexadecimal.
     listed_digests : frozenset of str
         Of all keys that the revision names, withdrawn ones too.
+    bursts_tokens : mapping
+        The burst of each customer.
     models : mapping
         Models and adapters by name.
     routes : tuple of Route
@@ -52,6 +54,7 @@
     revision: int
     customers_by_digest: Mapping[str, Customer]
     listed_digests: frozenset[str]
+    bursts_tokens: Mapping[str, float]
     models: Mapping[str, NamedModel]
     routes: tuple[Route, ...]
     rules: tuple[UrgencyRule, ...]
@@ -67,6 +70,7 @@
         listed_digests=revision.withdrawn_digests.union(
             *(customer.key_digests for customer in manifest.customers)
         ),
+        bursts_tokens={item.name: item.burst_tokens for item in manifest.customers},
         models=_named_models(manifest.models),
         routes=tuple(routes),
         rules=manifest.urgency_rules,
