--- a/src/_pistachiopond/control/orders.py
+++ b/src/_pistachiopond/control/orders.py
@@ -32,6 +32,7 @@
     PlanFacts,
     WantedOrder,
     adapter_orders,
+    adopted_orders,
     placement_input,
     usable_report,
 )
@@ -227,6 +228,8 @@
                 WantedOrder(step.server, "unload", step.model, step.version, "", 0),
                 held,
             )
+        for order in adopted_orders(facts, self._me.incarnation, now_s):
+            self._begin(order, held)
         self._begin_loads(plan, facts, held, now_s)
 
     def _facts(self, manifest: Manifest, held: Held, now_s: float) -> PlanFacts:
--- a/src/_pistachiopond/decisions/config_snapshots.py
+++ b/src/_pistachiopond/decisions/config_snapshots.py
@@ -66,5 +66,5 @@
 def _is_in_older_half(facts: SnapshotInput, behind: int) -> bool:
     retained = facts.next_offset - facts.first_offset
     # Age decides too: a log that drops records by time drops quiet ones as well.
-    is_old = facts.last_snapshot_age_s * 2 >= facts.oldest_record_age_s
+    is_old = facts.last_snapshot_age_s * 2 > facts.oldest_record_age_s
     return behind * 2 >= retained or is_old
--- a/src/_pistachiopond/decisions/membership.py
+++ b/src/_pistachiopond/decisions/membership.py
@@ -101,11 +101,14 @@
         The first few after this one.
     centres : tuple of tuple of str
         By data centre.
+    names : frozenset of str
+        The data centres.
     """
 
     order: tuple[str, ...]
     following: tuple[str, ...]
     centres: tuple[tuple[str, ...], ...]
+    names: frozenset[str]
 
 
 @final
@@ -341,6 +344,7 @@
                 tuple(ranked(self.me.address, centres[name])[:CENTRE_PEERS])
                 for name in sorted(centres)
             ),
+            frozenset(centres) - {""},
         )
 
     def _centre_peer(self) -> str | None:
@@ -407,11 +411,7 @@
 
     def data_centres(self) -> frozenset[str]:
         """Return where other daemons that are not dead stand."""
-        return frozenset(
-            known.identity.data_centre
-            for known in self._known.values()
-            if known.standing != "dead" and known.identity.data_centre
-        )
+        return self._ring_order().names
 
     def gone_since_s(self, address: str, incarnation: str) -> float | None:
         """Return since when an incarnation is known to be gone for good, if so.
--- a/src/_pistachiopond/decisions/planning.py
+++ b/src/_pistachiopond/decisions/planning.py
@@ -12,6 +12,7 @@
     Report,
     Slot,
     counted_slots,
+    effect_of,
     slot_of,
 )
 from _pistachiopond.decisions.orders import intents_about
@@ -230,6 +231,36 @@
     memory_mb: int
 
 
+def adopted_orders(facts: PlanFacts, me: str, now_s: float) -> list[WantedOrder]:
+    """Return earlier holders' unsettled loads that are still wanted and not there.
+
+    Their memory is counted and the replica is planned with, so the present holder
+    gives the same order under its own claim instead of waiting for them.
+
+    Parameters
+    ----------
+    facts : PlanFacts
+        What is known.
+    me : str
+        The present holder's incarnation.
+    now_s : float
+        By its clock.
+    """
+    listed = {(model.name, model.version) for model in facts.manifest.models}
+    wanted: list[WantedOrder] = []
+    for intent in facts.intents:
+        order = intent.order
+        report = usable_report(order.server, facts, now_s)
+        if intent.holder == me or order.verb != "load" or report is None:
+            continue
+        is_listed = (order.model, order.version) in listed
+        if not is_listed or order.server in facts.leaving:
+            continue
+        if effect_of(order, report.state) == "none":
+            wanted.append(WantedOrder(*order[1:]))
+    return wanted
+
+
 def adapter_orders(facts: PlanFacts, now_s: float) -> list[WantedOrder]:
     """Return the adapter orders that make ready replicas whole, and no more."""
     wanted: list[WantedOrder] = []
--- /dev/null
+++ b/testing/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control daemon."""
--- a/testing/decisions/test_views.py
+++ b/testing/decisions/test_views.py
@@ -9,6 +9,7 @@
     USABLE_REPORT_AGE_S,
     PlanFacts,
     adapter_orders,
+    adopted_orders,
     placement_input,
 )
 from _pistachiopond.decisions.views import (
@@ -140,3 +141,14 @@
             [(item.verb, item.adapter) for item in orders],
             [("load_adapter", "a"), ("unload_adapter", "old")],
         )
+
+    def test_a_load_of_an_earlier_holder_is_given_again_if_still_wanted(self) -> None:
+        intents = (self.intent("load"),)
+        facts = self.facts(report(), intents=intents)
+        (order,) = adopted_orders(facts, "me", 11.0)
+        self.assertEqual((order.server, order.verb, order.model), ("one", "load", "m"))
+        self.assertEqual(adopted_orders(facts, "x", 11.0), [])
+        there = self.facts(report(resident()), intents=intents)
+        self.assertEqual(adopted_orders(there, "me", 11.0), [])
+        leaving = facts._replace(leaving=frozenset({"one"}))
+        self.assertEqual(adopted_orders(leaving, "me", 11.0), [])
