--- a/src/_pistachiopond/decisions/dispatch_options.py
+++ b/src/_pistachiopond/decisions/dispatch_options.py
@@ -31,7 +31,7 @@
 
     daemon: str
     place: Place
-    hold_s: float = 10.0
+    hold_s: float = 30.0
     max_waiting: int = 5_000
     fair_queueing: bool = True
     urgency_classes: bool = True
@@ -42,4 +42,4 @@
     aged_reports: bool = True
     bounded_subset: bool = True
     routing: Literal["cost", "least_load", "round_robin"] = "cost"
-    late: Literal["serve", "last", "refuse"] = "serve"
+    late: Literal["serve", "last", "refuse"] = "last"
