Limits: return what refused requests left, and sequences that break the promise

An entry daemon that held tokens for a customer without a served request never gave them back; it does now.

--- a/src/_pistachiopond/decisions/grants.py
+++ b/src/_pistachiopond/decisions/grants.py
@@ -243,7 +243,8 @@
     def _wishes(self, now_s: float) -> dict[str, dict[str, float]]:
         """Return by pool and customer what is to be held beyond the present."""
         wishes: dict[str, dict[str, float]] = {}
-        for customer in self._demand.customers() | set(self._waiting):
+        held_of = {name for pool in self._pools.values() for name in pool.holds}
+        for customer in held_of | self._demand.customers() | set(self._waiting):
             waiting = self._waiting.get(customer, 0.0)
             ahead = self._demand.per_s(customer, now_s) * AHEAD_S
             wanted = waiting + ahead + self._debts.get(customer, 0.0)
--- a/testing/decisions/test_limits_promise.py
+++ b/testing/decisions/test_limits_promise.py
@@ -137,9 +137,10 @@
 
     @rule()
     def drain(self) -> None:
-        """Use up at once all that can be had at this moment."""
+        """Use up all that can be had, past the pauses after a short answer."""
         for _ in range(3):
             for entry in (0, 1):
+                self.now_s += 0.3
                 self.admit(entry, 1.0)
                 self.exchange(entry, 1.0, 1.0)
 
@@ -365,6 +366,9 @@
         self.world = LimitsMachine()
         self.world.start()
 
+    def keep_lease(self) -> None:
+        self.world.holders[POOLS[0]][-1].valid_until_s += 100.0
+
     def drain(self) -> None:
         self.world.drain()
         self.world.no_window_exceeds_the_limits()
@@ -397,10 +401,10 @@
         self.world.publish(4.0, 40.0)
         self.world.hold_for(12, 0)
         self.world.settle_all_unused()
-        self.world.hold_for(12, 0)
         self.drain()
 
     def test_tokens_of_a_lapsed_grant_cannot_be_returned(self) -> None:
+        self.keep_lease()
         self.world.exchange(0, 0.0, None)
         self.world.now_s += 1.5
         self.world.draw(0, 0.0)
@@ -410,7 +414,22 @@
         self.drain()
 
     def test_a_late_answer_does_not_revive_an_expired_grant(self) -> None:
+        self.keep_lease()
         self.world.exchange(0, 0.0, None)
         self.world.now_s += 9.5
-        self.world.late_draw(0, 1.5)
+        self.world.draw(0, 200.0)
+        self.world.now_s += 1.5
+        late, self.world.requests = self.world.requests, []
+        for _ in range(3):
+            self.world.exchange(1, 1.0, 1.0)
+            self.world.now_s += 0.6
+        self.world.requests = late
+        self.world.arrive_all()
+        self.world.reply_all()
+        self.drain()
+
+    def test_an_expired_grant_is_not_used(self) -> None:
+        self.keep_lease()
+        self.world.exchange(0, 0.0, None)
+        self.world.now_s += 12.0
         self.drain()
