--- /dev/null
+++ b/src/_pistachiopond/entry/calls.py
@@ -0,0 +1,196 @@
+"""The service ``calls`` of an entry daemon: claims keyed calls before they run."""
+
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, final
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+from result import Err, Ok, Result
+
+from _pistachiopond.entry.ports import CallClaim, CallOutcome, Calls, KeptAnswer
+from _pistachiopond.kernel.service import Kernel, Service
+from _pistachiopond.kernel.timer import Timer
+from _pistachiopond.schema.verdict import Failure, Verdict
+from _pistachiopond.transport.generated import pond_pb2 as pb
+
+FIRST_RETRY_S: Final = 0.2
+LONGEST_RETRY_S: Final = 5.0
+UNDECIDED_RETRY_S: Final = 2.0
+STOP_LIMIT_S: Final = 5.0
+
+SendClaim = Callable[[pb.ClaimCallRequest], Awaitable[Result[pb.ClaimCallReply, str]]]
+SendFinish = Callable[
+    [pb.FinishCallRequest], Awaitable[Result[pb.FinishCallReply, str]]
+]
+
+
+@final
+class _CallBook:
+    """Claims of this process, and the outcomes that are not recorded yet."""
+
+    def __init__(
+        self,
+        timer: Timer,
+        send_claim: SendClaim,
+        send_finish: SendFinish,
+        group: TaskGroup,
+    ) -> None:
+        self._timer = timer
+        self._send_claim = send_claim
+        self._send_finish = send_finish
+        self._group = group
+        self._unrecorded = 0
+        self._idle = anyio.Event()
+
+    async def claim(
+        self, customer: str, route: str, key_digest: str, request_digest: str
+    ) -> Result[CallClaim | KeptAnswer, Failure]:
+        """Ask whether this call may run; only a clear yes lets it."""
+        claim = CallClaim(secrets.token_hex(16), customer, route, key_digest)
+        request = pb.ClaimCallRequest(
+            customer=customer,
+            route=route,
+            idempotency_key_digest=key_digest,
+            request_digest=request_digest,
+            claim_id=claim.claim_id,
+        )
+        decided = False
+        try:
+            answer = await self._send_claim(request)
+            decided = answer.is_ok() and (
+                answer.unwrap().outcome != pb.ClaimCallReply.UNAVAILABLE
+            )
+        finally:
+            if not decided:
+                # The claim may have won all the same; it will not run here.
+                self._record(_finish_request(claim, None))
+        if answer.is_err():
+            return Err(_undecided(UNDECIDED_RETRY_S))
+        return _understand(claim, answer.unwrap())
+
+    async def finish(self, claim: CallClaim, outcome: CallOutcome) -> None:
+        """Record how the call ended, in the background until it is done."""
+        self._record(_finish_request(claim, outcome))
+
+    async def wait_recorded(self) -> None:
+        """Return once all outcomes are recorded, or after a limit."""
+        with anyio.move_on_after(STOP_LIMIT_S):
+            while self._unrecorded:
+                self._idle = anyio.Event()
+                await self._idle.wait()
+
+    def _record(self, request: pb.FinishCallRequest) -> None:
+        self._unrecorded += 1
+        self._group.start_soon(self._keep_sending, request)
+
+    async def _keep_sending(self, request: pb.FinishCallRequest) -> None:
+        pause_s = FIRST_RETRY_S
+        while True:
+            answer = await self._send_finish(request)
+            if answer.is_ok() and answer.unwrap().recorded:
+                break
+            await self._timer.sleep_until(self._timer.now_s() + pause_s)
+            pause_s = min(2.0 * pause_s, LONGEST_RETRY_S)
+        self._unrecorded -= 1
+        self._idle.set()
+
+
+def make_calls_service(
+    timer: Timer, send_claim: SendClaim, send_finish: SendFinish
+) -> Service:
+    """Return the service ``calls`` of an entry daemon.
+
+    Parameters
+    ----------
+    timer : Timer
+        The timer service.
+    send_claim, send_finish : callable
+        To any control daemon, with a timeout of a few seconds; an error text where
+        no answer came.
+    """
+
+    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
+        async with anyio.create_task_group() as group:
+            book = _CallBook(timer, send_claim, send_finish, group)
+            task_status.started(Calls(book.claim, book.finish))
+            await kernel.stop_event("calls").wait()
+            await book.wait_recorded()
+            group.cancel_scope.cancel()
+
+    return Service("calls", run)
+
+
+def _finish_request(
+    claim: CallClaim, outcome: CallOutcome | None
+) -> pb.FinishCallRequest:
+    request = pb.FinishCallRequest(
+        customer=claim.customer,
+        route=claim.route,
+        idempotency_key_digest=claim.key_digest,
+        claim_id=claim.claim_id,
+    )
+    if outcome is not None:
+        request.ran = outcome.ran
+        request.status = outcome.status
+        request.body = outcome.body
+        request.content_type = outcome.content_type
+    return request
+
+
+def _understand(
+    claim: CallClaim, reply: pb.ClaimCallReply
+) -> Result[CallClaim | KeptAnswer, Failure]:
+    kind = pb.ClaimCallReply
+    if reply.outcome == kind.RUN:
+        return Ok(claim)
+    if reply.outcome == kind.FINISHED and reply.body_kept:
+        return Ok(KeptAnswer(reply.status, reply.body, reply.content_type))
+    if reply.outcome == kind.FINISHED:
+        return Err(_ran(reply.status))
+    if reply.outcome == kind.MISMATCH:
+        return Err(_mismatch())
+    if reply.outcome == kind.IN_PROGRESS:
+        return Err(_in_progress(reply.retry_after_s))
+    return Err(_undecided(reply.retry_after_s or UNDECIDED_RETRY_S))
+
+
+def _undecided(retry_after_s: float) -> Failure:
+    return Failure(
+        Verdict.NOT_RUN,
+        "key_undecided",
+        "It could not be decided whether this key was used before, so the request "
+        "was not run; send it again with the same key.",
+        503,
+        retry_after_s,
+    )
+
+
+def _in_progress(retry_after_s: float) -> Failure:
+    return Failure(
+        Verdict.MAY_HAVE_RUN,
+        "key_in_progress",
+        "A request with this key is running or was cut off; ask again with the same "
+        "key for its answer.",
+        409,
+        retry_after_s,
+    )
+
+
+def _ran(status: int) -> Failure:
+    return Failure(
+        Verdict.RAN,
+        "key_finished",
+        f"The request with this key ran and answered with status {status}; the "
+        "answer was too large to be kept. Do not send it again.",
+        409,
+    )
+
+
+def _mismatch() -> Failure:
+    return Failure(
+        Verdict.NOT_RUN,
+        "key_mismatch",
+        "This Idempotency-Key was used with another request; use a new key.",
+        422,
+    )
