--- a/src/_pistachiopond/control/ownership.py
+++ b/src/_pistachiopond/control/ownership.py
@@ -12,6 +12,7 @@
 
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.ports import Holding, LogAccess, Membership, Ownership
+from _pistachiopond.decisions.limits import FLOOR_LEASE_S
 from _pistachiopond.decisions.membership import Identity
 from _pistachiopond.decisions.ownership import (
     CANDIDATES,
@@ -39,7 +40,6 @@
 RANK_PERIOD_S: Final = 2.0
 RELEASE_TIMEOUT_S: Final = 3.0
 
-FLOOR_LEASE_S: Final = 7200.0
 FLOORS_PER_DATA_CENTRE: Final = 1
 
 CLAIMS: Final = Counter("pond_shard_claims", "Claims appended", ["shard"])
--- a/src/_pistachiopond/control/program.py
+++ b/src/_pistachiopond/control/program.py
@@ -21,6 +21,7 @@
 from _pistachiopond.control.engines import make_engines_service
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.identity import make_identity
+from _pistachiopond.control.limits import make_limits_service
 from _pistachiopond.control.log import make_log_service
 from _pistachiopond.control.membership import (
     FleetService,
@@ -117,6 +118,7 @@
         _provide(
             "ownership", lambda kernel: as_ownership(kernel.find("shards", Shards))
         ),
+        make_limits_service(timer, settings.data_centre, settings.shard_count),
         make_engines_service(timer),
         make_demand_service(me, timer),
         make_orders_service(me, timer),
