pond-control: less processor time at rest

Shards' streams are read with waits of 4 s in place of 2 s, engines at rest asked every 2 s in place of 1 s, views made anew on a change or every 0.5 s, and no task is started to find that no renewal is due.

--- a/src/_pistachiopond/control/engines.py
+++ b/src/_pistachiopond/control/engines.py
@@ -1,4 +1,6 @@
-"""The service ``engines``: asks each model engine for its state, once a second.
+"""The service ``engines``: asks each model engine for its state.
+
+Every 2 s, and more often while orders to it are under way.
 
 At most a few questions are open at a time, and none waits longer than its limit,
 so that servers which do not answer delay no others.
@@ -22,7 +24,7 @@
 from _pistachiopond.schema.manifest import BackendServer
 
 TICK_S: Final = 0.125
-POLL_PERIOD_S: Final = 1.0
+POLL_PERIOD_S: Final = 2.0
 HURRIED_PERIOD_S: Final = 0.25
 POLL_TIMEOUT_S: Final = 2.0
 POLLS_PER_S: Final = 20
--- a/src/_pistachiopond/control/ownership.py
+++ b/src/_pistachiopond/control/ownership.py
@@ -29,12 +29,12 @@
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.heartbeat import OwnerHint
-from _pistachiopond.schema.records import ShardState
+from _pistachiopond.schema.records import ClaimRecord, RenewalRecord, ShardState
 from _pistachiopond.schema.settings import ControlSettings
 from _pistachiopond.schema.status import ShardStatus
 
 TICK_S: Final = 0.25
-READ_WAIT_S: Final = 2.0
+READ_WAIT_S: Final = 4.0
 READ_LIMIT: Final = 500
 RETRY_S: Final = 0.25
 RANK_PERIOD_S: Final = 2.0
@@ -150,13 +150,14 @@
             "shard claimed", shard=self.name, epoch=state.epoch, holder=state.address
         )
 
-    async def append_due(self, rank: int) -> None:
-        """Append a claim or a renewal if one is due."""
+    def next_append(self, rank: int) -> ClaimRecord | RenewalRecord | None:
+        """Return the claim or renewal that is due; it must be appended at once."""
         if self.is_appending:
-            return
-        record = self.claimant.next_append(self._timer.now_s(), rank)
-        if record is None:
-            return
+            return None
+        return self.claimant.next_append(self._timer.now_s(), rank)
+
+    async def append(self, record: ClaimRecord | RenewalRecord) -> None:
+        """Append a claim or renewal; one at a time."""
         counter = CLAIMS if record.kind == "claim" else RENEWALS
         counter.labels(self.name).inc()
         self.is_appending = True
@@ -254,7 +255,7 @@
 async def _follow(shard: Shard, membership: Membership, timer: Timer) -> None:
     while True:
         if shard.held() is None and shard.rank(membership) >= CANDIDATES:
-            await timer.sleep_until(timer.now_s() + READ_WAIT_S)
+            await timer.sleep_until(timer.now_s() + RANK_PERIOD_S)
             continue
         await shard.read_once()
 
@@ -270,7 +271,9 @@
         exchange.note_progress("shards", now_s)
         shards.tell_owners()
         for shard in shards.all():
-            group.start_soon(shard.append_due, shard.rank(membership))
+            record = shard.next_append(shard.rank(membership))
+            if record is not None:
+                group.start_soon(shard.append, record)
 
     await every(timer, TICK_S, on_tick)
 
--- a/src/_pistachiopond/control/views.py
+++ b/src/_pistachiopond/control/views.py
@@ -19,7 +19,7 @@
 from _pistachiopond.schema.suspects import SuspectView
 from _pistachiopond.transport.generated.pond_pb2 import View
 
-TICK_S: Final = 0.25
+TICK_S: Final = 0.5
 REPEAT_S: Final = 1.0
 
 PUSHED: Final = Counter("pond_view_parts", "Parts of views that changed", ["part"])
@@ -182,6 +182,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(every, timer, TICK_S, on_tick)
             group.start_soon(_follow_revision, views, kernel)
+            group.start_soon(_follow_engines, views, kernel)
             task_status.started(views)
             await kernel.stop_event("views").wait()
             views.close()
@@ -195,3 +196,10 @@
     while True:
         await follower.changed.wait()
         views.refresh()
+
+
+async def _follow_engines(views: Views, kernel: Kernel) -> None:
+    engines = kernel.find("engines", Engines)
+    while True:
+        await engines.changed.wait()
+        views.refresh()
