--- a/testing/live/proofs_callers.py
+++ b/testing/live/proofs_callers.py
@@ -116,11 +116,13 @@
         if served > allowed:
             breaches.append(f"{served} tokens served, {allowed:.0f} allowed")
         wrongly = {name: wrongful_refusals(live.load.sent, name) for name in _FAIR}
+        last_s = {name: _last_refusal_s(live.load, name, began_s) for name in _FAIR}
         first_ms = {name: _first_token_ms(live.load, name) for name in _FAIR}
         row = make_row("a tenant at 8x its rate", live.load.sent, live.folder, _keys())
         notes = (
             f"greedy was served at least {served} tokens of {allowed:.0f} "
-            f"allowed; wrongful refusals of the others {wrongly}; "
+            f"allowed; wrongful refusals of the others {wrongly}, the last after "
+            f"{last_s} s; "
             f"their first token p95 {first_ms} ms; {count_codes(live.load.sent)}"
         )
         return _with(row, notes, breaches)
@@ -203,6 +205,11 @@
     )
 
 
+def _last_refusal_s(load: Load, customer: str, began_s: float) -> float:
+    moments_s = (item.began_s - began_s for item in _failed(load, customer))
+    return round(max(moments_s, default=0.0), 1)
+
+
 def _first_token_ms(load: Load, customer: str) -> float:
     waits_ms = sorted(
         (item.first_s - item.began_s) * 1000.0
