--- a/src/_pistachiopond/entry/dispatch.py
+++ b/src/_pistachiopond/entry/dispatch.py
@@ -36,6 +36,7 @@
     run_engine_attempt,
 )
 from _pistachiopond.entry.exchange import (
+    CallerGone,
     DispatchPort,
     EngineCall,
     Exchange,
@@ -198,7 +199,7 @@
         try:
             with scope:
                 result = await _run_attempt(attempt)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except CallerGone:
             # The caller's task has gone; `leave` has told the dispatcher.
             pass
         except Exception as error:
--- a/src/_pistachiopond/entry/exchange.py
+++ b/src/_pistachiopond/entry/exchange.py
@@ -4,11 +4,11 @@
 its own attempt down and holds no more than a few parts in memory.
 """
 
+from collections import deque
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
 import anyio
-from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from opentelemetry.trace import Span
 
 from _pistachiopond.decisions.dispatch_types import RequestFacts
@@ -66,6 +66,73 @@
 Part = Head | Piece
 
 
+class CallerGone(Exception):
+    """Nobody reads the answer any more."""
+
+
+@final
+class PartStream:
+    """The parts of one answer on their way to the caller's task, a few at most.
+
+    Like a memory stream of one sender and one receiver, but without giving up the
+    turn at each part: there is one part for each token.
+    """
+
+    def __init__(self) -> None:
+        self._parts: deque[Part] = deque()
+        self._changed = anyio.Event()
+        self._is_ended = False
+        self._is_closed = False
+
+    async def send(self, part: Part) -> None:
+        """Add a part; waits while the receiver has not taken the earlier ones.
+
+        Raises
+        ------
+        CallerGone
+            When the receiver has closed the stream.
+        """
+        while len(self._parts) >= PARTS_IN_FLIGHT and not self._is_closed:
+            await self._wait()
+        if self._is_closed:
+            raise CallerGone
+        self._parts.append(part)
+        self._tell()
+
+    def end(self) -> None:
+        """Say that no more parts will come."""
+        self._is_ended = True
+        self._tell()
+
+    def close(self) -> None:
+        """Say that nobody takes the parts any more."""
+        self._is_closed = True
+        self._parts.clear()
+        self._tell()
+
+    def __aiter__(self) -> "PartStream":
+        return self
+
+    async def __anext__(self) -> Part:
+        while not self._parts:
+            if self._is_ended:
+                raise StopAsyncIteration
+            await self._wait()
+        part = self._parts.popleft()
+        if len(self._parts) == PARTS_IN_FLIGHT - 1:
+            self._tell()
+        return part
+
+    async def _wait(self) -> None:
+        changed = self._changed
+        await changed.wait()
+
+    def _tell(self) -> None:
+        changed = self._changed
+        self._changed = anyio.Event()
+        changed.set()
+
+
 @final
 class Exchange:
     """The state of one request between its admission and its end.
@@ -76,7 +143,7 @@
         What the dispatcher decides by.
     call : EngineCall or ServiceCall
         What is sent to a backend server.
-    parts : MemoryObjectReceiveStream
+    parts : PartStream
         The answer; it ends when the answer is whole or has failed.
     failure : Failure or None
         Why the answer ended early.
@@ -109,9 +176,7 @@
         self.usage: Usage | None = None
         self.answer = _new_answer(call)
         self.attempt_scopes: dict[int, anyio.CancelScope] = {}
-        streams = anyio.create_memory_object_stream[Part](PARTS_IN_FLIGHT)
-        self._sender: MemoryObjectSendStream[Part] = streams[0]
-        self.parts: MemoryObjectReceiveStream[Part] = streams[1]
+        self.parts = PartStream()
 
     @property
     def is_over(self) -> bool:
@@ -121,19 +186,19 @@
     async def put(self, part: Part) -> None:
         """Hand a part to the caller's task; waits while the caller is slow."""
         self.output_began = True
-        await self._sender.send(part)
+        await self.parts.send(part)
 
     def finish(self) -> None:
         """Say that the whole answer has been put."""
         if not self.is_over:
             self.is_whole = True
-            self._sender.close()
+            self.parts.end()
 
     def fail(self, failure: Failure) -> None:
         """Say that no more of the answer will come, and why."""
         if not self.is_over:
             self.failure = failure
-            self._sender.close()
+            self.parts.end()
 
     def cancel_attempts(self) -> None:
         """Close the connections of all attempts."""
