--- a/src/_pistachiopond/entry/guards.py
+++ b/src/_pistachiopond/entry/guards.py
@@ -1,64 +1,55 @@
-"""The services that a request must pass before it is dispatched.
+"""The services that a request must pass before it is dispatched, by gRPC.
 
-In this version keyed calls are refused as not run, and suspects are left to the
-dispatcher's standings.
+Suspects are left to the dispatcher's standings.
 """
 
+from collections.abc import Callable
 from typing import Any, Final
 
 from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
 from _pistachiopond.decisions.grants import DRAW_TIMEOUT_S
+from _pistachiopond.entry.calls import make_calls_service
 from _pistachiopond.entry.fleet import Fleet
 from _pistachiopond.entry.grants import make_limits_service
-from _pistachiopond.entry.ports import (
-    CallClaim,
-    CallOutcome,
-    Calls,
-    Crashes,
-    KeptAnswer,
-)
-from _pistachiopond.entry.problems import not_now
+from _pistachiopond.entry.ports import Crashes
 from _pistachiopond.entry.process import EntryProcess
+from _pistachiopond.entry.watch import ControlLink
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.schema.verdict import Failure
 from _pistachiopond.transport.channels import call
 from _pistachiopond.transport.generated import pond_pb2, pond_pb2_grpc
 
-CALLS_RETRY_S: Final = 5.0
+CALL_TIMEOUT_S: Final = 5.0
 
 
 def make_guards(process: EntryProcess) -> list[Service]:
     """Return the services ``limits``, ``calls`` and ``crashes``."""
     return [
-        _make_limits_service(process),
-        _make_service("calls", Calls(_refuse_claim, _finish)),
-        _make_service("crashes", Crashes(_admit, lambda fingerprint: None)),
+        _make_later("limits", lambda kernel: _limits(process, kernel)),
+        _make_later("calls", lambda kernel: _calls(process, kernel)),
+        _make_crashes(),
     ]
 
 
-def _make_limits_service(process: EntryProcess) -> Service:
-    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
-        fleet = kernel.find("fleet", Fleet)
-
-        async def send(
-            address: str, request: pond_pb2.DrawRequest
-        ) -> Result[pond_pb2.DrawReply, str]:
-            stub = pond_pb2_grpc.ControlStub(process.channels.get(address))
-            reply = await call(stub.Draw, request, DRAW_TIMEOUT_S)
-            return reply.map_err(lambda failure: failure.detail)
+def _limits(process: EntryProcess, kernel: Kernel) -> Service:
+    fleet = kernel.find("fleet", Fleet)
 
-        service = make_limits_service(
-            process.timer,
-            process.entry_id,
-            lambda: fleet.state.limits,
-            send,
-            lambda customer: _burst_of(fleet, customer),
-        )
-        await service.run(kernel, task_status)
+    async def send(
+        address: str, request: pond_pb2.DrawRequest
+    ) -> Result[pond_pb2.DrawReply, str]:
+        stub = pond_pb2_grpc.ControlStub(process.channels.get(address))
+        reply = await call(stub.Draw, request, DRAW_TIMEOUT_S)
+        return reply.map_err(lambda failure: failure.detail)
 
-    return Service("limits", run)
+    return make_limits_service(
+        process.timer,
+        process.entry_id,
+        lambda: fleet.state.limits,
+        send,
+        lambda customer: _burst_of(fleet, customer),
+    )
 
 
 def _burst_of(fleet: Fleet, customer: str) -> float | None:
@@ -66,24 +57,47 @@
     return None if index is None else index.bursts_tokens.get(customer)
 
 
-async def _refuse_claim(
-    customer: str, route: str, key_digest: str, request_digest: str
-) -> Result[CallClaim | KeptAnswer, Failure]:
-    detail = "Keyed calls can't be recorded at the moment; it has not run."
-    return Err(not_now("calls_unavailable", detail, CALLS_RETRY_S))
+def _calls(process: EntryProcess, kernel: Kernel) -> Service:
+    link = kernel.find("control", ControlLink)
+
+    async def send_claim(
+        request: pond_pb2.ClaimCallRequest,
+    ) -> Result[pond_pb2.ClaimCallReply, str]:
+        return await _ask(link, "ClaimCall", request)
 
+    async def send_finish(
+        request: pond_pb2.FinishCallRequest,
+    ) -> Result[pond_pb2.FinishCallReply, str]:
+        return await _ask(link, "FinishCall", request)
 
-async def _finish(claim: CallClaim, outcome: CallOutcome) -> None:
-    raise LookupError("no claim was given; see _refuse_claim")
+    return make_calls_service(process.timer, send_claim, send_finish)
 
 
-async def _admit(fingerprint: str) -> Result[None, Failure]:
-    return Ok(None)
+async def _ask(link: ControlLink, method: str, request: Any) -> Result[Any, str]:
+    """Call the control daemon that is followed now."""
+    address = link.address()
+    if address is None:
+        return Err("no control daemon is followed")
+    stub = pond_pb2_grpc.ControlStub(link.channels.get(address))
+    reply = await call(getattr(stub, method), request, CALL_TIMEOUT_S)
+    return reply.map_err(lambda failure: failure.detail)
 
 
-def _make_service(name: str, api: Any) -> Service:
+def _make_later(name: str, make: Callable[[Kernel], Service]) -> Service:
+    """Return a service that is made once those before it can be found."""
+
     async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
-        task_status.started(api)
-        await kernel.stop_event(name).wait()
+        await make(kernel).run(kernel, task_status)
 
     return Service(name, run)
+
+
+def _make_crashes() -> Service:
+    async def admit(fingerprint: str) -> Result[None, Failure]:
+        return Ok(None)
+
+    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
+        task_status.started(Crashes(admit, lambda fingerprint: None))
+        await kernel.stop_event("crashes").wait()
+
+    return Service("crashes", run)
