--- a/src/_pistachiopond/entry/dispatch.py
+++ b/src/_pistachiopond/entry/dispatch.py
@@ -94,13 +94,17 @@
     def submit(self, exchange: Exchange) -> None:
         """Start to work on a request."""
         self._exchanges[exchange.facts.request_id] = exchange
-        exchange.queue_span = start_span(self._parts.tracer, "queue", exchange.span, {})
+        tracer = self._parts.tracer
+        exchange.dispatch_span = start_span(tracer, "dispatch", exchange.span, {})
+        exchange.queue_span = start_span(tracer, "queue", exchange.dispatch_span, {})
         self.notify(Arrived(exchange.facts))
 
     def leave(self, exchange: Exchange) -> None:
         """Forget a request; stops whatever still works on it."""
         self._exchanges.pop(exchange.facts.request_id, None)
         _end_queue_span(exchange)
+        if exchange.dispatch_span is not None:
+            exchange.dispatch_span.end()
         exchange.parts.close()
         exchange.cancel_attempts()
         if not exchange.is_whole:
@@ -182,7 +186,7 @@
         span = start_span(
             self._parts.tracer,
             "attempt",
-            exchange.span,
+            exchange.dispatch_span,
             {"server": action.server, "attempt": action.attempt},
         )
         attempt = Attempt(
--- a/src/_pistachiopond/entry/exchange.py
+++ b/src/_pistachiopond/entry/exchange.py
@@ -167,6 +167,7 @@
         self.facts = facts
         self.call = call
         self.span = span
+        self.dispatch_span: Span | None = None
         self.queue_span: Span | None = None
         self.failure: Failure | None = None
         self.is_whole = False
--- a/src/_pistachiopond/entry/handler.py
+++ b/src/_pistachiopond/entry/handler.py
@@ -168,6 +168,9 @@
 
 async def _watch_caller(call: _Call, scope: anyio.CancelScope) -> None:
     await call.link.wait_until_gone()
+    if call.link.has_ended:
+        # The server reports the end of each request like this as well.
+        return
     call.parts.observations.caller_left()
     call.span.set_attribute("outcome", "caller left")
     scope.cancel()
--- a/src/_pistachiopond/entry/process.py
+++ b/src/_pistachiopond/entry/process.py
@@ -10,7 +10,9 @@
 from typing import Final, NamedTuple
 
 import anyio
+import anyio.to_thread
 from anyio.abc import TaskStatus
+from opentelemetry.sdk.trace import TracerProvider
 from prometheus_client import REGISTRY
 
 from _pistachiopond.decisions.dispatch import Dispatcher, make_dispatcher
@@ -36,6 +38,7 @@
 from _pistachiopond.transport.channels import Channels
 
 GUARD_PERIOD_S: Final = 0.5
+FLUSH_LIMIT_S: Final = 2.0
 
 TellAddress = Callable[[str], None]
 
@@ -55,6 +58,8 @@
         To control daemons.
     metrics : Metrics
         Of the process.
+    provider : TracerProvider
+        Of the process's spans.
     """
 
     settings: EntrySettings
@@ -62,6 +67,7 @@
     timer: Timer
     channels: Channels
     metrics: Metrics
+    provider: TracerProvider
 
 
 MakeGuards = Callable[[EntryProcess], list[Service]]
@@ -75,6 +81,7 @@
         timer=RealTimer(),
         channels=Channels(settings.peer_tls),
         metrics=metrics,
+        provider=make_provider("pond-entry", settings.observability),
     )
 
 
@@ -97,7 +104,7 @@
     observations = Observations(process.metrics)
     active = ActiveRequests()
     dispatcher = _make_dispatcher(process)
-    provider = make_provider("pond-entry", settings.observability)
+    provider = process.provider
     tracer = provider.get_tracer("pistachiopond.entry")
     recorder = make_recorder(settings.record_trace_path, process.timer)
     ids = itertools.count(1)
@@ -163,6 +170,10 @@
         group.start_soon(_stop_on_signal, kernel)
         await run_services(kernel, services)
         group.cancel_scope.cancel()
+    with anyio.move_on_after(FLUSH_LIMIT_S):
+        await anyio.to_thread.run_sync(
+            process.provider.shutdown, abandon_on_cancel=True
+        )
     log_change("stopped", entry_id=process.entry_id)
 
 
