Entry daemon: a silent connection or a lost resumption is not reported as a crash

Only an engine that refuses connections or has lost its model after a request was sent counts as crashed.

--- a/src/_pistachiopond/entry/attempts.py
+++ b/src/_pistachiopond/entry/attempts.py
@@ -81,6 +81,8 @@
         What the server asked for.
     can_resume : bool
         Whether a new connection to the same server may go on from here.
+    has_lost_model : bool
+        Whether the server does not serve the model, as after a restart.
     """
 
     def __init__(
@@ -90,12 +92,14 @@
         retry_after_s: float | None = None,
         *,
         can_resume: bool = False,
+        has_lost_model: bool = False,
     ) -> None:
         super().__init__(f"{kind}, {verdict.value}")
         self.verdict = verdict
         self.kind: FailureKind = kind
         self.retry_after_s = retry_after_s
         self.can_resume = can_resume
+        self.has_lost_model = has_lost_model
 
 
 def make_http_client() -> httpx.AsyncClient:
--- a/src/_pistachiopond/entry/engine_attempt.py
+++ b/src/_pistachiopond/entry/engine_attempt.py
@@ -44,7 +44,6 @@
 CANCEL_TIMEOUT_S: Final = 2.0
 RESUME_HEADER: Final = "X-Resume-Offset"
 FORWARDED_ERRORS: Final = (400, 403, 413, 422)
-TRY_ELSEWHERE: Final = (404, 409, 429, 503)
 MAX_ERROR_BYTES: Final = 64 * 1024
 STREAM_HEADERS: Final = (
     (b"content-type", b"text/event-stream; charset=utf-8"),
@@ -96,7 +95,7 @@
         self.call = call
         self.reader = answer.reader
         self.builder = answer.builder
-        self.was_sent = False
+        self.first_fault: AnswerFault | None = None
         self.saw_token = False
         self.unreported_tokens = 0
         self.reported_s = attempt.timer.now_s()
@@ -151,7 +150,6 @@
             fault = _with_history(run, met)
         if not fault.can_resume:
             break
-        run.was_sent = True
     if fault is met and fault.kind == "reset":
         # It broke again and again, but the server accepts connections.
         fault = AnswerFault(Verdict.MAY_HAVE_RUN, "server_error")
@@ -161,14 +159,24 @@
 
 
 def _with_history(run: _Run, fault: AnswerFault) -> AnswerFault:
-    # Once a request has been sent, no later refusal makes it unsent.
-    if not run.was_sent or fault.verdict is not Verdict.NOT_RUN:
+    """Return what a fault means for a request that has been sent before.
+
+    No later refusal makes it unsent. A server that is gone, or has lost its model,
+    has crashed; one that only holds the request no more has not.
+    """
+    if run.first_fault is None:
+        run.first_fault = fault
         return fault
-    # A server that is gone, or does not know the request any more, has crashed or
-    # been restarted, unless it has only not noticed that the connection ended.
-    can_resume = fault.kind == "refused"
+    if fault.verdict is not Verdict.NOT_RUN:
+        return fault
+    kind = run.first_fault.kind if run.first_fault.kind == "silent" else "server_error"
+    if fault.kind == "connect" or fault.has_lost_model:
+        kind = "reset"
     return AnswerFault(
-        Verdict.MAY_HAVE_RUN, "reset", fault.retry_after_s, can_resume=can_resume
+        Verdict.MAY_HAVE_RUN,
+        kind,
+        fault.retry_after_s,
+        can_resume=fault.kind == "refused",
     )
 
 
@@ -302,7 +310,9 @@
         raise CallerFault(status, *_describe(body))
     retry_after_s = retry_after_of(response)
     if not_run:
-        raise AnswerFault(Verdict.NOT_RUN, "refused", retry_after_s)
+        raise AnswerFault(
+            Verdict.NOT_RUN, "refused", retry_after_s, has_lost_model=status == 404
+        )
     raise AnswerFault(Verdict.MAY_HAVE_RUN, "server_error", retry_after_s)
 
 
--- a/testing/entry/test_broken_streams.py
+++ b/testing/entry/test_broken_streams.py
@@ -81,8 +81,8 @@
             if offset_of(request) is not None:
                 await answer_whole(request)
                 return
-            await send_tokens(request, 0, 2)
-            await request.stream.send(end(2))
+            await request.begin_stream()
+            await request.stream.send(event(0) + event(1) + end(2))
             await request.stream.aclose()
 
         async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
@@ -271,3 +271,41 @@
             or not backend.cancels
         ):
             await anyio.sleep(0.01)
+
+
+class SuspicionTests(unittest.TestCase):
+    """Whether a failed attempt is reported as the sign of a crash."""
+
+    def kinds_after(self, then: Answer, first: Answer | None = None) -> float:
+        counts: list[float] = []
+
+        async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
+            await chat(entry, stream=True)
+            outcome = {"outcome": "reset"}
+            counts.append(entry.metric("pond_entry_attempts_total", **outcome))
+
+        run_with_engines(scenario, first or cut_after(2, then))
+        return counts[0]
+
+    def test_an_engine_that_has_lost_its_model_has_crashed(self) -> None:
+        async def has_restarted(request: BackendRequest) -> None:
+            await refuse(request, "404 Not Found", "model_not_found")
+
+        self.assertEqual(self.kinds_after(has_restarted), 1)
+
+    def test_an_engine_that_only_holds_nothing_has_not_crashed(self) -> None:
+        self.assertEqual(self.kinds_after(hold_nothing), 0)
+
+    def test_an_engine_behind_a_silent_connection_has_not_crashed(self) -> None:
+        seen: list[BackendRequest] = []
+
+        async def fall_silent(request: BackendRequest) -> None:
+            seen.append(request)
+            if len(seen) > 1:
+                await hold_nothing(request)
+                return
+            await send_tokens(request, 0, 2)
+            await anyio.sleep_forever()
+
+        with mock.patch.object(engine_attempt, "PROGRESS_TIMEOUT_S", 0.2):
+            self.assertEqual(self.kinds_after(hold_nothing, fall_silent), 0)
