Entry daemon: connections to backend servers on asyncio's streams

anyio's streams switch reading on and off around each read: two system calls for each token, seen as the second place where the loop stood still.

--- a/src/_pistachiopond/entry/attempts.py
+++ b/src/_pistachiopond/entry/attempts.py
@@ -102,14 +102,6 @@
         self.has_lost_model = has_lost_model
 
 
-def make_http_client() -> httpx.AsyncClient:
-    """Return the client for backend servers; it keeps no idle connection."""
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
-    return httpx.AsyncClient(
-        limits=limits, trust_env=False, follow_redirects=False, timeout=None
-    )
-
-
 def own_headers(attempt: Attempt) -> dict[str, str]:
     """Return the headers that every attempt sends."""
     return {REQUEST_ID_HEADER: attempt.backend_id, **headers_for(attempt.span)}
--- /dev/null
+++ b/src/_pistachiopond/entry/connections.py
@@ -0,0 +1,122 @@
+"""Connections to backend servers for httpx, on asyncio's own streams.
+
+anyio's streams turn reading off and on again around each read, which costs two
+system calls for each token; asyncio's streams do so only when their buffer is full.
+"""
+
+import asyncio
+import contextlib
+import ssl
+from collections.abc import Iterable, Iterator
+from typing import Any, Final, final
+
+import httpcore
+import httpx
+
+BUFFER_BYTES: Final = 64 * 1024
+
+
+@final
+class StreamConnection(httpcore.AsyncNetworkStream):
+    """One open connection."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return what has come, at most `max_bytes`; empty at the end."""
+        with _errors_as(httpcore.ReadTimeout, httpcore.ReadError):
+            async with asyncio.timeout(timeout):
+                return await self._reader.read(max_bytes)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send everything; waits while the other side takes nothing."""
+        with _errors_as(httpcore.WriteTimeout, httpcore.WriteError):
+            async with asyncio.timeout(timeout):
+                self._writer.write(buffer)
+                await self._writer.drain()
+
+    async def aclose(self) -> None:
+        """Close at once; what is unsent is dropped."""
+        self._writer.transport.abort()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> "StreamConnection":
+        """Return the connection with TLS on it."""
+        with _errors_as(httpcore.ConnectTimeout, httpcore.ConnectError):
+            async with asyncio.timeout(timeout):
+                await self._writer.start_tls(
+                    ssl_context, server_hostname=server_hostname
+                )
+        return self
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return what httpcore asks about the connection."""
+        if info == "is_readable":
+            return self._reader.at_eof()
+        if info == "server_addr":
+            return self._writer.get_extra_info("peername")
+        if info == "client_addr":
+            return self._writer.get_extra_info("sockname")
+        return self._writer.get_extra_info(info)
+
+
+@final
+class StreamBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections by TCP."""
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> StreamConnection:
+        """Open a connection to an IP number."""
+        with _errors_as(httpcore.ConnectTimeout, httpcore.ConnectError):
+            async with asyncio.timeout(timeout):
+                reader, writer = await asyncio.open_connection(
+                    host, port, limit=BUFFER_BYTES
+                )
+        return StreamConnection(reader, writer)
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait between attempts to connect."""
+        await asyncio.sleep(seconds)
+
+
+def make_http_client() -> httpx.AsyncClient:
+    """Return the client for backend servers; it keeps no idle connection."""
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+    context = httpx.create_ssl_context(trust_env=False)
+    transport = httpx.AsyncHTTPTransport(verify=context, limits=limits, trust_env=False)
+    # httpx has no parameter for the network backend; its pool is replaced whole.
+    transport._pool = httpcore.AsyncConnectionPool(
+        ssl_context=context,
+        max_connections=None,
+        max_keepalive_connections=0,
+        network_backend=StreamBackend(),
+    )
+    return httpx.AsyncClient(
+        transport=transport, trust_env=False, follow_redirects=False, timeout=None
+    )
+
+
+@contextlib.contextmanager
+def _errors_as(
+    timeout: type[httpcore.TimeoutException], other: type[httpcore.NetworkError]
+) -> Iterator[None]:
+    try:
+        yield
+    except TimeoutError as error:
+        raise timeout(str(error)) from error
+    except (OSError, ssl.SSLError) as error:
+        raise other(str(error)) from error
--- a/src/_pistachiopond/entry/dispatch.py
+++ b/src/_pistachiopond/entry/dispatch.py
@@ -30,7 +30,8 @@
     Tick,
     ViewReceived,
 )
-from _pistachiopond.entry.attempts import Attempt, AttemptResult, make_http_client
+from _pistachiopond.entry.attempts import Attempt, AttemptResult
+from _pistachiopond.entry.connections import make_http_client
 from _pistachiopond.entry.engine_attempt import (
     cancel_at_engine,
     run_engine_attempt,
