--- a/src/_pistachiopond/decisions/dispatch_servers.py
+++ b/src/_pistachiopond/decisions/dispatch_servers.py
@@ -10,6 +10,7 @@
 from _pistachiopond.decisions.load import SERVER_TOKENS_PER_S, ServerLoad
 from _pistachiopond.decisions.queueing import Target
 from _pistachiopond.decisions.routing import (
+    BLOCK_TOKENS,
     PREFILL_TOKENS_PER_S,
     Place,
     PrefixMap,
@@ -128,8 +129,10 @@
         if self._options.routing != "cost":
             return self._baseline(fresh, now_s)
         cached = self._cached(facts)
-        home = self._home(facts, fresh)
-        favoured = [s for s in fresh if s in cached or s == home]
+        home = self._home(facts, self._near(fresh))
+        if home is not None:
+            cached.setdefault(home, BLOCK_TOKENS * len(facts.prefix_ids))
+        favoured = [s for s in fresh if s in cached]
 
         def cost_s(server: str) -> float:
             return self._cost_s(server, cached.get(server, 0), now_s)
@@ -169,6 +172,16 @@
             return {}
         return self._prefixes.cached_tokens(facts.prefix_ids)
 
+    def _near(self, servers: list[str]) -> list[str]:
+        if not self._options.local_first:
+            return servers
+        region = self._options.place.region
+        near = [s for s in servers if self._place(s).region == region]
+        return near or servers
+
+    def _place(self, server: str) -> Place:
+        return self._places.get(server, UNKNOWN_PLACE)
+
     def _home(self, facts: RequestFacts, servers: Sequence[str]) -> str | None:
         if not self._options.prefix_affinity:
             return None
@@ -183,8 +196,7 @@
         cost = (foreign + load.own_tokens()) / SERVER_TOKENS_PER_S
         cost -= cached_tokens / PREFILL_TOKENS_PER_S
         if self._options.local_first:
-            place = self._places.get(server, UNKNOWN_PLACE)
-            cost += distance_s(self._options.place, place)
+            cost += distance_s(self._options.place, self._place(server))
         if self.ejector.has_points(server):
             cost += UNHEALTHY_COST_S
         return cost
@@ -198,7 +210,7 @@
                 self._options.daemon,
                 ready,
                 self._options.place,
-                lambda server: self._places.get(server, UNKNOWN_PLACE),
+                self._place,
             )
             self._subsets[target] = known
         return known
--- a/src/_pistachiopond/decisions/queueing.py
+++ b/src/_pistachiopond/decisions/queueing.py
@@ -1,10 +1,12 @@
 """Weighted fair queueing over customers, with urgency classes.
 
 Each customer has a counter of the tokens that were served to it, divided by its
-weight; among the customers that wait, the one with the smallest counter goes
-next. A customer that begins to wait is lifted to the smallest counter of those
-that are being served or wait, so that idle time earns no credit. Estimates are
-charged at dispatch and corrected when the true number of tokens is known.
+weight. Those within a slack of the smallest counter go in the order of arrival,
+since that keeps most first tokens in time; one that is further ahead waits, the
+furthest longest. A customer that begins to wait is lifted to the smallest counter
+of those that are being served or wait, so that idle time earns no credit.
+Estimates are charged at dispatch and corrected when the true number of tokens is
+known.
 
 Classes go in the order urgent, normal, batch, but each lower class earns credit
 with every token dispatched above it, so that none starves.
@@ -20,6 +22,7 @@
 CLASS_SHARE: Final[dict[Urgency, float]] = {"normal": 0.2, "batch": 0.05}
 MAX_CREDIT_TOKENS: Final = 20_000.0
 MAX_LEAD_TOKENS: Final = 200_000.0
+SLACK_TOKENS: Final = 2_000.0
 CREDIT_RANK: Final = -1
 
 
@@ -81,6 +84,7 @@
         self._credit: dict[Urgency, float] = dict.fromkeys(CLASS_SHARE, 0.0)
         self._class_waiting: dict[Urgency, int] = dict.fromkeys(CLASS_ORDER, 0)
         self._order = 0
+        self._lowest = 0.0
         self.examined = 0
 
     def __len__(self) -> int:
@@ -143,6 +147,9 @@
         if not lane:
             return None
         best: tuple[Rank, Waiting] | None = None
+        self._lowest = min(
+            (self._counters.get(name, 0.0) for name in self._active), default=0.0
+        )
         for urgency, lines in lane.items():
             for line in lines.values():
                 self.examined += 1
@@ -190,12 +197,17 @@
         return counts
 
     def _rank(self, urgency: Urgency, entry: Waiting) -> Rank:
-        counter = self._counters.get(entry.customer, 0.0) if self._is_fair else 0.0
+        counter = self._lead_tokens(entry.customer) if self._is_fair else 0.0
         rank = CLASS_ORDER.index(urgency)
         if self._credit.get(urgency, 0.0) >= entry.cost_tokens:
             rank = CREDIT_RANK
         return Rank(rank, counter, entry.order)
 
+    def _lead_tokens(self, customer: str) -> float:
+        """Return how far the customer is ahead of the others; 0 within the slack."""
+        lead = self._counters.get(customer, 0.0) - self._lowest
+        return lead if lead > SLACK_TOKENS else 0.0
+
     def _settle_credit(self, entry: Waiting) -> None:
         if self._credit.get(entry.urgency, 0.0) >= entry.cost_tokens:
             self._credit[entry.urgency] -= entry.cost_tokens
--- a/src/_pistachiopond/decisions/routing.py
+++ b/src/_pistachiopond/decisions/routing.py
@@ -21,6 +21,7 @@
 OTHER_DATA_CENTRE_S: Final = 0.002
 OTHER_REGION_S: Final = 0.050
 SUBSET_SIZE: Final = 12
+MIN_LOCAL_SERVERS: Final = 2
 MAX_KNOWN_PREFIXES: Final = 20_000
 MAX_PREFIX_HOLDERS: Final = 4
 
@@ -52,13 +53,16 @@
     """Return the servers that this daemon uses first.
 
     Nearer ones go first, and among equals a hash of the daemon's name decides,
-    so that the subsets of all daemons cover all servers evenly.
+    so that the subsets of all daemons cover all servers evenly. Servers of other
+    regions are left out when enough stand in the daemon's own.
     """
 
     def key(server: str) -> tuple[int, int]:
         return (_distance(here, place_of(server)), -rendezvous_weight(daemon, server))
 
-    return tuple(sorted(servers, key=key)[:SUBSET_SIZE])
+    local = [s for s in servers if place_of(s).region == here.region]
+    pool = local if len(local) >= MIN_LOCAL_SERVERS else servers
+    return tuple(sorted(pool, key=key)[:SUBSET_SIZE])
 
 
 def distance_s(here: Place, there: Place) -> float:
--- /dev/null
+++ b/testing/decisions/test_ejection.py
@@ -0,0 +1,67 @@
+"""Tests of ejecting and readmitting backend servers."""
+
+import unittest
+
+from _pistachiopond.decisions.ejection import BASE_EJECTION_S, Ejector
+
+NAMES = frozenset({"a", "b", "c", "d", "e", "f"})
+
+
+def make_ejector(names: frozenset[str] = NAMES) -> Ejector:
+    ejector = Ejector()
+    ejector.set_servers({"drafting": names})
+    return ejector
+
+
+class EjectionTests(unittest.TestCase):
+    def test_consecutive_failures_eject_and_successes_reset(self) -> None:
+        ejector = make_ejector()
+        for _ in range(10):
+            ejector.failed("a", "reset", 0.0)
+            ejector.succeeded("a")
+        self.assertFalse(ejector.is_ejected("a", 0.0))
+        for _ in range(3):
+            ejector.failed("a", "reset", 0.0)
+        self.assertTrue(ejector.is_ejected("a", 0.1))
+
+    def test_no_more_than_a_third_of_a_service_is_ejected(self) -> None:
+        ejector = make_ejector()
+        for name in sorted(NAMES):
+            for _ in range(5):
+                ejector.failed(name, "silent", 1.0)
+        ejected = [name for name in NAMES if ejector.is_ejected(name, 1.0)]
+        self.assertEqual(len(ejected), 2)
+
+    def test_refusals_for_load_do_not_eject(self) -> None:
+        ejector = make_ejector()
+        for _ in range(50):
+            ejector.failed("a", "refused", 0.0)
+        self.assertFalse(ejector.is_ejected("a", 0.0))
+
+    def test_a_readmitted_server_is_probed_and_fails_back_at_once(self) -> None:
+        ejector = make_ejector()
+        for _ in range(3):
+            ejector.failed("a", "reset", 0.0)
+        back_s = BASE_EJECTION_S + 0.1
+        self.assertFalse(ejector.is_ejected("a", back_s))
+        self.assertTrue(ejector.is_probing("a"))
+        ejector.failed("a", "reset", back_s)
+        self.assertTrue(ejector.is_ejected("a", back_s + 1.5 * BASE_EJECTION_S))
+        ejector.succeeded("a")
+        self.assertFalse(ejector.is_probing("a"))
+
+    def test_a_server_much_slower_than_its_peers_is_ejected(self) -> None:
+        ejector = make_ejector()
+        for _ in range(10):
+            for name in "bcd":
+                ejector.observed_delay(name, 0.05, 0.0)
+            ejector.observed_delay("a", 1.5, 0.0)
+        self.assertTrue(ejector.is_ejected("a", 0.1))
+        self.assertFalse(ejector.is_ejected("b", 0.1))
+
+    def test_when_all_are_slow_none_is_ejected(self) -> None:
+        ejector = make_ejector()
+        for _ in range(10):
+            for name in "abcd":
+                ejector.observed_delay(name, 1.5, 0.0)
+        self.assertFalse(any(ejector.is_ejected(name, 0.1) for name in "abcd"))
--- /dev/null
+++ b/testing/replay/test_simulator.py
@@ -0,0 +1,67 @@
+"""Tests of the replay: determinism, and the stated outcomes on short traces."""
+
+import unittest
+
+from _pistachiopond.replay.experiment import Experiment, relate, run_experiment
+
+
+def missed(experiment: Experiment) -> list[str]:
+    outcome = run_experiment(experiment)
+    return [miss.outcome.measure for miss in outcome.misses]
+
+
+class DeterminismTests(unittest.TestCase):
+    def test_same_seed_same_result_to_the_last_digit(self) -> None:
+        experiment = Experiment("kereru", length_s=20.0, scenario="server_loss")
+        first = run_experiment(experiment).measures
+        self.assertEqual(first, run_experiment(experiment).measures)
+        other = run_experiment(experiment._replace(seed=2)).measures
+        self.assertNotEqual(first, other)
+
+
+class StatedOutcomeTests(unittest.TestCase):
+    def test_fault_free_days(self) -> None:
+        found = {
+            workload: missed(Experiment(workload, length_s=60.0))
+            for workload in ("fjordmegling", "kereru")
+        }
+        self.assertEqual(found, {"fjordmegling": [], "kereru": []})
+
+    def test_one_fault(self) -> None:
+        scenarios = ("server_loss", "vm_loss", "log_outage", "stale_reports")
+        found = {
+            scenario: missed(Experiment("kereru", scenario=scenario, length_s=60.0))
+            for scenario in scenarios
+        }
+        self.assertEqual(found, {scenario: [] for scenario in scenarios})
+
+    def test_two_faults(self) -> None:
+        scenario = "server_loss+stale_reports"
+        experiment = Experiment("fjordmegling", scenario=scenario, length_s=60.0)
+        self.assertEqual(missed(experiment), [])
+
+    def test_loss_of_a_data_centre(self) -> None:
+        experiment = Experiment(
+            "fjordmegling", scenario="data_centre_loss", length_s=120.0
+        )
+        self.assertEqual(missed(experiment), [])
+
+    def test_a_customer_at_eight_times_its_share(self) -> None:
+        calm = run_experiment(Experiment("fjordmegling", length_s=60.0))
+        for heavy in ("limited", "unlimited"):
+            experiment = Experiment("fjordmegling", heavy=heavy, length_s=60.0)
+            outcome = relate([calm, run_experiment(experiment)])[1]
+            names = [miss.outcome.measure for miss in outcome.misses]
+            self.assertEqual(names, [], heavy)
+
+    def test_ours_is_close_to_the_central_queue(self) -> None:
+        ours = Experiment("fjordmegling", length_s=60.0, load=1.7)
+        central = ours._replace(policy="central")
+        outcomes = relate([run_experiment(each) for each in (ours, central)])
+        self.assertGreaterEqual(outcomes[0].measures["share_of_upper_bound"], 0.90)
+
+    def test_ours_beats_least_load_near_capacity(self) -> None:
+        ours = Experiment("kereru", length_s=60.0, load=1.4)
+        least = ours._replace(policy="least_load")
+        values = [run_experiment(e).measures["attainment"] for e in (ours, least)]
+        self.assertGreater(values[0], values[1])
