--- a/src/_pistachiopond/standin/host.py
+++ b/src/_pistachiopond/standin/host.py
@@ -1,8 +1,9 @@
 """Runs one stand-in: its application behind faults, on one listening socket."""
 
 import signal
-from collections.abc import Callable
-from typing import Any, NamedTuple
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
+from typing import Any, Final, NamedTuple
 
 import anyio
 from starlette.applications import Starlette
@@ -17,6 +18,8 @@
 from _pistachiopond.standin.ledger import Ledger
 from _pistachiopond.standin.middleware import FaultHooks, FaultMiddleware
 
+VIA_PREFIX: Final = "/via/"
+
 
 class Part(NamedTuple):
     """What a stand-in of one kind brings along.
@@ -57,15 +60,26 @@
 
 async def serve_part(part: Part, listen_address: str, timer: Timer) -> None:
     """Serve until SIGTERM or SIGINT."""
+    async with serving(part, listen_address, timer) as address:
+        print(to_json(Ready(part.kind, part.name, address)), flush=True)
+        await _wait_for_signal()
+
+
+@asynccontextmanager
+async def serving(
+    part: Part, listen_address: str, timer: Timer
+) -> AsyncGenerator[str, None]:
+    """Serve for as long as the context is entered; gives the bound address."""
     server = FaultyServer(listen_address)
     async with anyio.create_task_group() as group:
         hooks = _make_hooks(part, server, group.start_soon)
         await server.listen(make_app(part, server, timer, hooks))
-        ready = Ready(part.kind, part.name, server.address)
-        print(to_json(ready), flush=True)
-        await _wait_for_signal()
-        await server.close()
-        group.cancel_scope.cancel()
+        try:
+            yield server.address
+        finally:
+            with anyio.CancelScope(shield=True):
+                await server.close()
+            group.cancel_scope.cancel()
 
 
 def make_app(
@@ -73,7 +87,7 @@
 ) -> FaultMiddleware:
     """Return the stand-in's application, with faults around it."""
     routes = [Route("/ledger", _ledger_handler(part.ledger), methods=["GET"])]
-    inner = Starlette(routes=routes + part.routes)
+    inner = _without_via(Starlette(routes=routes + part.routes))
     return FaultMiddleware(_say_leaving(inner, part), server, timer, hooks)
 
 
@@ -105,6 +119,19 @@
     return handle
 
 
+def _without_via(inner: Any) -> Any:
+    """Drop a leading ``/via/NAME``, by which faults can tell callers apart."""
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        path = scope["path"]
+        if path.startswith(VIA_PREFIX):
+            rest = path.removeprefix(VIA_PREFIX).partition("/")[2]
+            scope = dict(scope) | {"path": f"/{rest}", "raw_path": f"/{rest}".encode()}
+        await inner(scope, receive, send)
+
+    return app
+
+
 def _say_leaving(inner: Any, part: Part) -> Any:
     async def app(scope: Any, receive: Any, send: Any) -> None:
         async def marked(message: Any) -> None:
--- a/src/_pistachiopond/standin/service.py
+++ b/src/_pistachiopond/standin/service.py
@@ -13,7 +13,7 @@
     error_answer,
     json_answer,
 )
-from _pistachiopond.standin.ledger import Ledger, RequestEntry
+from _pistachiopond.standin.ledger import Ledger, RequestEntry, find_tag
 
 METHODS: Final = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 IDEMPOTENCY_HEADER: Final = "idempotency-key"
@@ -41,8 +41,8 @@
     """A service that answers every path."""
 
     def __init__(self, name: str, incarnation: str, ledger: Ledger) -> None:
-        self._name = name
-        self._ledger = ledger
+        self.name = name
+        self.ledger = ledger
         self._refusing = False
         self.incarnation = incarnation
         self.leaving = False
@@ -71,10 +71,12 @@
         body = await request.body()
         digest = hashlib.sha256(body).hexdigest()
         key = request.headers.get(IDEMPOTENCY_HEADER)
-        run = self._ledger.count_run(key or request_id)
-        self._ledger.add(_entry(request, self.incarnation, request_id, digest, key))
+        run = self.ledger.count_run(key or request_id)
+        tag = find_tag(body, request.url.path.encode())
+        entry = _entry(request, self.incarnation, request_id, digest, key)
+        self.ledger.add(entry._replace(tag=tag))
         answer = ServiceAnswer(
-            self._name, request_id, request.method, request.url.path, run, digest
+            self.name, request_id, request.method, request.url.path, run, digest
         )
         return json_answer(answer, headers=headers)
 
@@ -90,6 +92,7 @@
         query=request.url.query,
         model="",
         content_digest=digest,
+        tag="",
         idempotency_key=key,
         headers=tuple(request.headers.items()),
         outcome="finished",
--- /dev/null
+++ b/testing/entry/test_engine_path.py
@@ -0,0 +1,109 @@
+"""Tests of the way of a completion request through the daemon, over sockets."""
+
+import json
+import unittest
+
+from testing.entry.engines import (
+    CHAT,
+    PROMPT_TOKENS,
+    TOKENS,
+    answer_whole,
+    body,
+    chat,
+    contents,
+    refuse,
+    run_with_engines,
+)
+from testing.entry.fakes import BackendRequest, FakeBackend, wait_until
+from testing.entry.manifests import KEY
+from testing.entry.running import RunningEntry
+
+
+class WholeAnswerTests(unittest.TestCase):
+    def test_a_stream_arrives_whole_and_is_settled_by_usage(self) -> None:
+        async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
+            response = await chat(entry, stream=True)
+            self.assertEqual(response.status_code, 200)
+            self.assertEqual(contents(response.text), list(TOKENS))
+            self.assertTrue(response.text.endswith("data: [DONE]\n\n"))
+            self.assertNotIn('"usage"', response.text)
+            await wait_until(lambda: entry.guards.outstanding() == 0)
+            reservation, used = entry.guards.settled[0]
+            self.assertEqual(used, PROMPT_TOKENS + len(TOKENS))
+            self.assertEqual(reservation.customer, "bergen")
+
+        run_with_engines(scenario, answer_whole)
+
+    def test_usage_is_handed_on_where_it_was_asked_for(self) -> None:
+        async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
+            options = {"include_usage": True}
+            response = await chat(entry, stream=True, stream_options=options)
+            self.assertIn('"usage"', response.text)
+
+        run_with_engines(scenario, answer_whole)
+
+    def test_a_plain_answer_is_put_together_from_the_stream(self) -> None:
+        async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
+            response = await chat(entry, stream=False)
+            answer = response.json()
+            self.assertEqual(answer["object"], "chat.completion")
+            message = answer["choices"][0]["message"]
+            self.assertEqual(message["content"], "".join(TOKENS))
+            used = PROMPT_TOKENS + len(TOKENS)
+            self.assertEqual(answer["usage"]["total_tokens"], used)
+
+        run_with_engines(scenario, answer_whole)
+
+    def test_the_engine_gets_no_key_and_a_salt_for_the_customer(self) -> None:
+        async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
+            await entry.http.post(
+                f"{CHAT}?api_key={KEY}&x={KEY}",
+                json=body(stream=False),
+                headers={"X-Copy": f"my {KEY}", "X-Api-Key": KEY},
+            )
+            seen = backends[0].requests[0]
+            self.assertNotIn(KEY.encode(), seen.raw_head + seen.body)
+            sent = json.loads(seen.body)
+            self.assertEqual(len(sent["cache_salt"]), 32)
+            self.assertIs(sent["stream"], True)
+
+        run_with_engines(scenario, answer_whole)
+
+    def test_errors_of_the_request_itself_reach_the_caller(self) -> None:
+        async def answer(request: BackendRequest) -> None:
+            await refuse(request, "400 Bad Request", "context_length")
+
+        async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
+            response = await chat(entry, stream=True)
+            self.assertEqual(response.status_code, 400)
+            problem = response.json()
+            self.assertEqual(problem["error"]["code"], "context_length")
+            self.assertEqual(problem["verdict"], "not_run")
+            self.assertEqual(len(backends[0].requests), 1)
+
+        run_with_engines(scenario, answer)
+
+    def test_limits_refuse_before_anything_runs(self) -> None:
+        async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
+            entry.guards.refuses = True
+            response = await chat(entry, stream=True)
+            self.assertEqual(response.status_code, 429)
+            self.assertEqual(response.headers["retry-after"], "3")
+            self.assertEqual(response.json()["verdict"], "not_run")
+            self.assertEqual(backends[0].requests, [])
+
+        run_with_engines(scenario, answer_whole)
+
+
+class ModelListTests(unittest.TestCase):
+    def test_models_and_adapters_are_listed_for_a_key(self) -> None:
+        async def scenario(entry: RunningEntry, backends: list[FakeBackend]) -> None:
+            listed = (await entry.http.get("/v1/models")).json()["data"]
+            names = [item["id"] for item in listed]
+            self.assertEqual(names, ["notes", "notes-voss"])
+            one = await entry.http.get("/v1/models/notes")
+            self.assertEqual(one.json()["id"], "notes")
+            missing = await entry.http.get("/v1/models/nothing")
+            self.assertEqual(missing.status_code, 404)
+
+        run_with_engines(scenario, answer_whole)
