--- a/src/_pistachiopond/decisions/dispatch.py
+++ b/src/_pistachiopond/decisions/dispatch.py
@@ -7,11 +7,12 @@
 
 import random
 from collections.abc import Callable
-from typing import Final, final
+from typing import final
 
 from _pistachiopond.decisions import deadlines, refusals
 from _pistachiopond.decisions.crash_watch import CrashWatch
 from _pistachiopond.decisions.dispatch_options import DispatchOptions
+from _pistachiopond.decisions.dispatch_request import Request
 from _pistachiopond.decisions.dispatch_servers import Servers
 from _pistachiopond.decisions.dispatch_types import (
     Action,
@@ -41,33 +42,9 @@
 )
 from _pistachiopond.decisions.retry import RetryBudgets, decide_retry
 from _pistachiopond.decisions.shares import UseShares
-from _pistachiopond.schema.manifest import Urgency
+from _pistachiopond.decisions.waiting_room import WaitingRoom
 from _pistachiopond.schema.verdict import Failure, Verdict, combine_verdicts
 
-OUTPUT_SMOOTHING: Final = 0.05
-FIRST_OUTPUT_GUESS_TOKENS: Final = 200.0
-MIN_COST_TOKENS: Final = 1.0
-
-
-@final
-class _Request:
-    """One request that has not been answered yet."""
-
-    def __init__(self, facts: RequestFacts, now_s: float) -> None:
-        self.facts = facts
-        self.arrived_s = now_s
-        self.attempt = 0
-        self.server: str | None = None
-        self.started_s = 0.0
-        self.progress_s: float | None = None
-        self.generated_tokens = 0
-        self.cost_tokens = MIN_COST_TOKENS
-        self.verdict = Verdict.NOT_RUN
-        self.tried: list[str] = []
-        self.not_before_s = now_s
-        self.unreachable_since_s: float | None = None
-        self.was_suspect = False
-
 
 @final
 class Dispatcher:
@@ -75,14 +52,10 @@
 
     def __init__(self, options: DispatchOptions, seed: int) -> None:
         self._options = options
-        self._requests: dict[str, _Request] = {}
-        self._delayed: list[str] = []
+        self._requests: dict[str, Request] = {}
         self._weights: dict[str, float] = {}
         self._models: frozenset[str] | None = None
-        self._output_tokens: dict[str | None, float] = {}
         self._is_stopping = False
-        self._pace_s = 0.01
-        self._dispatched_s = 0.0
         self._budgets = RetryBudgets()
         self._crashes = CrashWatch(options.daemon)
         self.servers = Servers(options, random.Random(seed))
@@ -92,6 +65,9 @@
             is_fair=options.fair_queueing,
             has_classes=options.urgency_classes,
         )
+        self._room = WaitingRoom(
+            options, self._requests, self.queue, self.servers, self._crashes
+        )
         self._handlers: dict[type, Callable[..., list[Action]]] = {
             Arrived: self._arrived,
             FirstToken: self._first_token,
@@ -125,10 +101,19 @@
         failure = self._reason_to_refuse(facts, now_s)
         if failure is not None:
             return [Refuse(facts.request_id, failure)]
-        self._requests[facts.request_id] = _Request(facts, now_s)
+        actions: list[Action] = []
+        if self._room.is_full():
+            refused = self._room.make_place(facts.customer)
+            if refused is None:
+                return [Refuse(facts.request_id, self._room_is_full())]
+            actions.append(refused)
+        self._requests[facts.request_id] = Request(facts, now_s)
         self._budgets.first_attempt(facts.customer)
-        target = self._enqueue(self._requests[facts.request_id], now_s)
-        return self._dispatch([target], now_s)
+        target = self._room.enqueue(self._requests[facts.request_id], now_s)
+        return actions + self._dispatch([target], now_s)
+
+    def _room_is_full(self) -> Failure:
+        return deadlines.waited_too_long(Verdict.NOT_RUN, self._room.retry_after_s())
 
     def _reason_to_refuse(self, facts: RequestFacts, now_s: float) -> Failure | None:
         if self._is_stopping:
@@ -137,8 +122,6 @@
             return refusals.unknown_model(facts.model)
         if self._crashes.is_refused(facts.fingerprint, now_s):
             return refusals.crashing(Verdict.NOT_RUN)
-        if len(self.queue) >= self._options.max_waiting:
-            return deadlines.waited_too_long(Verdict.NOT_RUN, self._retry_s())
         return None
 
     def _weight_of(self, customer: str) -> float:
@@ -149,34 +132,6 @@
             return False
         return model not in self._models
 
-    def _enqueue(
-        self,
-        request: _Request,
-        now_s: float,
-        *,
-        is_again: bool = False,
-        urgency: Urgency | None = None,
-    ) -> Target:
-        facts = request.facts
-        is_suspect = self._crashes.is_suspect(facts.fingerprint, now_s)
-        target = Target(facts.service, facts.model, facts.adapter, is_suspect)
-        request.cost_tokens = self._cost_tokens(facts)
-        self.queue.push(
-            facts.request_id,
-            target,
-            urgency or facts.urgency,
-            facts.customer,
-            request.cost_tokens,
-            is_again=is_again,
-        )
-        return target
-
-    def _cost_tokens(self, facts: RequestFacts) -> float:
-        if facts.model is None:
-            return MIN_COST_TOKENS
-        usual = self._output_tokens.get(facts.model, FIRST_OUTPUT_GUESS_TOKENS)
-        return facts.prompt_tokens + min(float(facts.max_tokens), usual)
-
     def _dispatch(self, targets: list[Target], now_s: float) -> list[Action]:
         """Start what has room, the first in rank among the targets' heads first."""
         actions: list[Action] = []
@@ -196,7 +151,7 @@
                 self._refresh(heads, other)
         return actions
 
-    def _choose(self, request: _Request, target: Target, now_s: float) -> str | None:
+    def _choose(self, request: Request, target: Target, now_s: float) -> str | None:
         is_over = self._options.fair_queueing and self._shares.is_over(
             request.facts.customer, now_s
         )
@@ -220,25 +175,16 @@
             heads[target] = head
 
     def _start(
-        self, request: _Request, server: str, target: Target, now_s: float
+        self, request: Request, server: str, target: Target, now_s: float
     ) -> Action:
         facts = request.facts
-        request.attempt += 1
-        request.server = server
-        request.started_s = now_s
-        request.progress_s = None
-        request.generated_tokens = 0
-        request.unreachable_since_s = None
-        request.was_suspect = target.is_suspect
-        request.tried.append(server)
+        request.begin(server, now_s, is_suspect=target.is_suspect)
         self.servers.started(server, facts, request.cost_tokens, now_s)
         self._shares.add(facts.customer, request.cost_tokens, now_s)
         if target.is_suspect:
             running = self.servers.suspects_running
             running[server] = running.get(server, 0) + 1
-        gap_s = now_s - self._dispatched_s
-        self._pace_s = deadlines.smooth_pace(self._pace_s, gap_s)
-        self._dispatched_s = now_s
+        self._room.note_dispatch(now_s)
         return StartAttempt(
             facts.request_id,
             request.attempt,
@@ -247,7 +193,7 @@
             CLASS_ORDER.index(facts.urgency),
         )
 
-    def _running(self, request_id: str, attempt: int) -> _Request | None:
+    def _running(self, request_id: str, attempt: int) -> Request | None:
         request = self._requests.get(request_id)
         if request is None or request.server is None or request.attempt != attempt:
             return None
@@ -285,19 +231,13 @@
             return []
         self.servers.ejector.succeeded(request.server)
         self._crashes.cleared(request.facts.fingerprint)
-        self._learn_output(request)
+        self._room.estimates.learn(request.facts.model, request.generated_tokens)
         server = request.server
         self._release(request, is_over=True)
         del self._requests[event.request_id]
         return self._dispatch_on(server, now_s)
 
-    def _learn_output(self, request: _Request) -> None:
-        model = request.facts.model
-        usual = self._output_tokens.get(model, FIRST_OUTPUT_GUESS_TOKENS)
-        step = OUTPUT_SMOOTHING * (request.generated_tokens - usual)
-        self._output_tokens[model] = usual + step
-
-    def _release(self, request: _Request, *, is_over: bool) -> None:
+    def _release(self, request: Request, *, is_over: bool) -> None:
         """Take the request off its server and settle what it used."""
         if request.server is None:
             return
@@ -306,9 +246,7 @@
         if request.was_suspect:
             self.servers.suspects_running[request.server] -= 1
         request.server = None
-        used = float(request.generated_tokens)
-        if is_over or request.progress_s is not None:
-            used += facts.prompt_tokens
+        used = request.used_tokens(is_over=is_over)
         self.queue.charge(facts.customer, used - request.cost_tokens)
         self.queue.finish(facts.customer)
 
@@ -329,7 +267,7 @@
         return actions
 
     def _watch_crash(
-        self, request: _Request, event: AttemptFailed, now_s: float
+        self, request: Request, event: AttemptFailed, now_s: float
     ) -> list[Action]:
         server = request.server or ""
         there = [r for r in self._requests.values() if r.server == server]
@@ -342,7 +280,7 @@
         )
 
     def _after_failure(
-        self, request: _Request, event: AttemptFailed, now_s: float
+        self, request: Request, event: AttemptFailed, now_s: float
     ) -> Failure | None:
         """Queue the request again, or return the final failure."""
         facts = request.facts
@@ -357,13 +295,12 @@
         )
         if self._is_stopping or not answer.is_allowed:
             return refusals.attempts_failed(
-                request.verdict, event, answer.reason or "stopping", self._retry_s()
+                request.verdict,
+                event,
+                answer.reason or "stopping",
+                self._room.retry_after_s(),
             )
-        request.not_before_s = now_s + answer.delay_s
-        if answer.delay_s > 0:
-            self._delayed.append(facts.request_id)
-        else:
-            self._enqueue(request, now_s, is_again=True)
+        self._room.enqueue_after(request, answer.delay_s, now_s)
         return None
 
     def _caller_left(self, event: CallerLeft, now_s: float) -> list[Action]:
@@ -384,18 +321,9 @@
 
     def _suspects(self, event: SuspectsReceived, now_s: float) -> list[Action]:
         self._crashes.received(event.view, now_s)
-        actions = self._give_up(now_s)
-        self._part_suspects(now_s)
-        return actions + self._dispatch(self.queue.targets(), now_s)
-
-    def _part_suspects(self, now_s: float) -> None:
-        """Move waiting requests whose standing has changed to the other lane."""
-        for waiting in self.queue.waiting():
-            request = self._requests[waiting.request_id]
-            is_suspect = self._crashes.is_suspect(request.facts.fingerprint, now_s)
-            if is_suspect != waiting.target.is_suspect:
-                self.queue.drop(waiting.request_id)
-                self._enqueue(request, now_s)
+        refused = self._room.give_up(now_s)
+        self._room.part_suspects(now_s)
+        return [*refused, *self._dispatch(self.queue.targets(), now_s)]
 
     def _manifest(self, event: ManifestChanged, now_s: float) -> list[Action]:
         manifest = event.manifest
@@ -405,65 +333,8 @@
         return self._dispatch(self.queue.targets(), now_s)
 
     def _tick(self, event: Tick, now_s: float) -> list[Action]:
-        self._requeue_delayed(now_s)
-        if self._options.late == "last":
-            self._demote_late(now_s)
-        return self._give_up(now_s) + self._dispatch(self.queue.targets(), now_s)
-
-    def _requeue_delayed(self, now_s: float) -> None:
-        left: list[str] = []
-        for request_id in self._delayed:
-            request = self._requests.get(request_id)
-            if request is None:
-                continue
-            if request.not_before_s > now_s:
-                left.append(request_id)
-            else:
-                self._enqueue(request, now_s, is_again=True)
-        self._delayed = left
-
-    def _demote_late(self, now_s: float) -> None:
-        """Let requests whose first token is late already wait behind the others."""
-        for waiting in self.queue.waiting():
-            request = self._requests[waiting.request_id]
-            waited_s = now_s - request.arrived_s
-            if deadlines.is_late(waiting.urgency, waited_s):
-                self.queue.drop(waiting.request_id)
-                self._enqueue(request, now_s, urgency="batch")
-
-    def _give_up(self, now_s: float) -> list[Action]:
-        actions: list[Action] = []
-        for waiting in self.queue.waiting():
-            request = self._requests[waiting.request_id]
-            failure = self._reason_to_give_up(request, waiting.target, now_s)
-            if failure is None:
-                continue
-            self.queue.drop(waiting.request_id)
-            del self._requests[waiting.request_id]
-            actions.append(Refuse(waiting.request_id, failure))
-        return actions
-
-    def _reason_to_give_up(
-        self, request: _Request, target: Target, now_s: float
-    ) -> Failure | None:
-        if self._crashes.is_refused(request.facts.fingerprint, now_s):
-            return refusals.crashing(request.verdict)
-        if self.servers.ready(target):
-            request.unreachable_since_s = None
-        elif request.unreachable_since_s is None:
-            request.unreachable_since_s = now_s
-        elif now_s - request.unreachable_since_s >= self._options.hold_s:
-            return refusals.unreachable(request.verdict)
-        waited_s = now_s - request.arrived_s
-        urgency = request.facts.urgency
-        if deadlines.is_out_of_patience(urgency, waited_s):
-            return deadlines.waited_too_long(request.verdict, self._retry_s())
-        if self._options.late == "refuse" and deadlines.is_late(urgency, waited_s):
-            return deadlines.waited_too_long(request.verdict, self._retry_s())
-        return None
-
-    def _retry_s(self) -> float:
-        return deadlines.retry_after_s(len(self.queue), self._pace_s)
+        refused = self._room.tick(now_s)
+        return [*refused, *self._dispatch(self.queue.targets(), now_s)]
 
     def _stop(self, event: StopDispatching, now_s: float) -> list[Action]:
         self._is_stopping = True
--- a/src/_pistachiopond/decisions/queueing.py
+++ b/src/_pistachiopond/decisions/queueing.py
@@ -12,7 +12,7 @@
 with every token dispatched above it, so that none starves.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
@@ -189,12 +189,14 @@
         if not self._active:
             self._counters.clear()
 
-    def counts_by_customer(self) -> dict[str, int]:
-        """Return how many requests of each customer wait."""
-        counts: dict[str, int] = {}
-        for entry in self._entries.values():
-            counts[entry.customer] = counts.get(entry.customer, 0) + 1
-        return counts
+    def newest_of_longest(self) -> Waiting | None:
+        """Return the last arrival of the customer with the most waiting requests."""
+        counts = Counter(entry.customer for entry in self._entries.values())
+        if not counts:
+            return None
+        longest = max(counts, key=lambda name: (counts[name], name))
+        own = [e for e in self._entries.values() if e.customer == longest]
+        return max(own, key=lambda entry: entry.order)
 
     def _rank(self, urgency: Urgency, entry: Waiting) -> Rank:
         counter = self._lead_tokens(entry.customer) if self._is_fair else 0.0
--- a/testing/decisions/test_dispatch.py
+++ b/testing/decisions/test_dispatch.py
@@ -180,6 +180,22 @@
         self.assertIs(late[0].failure.verdict, Verdict.NOT_RUN)
 
 
+class FullQueueTests(unittest.TestCase):
+    def test_a_flood_that_fills_the_queue_costs_the_others_no_place(self) -> None:
+        dispatcher = make_ready_dispatcher([make_server("a")], max_waiting=10)
+        for number in range(FULL + 10):
+            arrive(dispatcher, make_facts(str(number), customer="flood"), 0.0)
+        actions = arrive(dispatcher, make_facts("calm", customer="calm"), 0.1)
+        self.assertEqual(
+            [refusal.request_id for refusal in refusals(actions)], [str(FULL + 9)]
+        )
+        actions = arrive(dispatcher, make_facts("more", customer="flood"), 0.2)
+        refusal = refusals(actions)[0]
+        self.assertEqual(refusal.request_id, "more")
+        self.assertIs(refusal.failure.verdict, Verdict.NOT_RUN)
+        self.assertEqual(len(dispatcher.queue), 10)
+
+
 class SuspectTests(unittest.TestCase):
     def test_after_a_crash_suspects_run_apart_and_a_second_crash_refuses(self) -> None:
         dispatcher = make_ready_dispatcher([make_server("a")])
