Placement: spares of busy models make room for a model without a replica

Cause: a replica counted as surplus only if the others carried its load and min_replicas stayed, also for urgent needs, so busy servers gave up nothing. Before: the new test failed; after: it passes.

--- a/src/_pistachiopond/decisions/placement_room.py
+++ b/src/_pistachiopond/decisions/placement_room.py
@@ -134,7 +134,11 @@
 
 
 def is_surplus(board: Board, replica: Replica, *, is_urgent: bool) -> bool:
-    """Return whether the others carry the model's load when this one goes."""
+    """Return whether the replica may go for the sake of something else.
+
+    For an urgent need it is enough that another one answers: a busy model is better
+    than an unreachable one. Otherwise the others must carry its load.
+    """
     if replica.state not in ("ready", "draining") or replica in board.draining:
         return False
     model = board.models.get(replica.model)
@@ -145,9 +149,13 @@
         peers = board.current(model)
     others = [other for other in peers if other != replica]
     ready = [other for other in others if other.state != "loading"]
-    if not ready or len(others) < model.min_replicas:
+    if not ready:
+        return False
+    if is_urgent:
+        return True
+    if len(others) < model.min_replicas:
         return False
-    if board.protects_spares and not is_urgent and is_spare_needed(board, others):
+    if board.protects_spares and is_spare_needed(board, others):
         return False
     more = board.share_tokens_per_s(model.name, len(others))
     more -= board.share_tokens_per_s(model.name, len(others) + 1)
--- a/testing/decisions/test_placement.py
+++ b/testing/decisions/test_placement.py
@@ -136,6 +136,16 @@
         run.step(SETTLING_STEPS)
         run.check_all_reachable()
 
+    def test_busy_servers_give_up_spares_for_a_model_without_a_replica(self) -> None:
+        models = [Model(f"m{i}", "1", 50, min_replicas=2) for i in range(4)]
+        run = Run(self, Fleet(tuple(make_servers(4, 100))), models)
+        run.step(SETTLING_STEPS)
+        run.loads = {model.name: 2000.0 for model in models}
+        run.step(SETTLING_STEPS)
+        run.models = [*models, Model("new", "1", 50)]
+        run.step(SETTLING_STEPS)
+        run.check_all_reachable()
+
     def test_a_hot_model_gets_replicas_from_cold_surplus(self) -> None:
         models = [Model(f"m{i}", "1", 50) for i in range(4)]
         run = Run(
