--- a/src/_pistachiopond/decisions/placement.py
+++ b/src/_pistachiopond/decisions/placement.py
@@ -47,8 +47,12 @@
     unplaced = _place_missing(board)
     _leave_servers(board)
     _roll_versions(board)
-    _scale_up(board)
-    _add_spares(board)
+    if board.protects_spares:
+        _add_spares(board)
+        _scale_up(board)
+    else:
+        _scale_up(board)
+        _add_spares(board)
     _keep_useful_drains(board)
     return PlacementPlan(
         tuple(board.loads), board.drain_steps(), board.unload_steps(), unplaced
--- a/testing/decisions/test_placement.py
+++ b/testing/decisions/test_placement.py
@@ -146,6 +146,18 @@
         run.step(SETTLING_STEPS)
         run.check_all_reachable()
 
+    def test_spares_come_before_further_replicas_of_hot_models(self) -> None:
+        models = [Model(f"m{i}", "1", 50) for i in range(4)]
+        run = Run(
+            self,
+            Fleet(tuple(make_servers(4, 100))),
+            models,
+            loads={"m0": 1500.0},
+        )
+        run.step(SETTLING_STEPS)
+        counts = {model.name: len(run.fleet.ready(model.name)) for model in models}
+        self.assertEqual(counts, {model.name: 2 for model in models})
+
     def test_a_hot_model_gets_replicas_from_cold_surplus(self) -> None:
         models = [Model(f"m{i}", "1", 50) for i in range(4)]
         run = Run(
