--- a/src/_pistachiopond/decisions/dispatch_servers.py
+++ b/src/_pistachiopond/decisions/dispatch_servers.py
@@ -24,6 +24,7 @@
 
 UNHEALTHY_COST_S: Final = 5.0
 DEFAULT_PAUSE_S: Final = 0.5
+_LOAD_FIELD: Final = ServerView._fields.index("queued_tokens")
 UNKNOWN_PLACE: Final = Place("", "")
 
 
@@ -69,11 +70,14 @@
         """Replace what is known of the servers."""
         old = self._views
         self._views = {server.name: server for server in view.servers}
+        is_same = len(old) == len(self._views) and all(
+            _is_same_standing(old.get(server.name), server) for server in view.servers
+        )
         for name, server in self._views.items():
             self.load(name).reported(server.queued_tokens, server.report_age_s, now_s)
-            if self._options.prefix_affinity:
+            if server.cached_prefixes and self._options.prefix_affinity:
                 self._prefixes.learn(server.cached_prefixes, name)
-        if _standing(old) == _standing(self._views):
+        if is_same:
             self._average_load()
             return
         self._ready.clear()
@@ -220,11 +224,12 @@
         self._usual_tokens = sum(loads) / len(loads) if loads else 0.0
 
 
-def _standing(views: dict[str, ServerView]) -> dict[str, object]:
-    return {
-        name: (view.availability, view.residents, view.service, view.url)
-        for name, view in views.items()
-    }
+def _is_same_standing(old: ServerView | None, new: ServerView) -> bool:
+    if old is None:
+        return False
+    if old.residents is not new.residents and old.residents != new.residents:
+        return False
+    return old[:_LOAD_FIELD] == new[:_LOAD_FIELD]
 
 
 def _serves(view: ServerView, target: Target) -> bool:
--- a/src/_pistachiopond/decisions/load.py
+++ b/src/_pistachiopond/decisions/load.py
@@ -83,11 +83,13 @@
         reported_at_s = now_s - age_s
         if reported_at_s < self._reported_at_s:
             return
-        own = sum(
-            tokens
-            for started_s, tokens in self._running.values()
-            if started_s <= reported_at_s
-        )
+        own = 0.0
+        if self._running:
+            own = sum(
+                tokens
+                for started_s, tokens in self._running.values()
+                if started_s <= reported_at_s
+            )
         self._foreign_tokens = max(0.0, queued_tokens - own)
         self._reported_at_s = reported_at_s
 
