--- a/src/_pistachiopond/replay/engine.py
+++ b/src/_pistachiopond/replay/engine.py
@@ -60,6 +60,7 @@
         self._milestones: list[tuple[float, int, str, int, bool]] = []
         self._cache: OrderedDict[str, None] = OrderedDict()
         self.on_cached: Callable[[str], None] | None = None
+        self.slowness = 1.0
         self.generated_tokens = 0.0
         self.prefilled_tokens = 0.0
 
@@ -84,7 +85,7 @@
     def prefill_backlog_s(self) -> float:
         """Return how long the prompts that wait will take to compute."""
         tokens = sum(job.prompt_tokens for *_, job in self._waiting)
-        return (tokens + self._prefill_left) / self._parameters.prefill_tokens_per_s
+        return (tokens + self._prefill_left) / self._prefill_rate()
 
     def load(self) -> int:
         """Return how many jobs wait or run."""
@@ -116,8 +117,8 @@
             left = self._milestones[0][0] - self._advanced
             when_s = self._now_s + max(0.0, left) * gap_s
         if self._prefilling is not None:
-            rate = self._parameters.prefill_tokens_per_s
-            when_s = min(when_s, self._now_s + self._prefill_left / rate)
+            left_s = self._prefill_left / self._prefill_rate()
+            when_s = min(when_s, self._now_s + left_s)
         return when_s
 
     def advance(self, now_s: float) -> list[Notice]:
@@ -148,7 +149,10 @@
         )
         if self._prefilling is not None:
             gap_s *= parameters.prefill_slowdown
-        return gap_s
+        return gap_s * self.slowness
+
+    def _prefill_rate(self) -> float:
+        return self._parameters.prefill_tokens_per_s / self.slowness
 
     def _flow(self, until_s: float) -> None:
         passed_s = max(0.0, until_s - self._now_s)
@@ -157,7 +161,7 @@
             self._advanced += tokens
             self.generated_tokens += tokens * len(self._running)
         if self._prefilling is not None:
-            done = passed_s * self._parameters.prefill_tokens_per_s
+            done = passed_s * self._prefill_rate()
             self.prefilled_tokens += min(done, self._prefill_left)
             self._prefill_left = max(0.0, self._prefill_left - done)
         self._now_s = max(self._now_s, until_s)
--- a/src/_pistachiopond/replay/fake_control.py
+++ b/src/_pistachiopond/replay/fake_control.py
@@ -44,6 +44,7 @@
         self.engine = engine
         self.is_up = True
         self.is_silent = False
+        self.is_failing = False
         self.down_since_s = -math.inf
         self.replicas: dict[str, ReplicaState] = {}
         self.in_flight: dict[str, int] = {}
--- a/src/_pistachiopond/replay/fault_injection.py
+++ b/src/_pistachiopond/replay/fault_injection.py
@@ -18,6 +18,7 @@
 
 SILENCE_S: Final = 3.0
 BALANCER_LAG_S: Final = 1.0
+SLOW_ENGINE_FACTOR: Final = 8.0
 
 
 def schedule_faults(simulation: "Simulation", scenario: Scenario) -> None:
@@ -62,8 +63,41 @@
             )
             lost = self._sim.rng.sample(names, self._share(len(names), fault.share))
             return self._lose_servers(lost, "reset", 0.01)
+        if fault.kind == "failing_server":
+            return self._fail_servers(fault.share)
+        if fault.kind == "slow_server":
+            return self._slow_servers(fault.share)
         return self._lose_data_centre()
 
+    def _draw_engines(self, share: float) -> list[str]:
+        holders = self._sim.holders.items()
+        names = sorted(name for name, h in holders if h.facts.accelerators)
+        return self._sim.rng.sample(names, self._share(len(names), share))
+
+    def _fail_servers(self, share: float) -> Callable[[], None]:
+        """Let some engines answer each request with an error at once."""
+        failing = [self._sim.holders[name] for name in self._draw_engines(share)]
+
+        def set_failing(is_failing: bool) -> None:
+            for holder in failing:
+                holder.is_failing = is_failing
+
+        set_failing(True)
+        return lambda: set_failing(False)
+
+    def _slow_servers(self, share: float) -> Callable[[], None]:
+        """Slow some engines down, which go on answering."""
+        slowed = self._draw_engines(share)
+
+        def set_slowness(factor: float) -> None:
+            for name in slowed:
+                self._sim.advance(name)
+                self._sim.holders[name].engine.slowness = factor
+                self._sim.reschedule(name)
+
+        set_slowness(SLOW_ENGINE_FACTOR)
+        return lambda: set_slowness(1.0)
+
     def _share(self, count: int, share: float) -> int:
         return max(1, int(count * share))
 
--- a/src/_pistachiopond/replay/faults.py
+++ b/src/_pistachiopond/replay/faults.py
@@ -4,6 +4,8 @@
 
 FaultKind = Literal[
     "server_loss",
+    "slow_server",
+    "failing_server",
     "vm_loss",
     "data_centre_loss",
     "log_outage",
@@ -34,6 +36,8 @@
 Scenario = tuple[Fault, ...]
 SINGLE_FAULTS: Final[tuple[FaultKind, ...]] = (
     "server_loss",
+    "slow_server",
+    "failing_server",
     "vm_loss",
     "data_centre_loss",
     "log_outage",
--- a/src/_pistachiopond/replay/simulator.py
+++ b/src/_pistachiopond/replay/simulator.py
@@ -281,6 +281,9 @@
             delay_s = CONNECT_TIMEOUT_S if holder.is_silent else 0.001
             self.fail(key, "connect", Verdict.NOT_RUN, delay_s)
             return
+        if holder.is_failing:
+            self.fail(key, "server_error", Verdict.MAY_HAVE_RUN, 0.005)
+            return
         record = self.fates[attempt.request_id].record
         self.advance(attempt.server)
         holder.engine.submit(
@@ -292,7 +295,7 @@
                 record.prefix_ids,
             )
         )
-        self._reschedule(attempt.server)
+        self.reschedule(attempt.server)
 
     def advance(self, server: str) -> None:
         """Move the server's engine to the present time."""
@@ -300,7 +303,8 @@
         for notice in holder.engine.advance(self.loop.now_s):
             self._notice(notice)
 
-    def _reschedule(self, server: str) -> None:
+    def reschedule(self, server: str) -> None:
+        """Plan the next change of the server's engine."""
         self.versions[server] += 1
         version = self.versions[server]
         when_s = self.holders[server].engine.next_change_s()
@@ -310,7 +314,7 @@
         def change() -> None:
             if self.versions[server] == version:
                 self.advance(server)
-                self._reschedule(server)
+                self.reschedule(server)
 
         self.loop.at(when_s, change)
 
@@ -382,7 +386,7 @@
     def _send_views(self) -> None:
         for name in self.holders:
             self.advance(name)
-            self._reschedule(name)
+            self.reschedule(name)
         self.control.take_reports()
         views = {
             p: self.control.view(p) for p in {d.place.region for d in self.daemons}
