--- a/src/_pistachiopond/control/program.py
+++ b/src/_pistachiopond/control/program.py
@@ -12,12 +12,14 @@
 from cyclopts import App
 from prometheus_client import start_http_server
 
+from _pistachiopond.control.calls import make_calls_service
 from _pistachiopond.control.configuration import (
     ConfigFollower,
     as_configuration,
     make_follower_service,
 )
 from _pistachiopond.control.demand import make_demand_service
+from _pistachiopond.control.engine_feed import make_engine_feed_service
 from _pistachiopond.control.engines import make_engines_service
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.identity import make_identity
@@ -119,7 +121,9 @@
             "ownership", lambda kernel: as_ownership(kernel.find("shards", Shards))
         ),
         make_limits_service(timer, settings.data_centre, settings.shard_count),
+        make_calls_service(timer, me.address),
         make_engines_service(timer),
+        make_engine_feed_service(me, timer),
         make_demand_service(me, timer),
         make_orders_service(me, timer),
         make_views_service(timer),
