--- a/src/_pistachiopond/replay/fleets.py
+++ b/src/_pistachiopond/replay/fleets.py
@@ -111,7 +111,17 @@
     full_speed_loads=8,
     full_speed_adapter_loads=64,
 )
-SIZES: Final = {size.deployment: size for size in (FJORDMEGLING, KERERU, TARGET)}
+REGIONS: Final = TARGET._replace(
+    deployment="regions",
+    engines=20,
+    plains=5,
+    models=30,
+    daemons=10,
+    customer_rates=(40_000.0, 30_000.0, 10_000.0, 5_000.0, 5_000.0),
+)
+SIZES: Final = {
+    size.deployment: size for size in (FJORDMEGLING, KERERU, TARGET, REGIONS)
+}
 
 
 def make_fleet(size: FleetSize, seed: int) -> Fleet:
--- a/src/_pistachiopond/replay/generate.py
+++ b/src/_pistachiopond/replay/generate.py
@@ -102,6 +102,7 @@
         2.0,
         has_shift=True,
     ),
+    "regions": Workload("regions", 60.0, lambda part: 1.0, lambda part: 0.1, 0.2, 10.0),
     "target": Workload(
         "target",
         2_500.0,
--- a/testing/decisions/test_retry.py
+++ b/testing/decisions/test_retry.py
@@ -47,3 +47,21 @@
         for _ in range(11):
             budgets.first_attempt("c")
         self.assertTrue(budgets.spend("c", 1.0))
+
+    def test_attempts_end_and_more_are_made_while_none_ran(self) -> None:
+        allowed = {}
+        for verdict in (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN):
+            budgets = RetryBudgets()
+            answers = [
+                decide_retry(
+                    budgets,
+                    make_event(verdict, attempt=attempt),
+                    customer="c",
+                    idempotent=True,
+                    verdict=verdict,
+                )
+                for attempt in range(1, 12)
+            ]
+            allowed[verdict] = sum(answer.is_allowed for answer in answers)
+        self.assertEqual(allowed[Verdict.NOT_RUN], 7)
+        self.assertEqual(allowed[Verdict.MAY_HAVE_RUN], 3)
--- a/testing/replay/test_simulator.py
+++ b/testing/replay/test_simulator.py
@@ -28,13 +28,23 @@
         self.assertEqual(found, {"fjordmegling": [], "kereru": []})
 
     def test_one_fault(self) -> None:
-        scenarios = ("server_loss", "vm_loss", "log_outage", "stale_reports")
+        scenarios = (
+            "server_loss",
+            "failing_server",
+            "vm_loss",
+            "log_outage",
+            "stale_reports",
+        )
         found = {
             scenario: missed(Experiment("kereru", scenario=scenario, length_s=60.0))
             for scenario in scenarios
         }
         self.assertEqual(found, {scenario: [] for scenario in scenarios})
 
+    def test_regions_lose_each_other(self) -> None:
+        experiment = Experiment("regions", scenario="region_cut", length_s=60.0)
+        self.assertEqual(missed(experiment), [])
+
     def test_two_faults(self) -> None:
         scenario = "server_loss+stale_reports"
         experiment = Experiment("fjordmegling", scenario=scenario, length_s=60.0)
