--- a/src/_pistachiopond/control/configuration.py
+++ b/src/_pistachiopond/control/configuration.py
@@ -43,7 +43,7 @@
 READ_WAIT_S: Final = 1.5
 READ_LIMIT: Final = 200
 RETRY_S: Final = 0.25
-SNAPSHOT_CHECK_PERIOD_S: Final = 2.0
+SNAPSHOT_CHECK_PERIOD_S: Final = 0.5
 KEPT_PUBLICATIONS: Final = 50
 KEPT_RECORDS: Final = 500
 
--- a/src/_pistachiopond/control/program.py
+++ b/src/_pistachiopond/control/program.py
@@ -12,6 +12,7 @@
 from cyclopts import App
 from prometheus_client import start_http_server
 
+from _pistachiopond.control.calls import make_calls_service
 from _pistachiopond.control.configuration import (
     ConfigFollower,
     as_configuration,
@@ -119,6 +120,7 @@
             "ownership", lambda kernel: as_ownership(kernel.find("shards", Shards))
         ),
         make_limits_service(timer, settings.data_centre, settings.shard_count),
+        make_calls_service(timer, me.address),
         make_engines_service(timer),
         make_demand_service(me, timer),
         make_orders_service(me, timer),
--- a/testing/live/run.py
+++ b/testing/live/run.py
@@ -28,6 +28,7 @@
     one_vm_cut_off,
     snapshot_and_tail,
 )
+from testing.live.proofs_ownership import kill_owner, replace_all_at_once
 
 Proof = Callable[[float], Awaitable[Row]]
 DURATION_S: Final = 20.0
@@ -47,6 +48,8 @@
     "silent": (silent_connections, DURATION_S),
     "crashing-request": (crashing_request, DURATION_S),
     "frozen-owner": (frozen_owner, DURATION_S),
+    "kill-owner": (kill_owner, DURATION_S),
+    "all-at-once": (replace_all_at_once, DURATION_S),
 }
 HEADER: Final = (
     "proof",
