--- a/src/_pistachiopond/entry/dispatch.py
+++ b/src/_pistachiopond/entry/dispatch.py
@@ -30,12 +30,14 @@
     Tick,
     ViewReceived,
 )
-from _pistachiopond.entry.attempts import Attempt, AttemptResult, make_http_client
+from _pistachiopond.entry.attempts import Attempt, AttemptResult
+from _pistachiopond.entry.connections import make_http_client
 from _pistachiopond.entry.engine_attempt import (
     cancel_at_engine,
     run_engine_attempt,
 )
 from _pistachiopond.entry.exchange import (
+    CallerGone,
     DispatchPort,
     EngineCall,
     Exchange,
@@ -93,13 +95,17 @@
     def submit(self, exchange: Exchange) -> None:
         """Start to work on a request."""
         self._exchanges[exchange.facts.request_id] = exchange
-        exchange.queue_span = start_span(self._parts.tracer, "queue", exchange.span, {})
+        tracer = self._parts.tracer
+        exchange.dispatch_span = start_span(tracer, "dispatch", exchange.span, {})
+        exchange.queue_span = start_span(tracer, "queue", exchange.dispatch_span, {})
         self.notify(Arrived(exchange.facts))
 
     def leave(self, exchange: Exchange) -> None:
         """Forget a request; stops whatever still works on it."""
         self._exchanges.pop(exchange.facts.request_id, None)
         _end_queue_span(exchange)
+        if exchange.dispatch_span is not None:
+            exchange.dispatch_span.end()
         exchange.parts.close()
         exchange.cancel_attempts()
         if not exchange.is_whole:
@@ -181,7 +187,7 @@
         span = start_span(
             self._parts.tracer,
             "attempt",
-            exchange.span,
+            exchange.dispatch_span,
             {"server": action.server, "attempt": action.attempt},
         )
         attempt = Attempt(
@@ -198,7 +204,7 @@
         try:
             with scope:
                 result = await _run_attempt(attempt)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except CallerGone:
             # The caller's task has gone; `leave` has told the dispatcher.
             pass
         except Exception as error:
