--- a/testing/entry/test_broken_streams.py
+++ b/testing/entry/test_broken_streams.py
@@ -214,7 +214,9 @@
             self.assertLess(used, reservation.tokens)
             self.assertGreaterEqual(used, 2)
 
-        run_with_engines(scenario, never_end)
+        # Long, so that only the caller's leaving can end the engine's work.
+        with mock.patch.object(engine_attempt, "PROGRESS_TIMEOUT_S", 300.0):
+            run_with_engines(scenario, never_end)
 
     def test_a_caller_that_does_not_read_is_closed(self) -> None:
         async def flood(request: BackendRequest) -> None:
