Crashing requests: suspects run alone, and are refused after a confirmed crash

Crash reports spread at once through the crashes stream; a crash counts only once its server answers as a new incarnation, so that cut connections refuse nobody. Probation runs of one fingerprint are permitted one at a time in the fleet.

--- a/src/_pistachiopond/schema/suspects.py
+++ b/src/_pistachiopond/schema/suspects.py
@@ -46,3 +46,32 @@
     server: str
     fingerprints: tuple[str, ...]
     probation_fingerprints: tuple[str, ...]
+
+
+class CrashRecord(NamedTuple):
+    """One record of the ``crashes`` stream.
+
+    Attributes
+    ----------
+    kind : {"suspected", "confirmed", "cleared"}
+        A crash is confirmed once the backend server answers as a new incarnation;
+        a request is cleared by a run that ended without a crash.
+    crash_id : str
+        The same in all reports of one crash once it is confirmed; empty on a
+        cleared request.
+    fingerprints : tuple of str
+        Requests that were running there.
+    probation_fingerprints : tuple of str
+        Those among them that ran there on probation.
+    """
+
+    kind: Literal["suspected", "confirmed", "cleared"]
+    crash_id: str
+    fingerprints: tuple[str, ...]
+    probation_fingerprints: tuple[str, ...] = ()
+
+
+class CrashBatch(NamedTuple):
+    """What one control daemon appends at once."""
+
+    records: tuple[CrashRecord, ...]
--- /dev/null
+++ b/testing/decisions/test_suspects.py
@@ -0,0 +1,106 @@
+"""Tests of the fold that tells crashing requests from innocent ones."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _pistachiopond.decisions.suspects import (
+    PERMIT_S,
+    PROBATION_S,
+    REFUSAL_S,
+    SUSPECTED_S,
+    Permits,
+    SuspectBook,
+)
+from _pistachiopond.schema.suspects import CrashRecord
+
+
+def confirmed(crash_id: str, *names: str, alone: tuple[str, ...] = ()) -> CrashRecord:
+    return CrashRecord("confirmed", crash_id, names, alone)
+
+
+def standings(book: SuspectBook, now_s: float) -> dict[str, str]:
+    return {item.fingerprint: item.standing for item in book.view(now_s).suspects}
+
+
+class SuspectBookTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.book = SuspectBook()
+
+    def test_one_crash_puts_all_that_ran_there_on_probation(self) -> None:
+        self.book.apply(CrashRecord("suspected", "r1", ("bad", "good")), 0.0)
+        self.assertEqual(
+            standings(self.book, 1.0), {"bad": "probation", "good": "probation"}
+        )
+        self.assertEqual(standings(self.book, SUSPECTED_S), {})
+
+    def test_a_crash_while_it_ran_alone_refuses_for_a_time(self) -> None:
+        self.book.apply(confirmed("c1", "bad", "good"), 0.0)
+        self.book.apply(confirmed("c2", "bad", alone=("bad",)), 5.0)
+        self.assertEqual(standings(self.book, 6.0)["bad"], "refused")
+        self.assertEqual(standings(self.book, 6.0)["good"], "probation")
+        self.assertFalse(self.book.is_refused("bad", 5.0 + REFUSAL_S))
+
+    def test_two_crashes_refuse_copies_that_ran_at_the_same_time(self) -> None:
+        self.book.apply(confirmed("c1", "bad", "good"), 0.0)
+        self.book.apply(confirmed("c2", "bad", "other"), 0.1)
+        self.assertEqual(
+            standings(self.book, 1.0),
+            {"bad": "refused", "good": "probation", "other": "probation"},
+        )
+
+    def test_a_crash_that_many_saw_counts_once(self) -> None:
+        self.book.apply(confirmed("c1", "good"), 0.0)
+        self.book.apply(confirmed("c1", "good"), 0.2)
+        self.assertFalse(self.book.is_refused("good", 1.0))
+
+    def test_unconfirmed_crashes_never_refuse(self) -> None:
+        for number in range(9):
+            record = CrashRecord("suspected", f"r{number}", ("good",), ("good",))
+            self.book.apply(record, float(number))
+        self.assertFalse(self.book.is_refused("good", 9.0))
+
+    def test_an_innocent_request_is_cleared_by_finishing(self) -> None:
+        self.book.apply(confirmed("c1", "good"), 0.0)
+        self.book.apply(CrashRecord("cleared", "", ("good",)), 1.0)
+        self.assertEqual(standings(self.book, 2.0), {})
+        self.book.apply(confirmed("c2", "good"), 3.0)
+        self.assertFalse(self.book.is_refused("good", 4.0))
+
+    def test_finishing_elsewhere_does_not_clear_a_refused_request(self) -> None:
+        self.book.apply(confirmed("c1", "bad", alone=("bad",)), 0.0)
+        self.book.apply(CrashRecord("cleared", "", ("bad",)), 1.0)
+        self.assertTrue(self.book.is_refused("bad", 2.0))
+
+    def test_old_crashes_are_forgotten(self) -> None:
+        self.book.apply(confirmed("c1", "good"), 0.0)
+        self.book.apply(confirmed("c2", "good"), PROBATION_S + 1.0)
+        self.assertFalse(self.book.is_refused("good", PROBATION_S + 2.0))
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(repeats=st.lists(st.integers(0, 3), max_size=20))
+    def test_repeated_records_change_no_standing(self, repeats: list[int]) -> None:
+        records = (
+            CrashRecord("suspected", "r", ("a", "b", "c")),
+            confirmed("c1", "a", "b"),
+            confirmed("c2", "b", "c", alone=("b",)),
+            CrashRecord("suspected", "r2", ("c",)),
+        )
+        for record in records:
+            self.book.apply(record, 0.0)
+        before = standings(self.book, 1.0)
+        for index in repeats:
+            self.book.apply(records[index], 0.0)
+        self.assertEqual(standings(self.book, 1.0), before)
+
+
+class PermitsTests(unittest.TestCase):
+    def test_one_run_at_a_time(self) -> None:
+        permits = Permits()
+        self.assertEqual(permits.ask("bad", 0.0), 0.0)
+        self.assertEqual(permits.ask("bad", 20.0), PERMIT_S - 20.0)
+        self.assertEqual(permits.ask("other", 20.0), 0.0)
+        permits.end("bad")
+        self.assertEqual(permits.ask("bad", 21.0), 0.0)
+        self.assertEqual(permits.ask("bad", 22.0 + PERMIT_S), 0.0)
