Limits: draw anew after a grant ended, and a smaller owner pool

Cause of wrongful refusals in calm traffic: a holder forgets a grant of which all is spent or returned, while the entry daemon went on drawing under its name and got nothing until it expired. It now parts from a grant that the answer does not name. Ruled out: too little burst (floor pools were full) and the wait for a draw. Closing no longer draws tokens ahead.

The part is 0.2.

--- a/src/_pistachiopond/decisions/grants.py
+++ b/src/_pistachiopond/decisions/grants.py
@@ -101,6 +101,7 @@
         self._waiting: dict[str, float] = {}
         self._debts: dict[str, float] = {}
         self._demand = DemandRate()
+        self._is_closing = False
 
     def set_sources(self, view: LimitsView) -> None:
         """Take over where pools are; grants of a pool outlive a change of holder."""
@@ -191,6 +192,17 @@
             if hold is not None and hold.grant_id == grant.grant_id:
                 hold.take_in(grant.granted_tokens, pool.sent_s + answer.lifetime_s)
                 _note_shortness(pool, grant, now_s)
+        self._part_from_ended(pool, planned.draw, answer)
+
+    def _part_from_ended(self, pool: _Pool, draw: Draw, answer: DrawAnswer) -> None:
+        """Draw no more on grants that the holder does not know any longer."""
+        known = {grant.grant_id for grant in answer.grants}
+        for want in draw.wants:
+            hold = pool.holds.get(want.customer)
+            if hold is None or hold.grant_id != want.grant_id:
+                continue
+            if want.grant_id not in known or want.hold_tokens <= 0.0:
+                self._older_holds.append(pool.holds.pop(want.customer))
 
     def on_failure(self, planned: PlannedDraw, now_s: float) -> None:
         """Leave a pool alone for a moment that did not answer or is not held."""
@@ -201,7 +213,8 @@
         pool.down_until_s = now_s + SOURCE_DOWN_S
 
     def give_back(self) -> None:
-        """Mark everything unspent as returned, for a graceful shutdown."""
+        """Return everything unspent and wish for no more, for a graceful shutdown."""
+        self._is_closing = True
         for pool in self._pools.values():
             pool.sent_s = float("-inf")
             for hold in pool.holds.values():
@@ -243,6 +256,8 @@
     def _wishes(self, now_s: float) -> dict[str, dict[str, float]]:
         """Return by pool and customer what is to be held beyond the present."""
         wishes: dict[str, dict[str, float]] = {}
+        if self._is_closing:
+            return wishes
         held_of = {name for pool in self._pools.values() for name in pool.holds}
         for customer in held_of | self._demand.customers() | set(self._waiting):
             waiting = self._waiting.get(customer, 0.0)
--- a/src/_pistachiopond/decisions/limits.py
+++ b/src/_pistachiopond/decisions/limits.py
@@ -10,7 +10,7 @@
 
 from _pistachiopond.schema.manifest import Customer, Manifest
 
-OWNER_SHARE: Final = 0.5
+OWNER_SHARE: Final = 0.2
 GRANT_LIFETIME_S: Final = 10.0
 CLOCK_RATE_ERROR: Final = 0.001
 OUTSTANDING_SHARE: Final = 0.8
