--- a/src/_pistachiopond/control/program.py
+++ b/src/_pistachiopond/control/program.py
@@ -12,11 +12,13 @@
 from cyclopts import App
 from prometheus_client import start_http_server
 
+from _pistachiopond.control.calls import make_calls_service
 from _pistachiopond.control.configuration import (
     ConfigFollower,
     as_configuration,
     make_follower_service,
 )
+from _pistachiopond.control.crashes import make_crashes_service
 from _pistachiopond.control.demand import make_demand_service
 from _pistachiopond.control.engines import make_engines_service
 from _pistachiopond.control.exchange import Exchange
@@ -119,7 +121,9 @@
             "ownership", lambda kernel: as_ownership(kernel.find("shards", Shards))
         ),
         make_limits_service(timer, settings.data_centre, settings.shard_count),
+        make_calls_service(timer, settings.listen_address),
         make_engines_service(timer),
+        make_crashes_service(timer, settings.listen_address),
         make_demand_service(me, timer),
         make_orders_service(me, timer),
         make_views_service(timer),
