--- a/src/_pistachiopond/control/program.py
+++ b/src/_pistachiopond/control/program.py
@@ -20,6 +20,7 @@
 )
 from _pistachiopond.control.crashes import make_crashes_service
 from _pistachiopond.control.demand import make_demand_service
+from _pistachiopond.control.engine_feed import make_engine_feed_service
 from _pistachiopond.control.engines import make_engines_service
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.identity import make_identity
@@ -121,9 +122,10 @@
             "ownership", lambda kernel: as_ownership(kernel.find("shards", Shards))
         ),
         make_limits_service(timer, settings.data_centre, settings.shard_count),
-        make_calls_service(timer, settings.listen_address),
+        make_calls_service(timer, me.address),
         make_engines_service(timer),
-        make_crashes_service(timer, settings.listen_address),
+        make_crashes_service(timer, me.address),
+        make_engine_feed_service(me, timer),
         make_demand_service(me, timer),
         make_orders_service(me, timer),
         make_views_service(timer),
--- a/src/_pistachiopond/entry/attempts.py
+++ b/src/_pistachiopond/entry/attempts.py
@@ -81,6 +81,8 @@
         What the server asked for.
     can_resume : bool
         Whether a new connection to the same server may go on from here.
+    has_lost_model : bool
+        Whether the server does not serve the model, as after a restart.
     """
 
     def __init__(
@@ -90,20 +92,14 @@
         retry_after_s: float | None = None,
         *,
         can_resume: bool = False,
+        has_lost_model: bool = False,
     ) -> None:
         super().__init__(f"{kind}, {verdict.value}")
         self.verdict = verdict
         self.kind: FailureKind = kind
         self.retry_after_s = retry_after_s
         self.can_resume = can_resume
-
-
-def make_http_client() -> httpx.AsyncClient:
-    """Return the client for backend servers; it keeps no idle connection."""
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
-    return httpx.AsyncClient(
-        limits=limits, trust_env=False, follow_redirects=False, timeout=None
-    )
+        self.has_lost_model = has_lost_model
 
 
 def own_headers(attempt: Attempt) -> dict[str, str]:
