Limits: running requests say what they used, near pools first, draw far ahead

It now notes the prompt and what was generated. Draws go to the near floor pool first, 3 s ahead of demand, and 0.5 s ahead while a third of the pools is short.

--- a/src/_pistachiopond/control/limits.py
+++ b/src/_pistachiopond/control/limits.py
@@ -1,12 +1,17 @@
 """The service ``limits`` of a control daemon: grants tokens of the pools it holds."""
 
-from collections.abc import Awaitable, Callable
-from typing import Any, Final, NamedTuple, final
+from collections.abc import Callable
+from typing import Any, Final, final
 
 from anyio.abc import TaskStatus
 from prometheus_client import Counter
 
-from _pistachiopond.control.ports import Configuration, Holding, Ownership
+from _pistachiopond.control.ports import (
+    Configuration,
+    DrawHandler,
+    Holding,
+    Ownership,
+)
 from _pistachiopond.decisions.limits import (
     data_centres,
     floor_pool,
@@ -26,21 +31,6 @@
 )
 
 
-class LimitsApi(NamedTuple):
-    """The service ``limits`` of a control daemon.
-
-    Attributes
-    ----------
-    handle_draw : callable
-        Answers a draw; names the holder where it is another daemon.
-    view : callable
-        Where an entry daemon in this data centre may draw, the best first.
-    """
-
-    handle_draw: Callable[[pond_pb2.DrawRequest], Awaitable[pond_pb2.DrawReply]]
-    view: Callable[[], LimitsView]
-
-
 @final
 class _Held:
     """A pool in this daemon's hands, with the revision it was configured by."""
@@ -102,7 +92,7 @@
                 revision.manifest, data_centre, shard_count, ownership.holder_address
             )
 
-        task_status.started(LimitsApi(handle_draw, view))
+        task_status.started(DrawHandler(handle_draw, view))
         await kernel.stop_event("limits").wait()
 
     return Service("limits", run)
@@ -116,16 +106,16 @@
 ) -> LimitsView:
     """Return all pools with a known holder, the best first.
 
-    Owner pools come first, then this data centre's floor pool. The other floor
-    pools follow in a different order for each data centre, so that not all turn to
-    the same one.
+    This data centre's floor pool comes first: it is near, and fewer daemons draw
+    from it than from an owner pool. Then come the owner pools, then the other floor
+    pools, in a different order for each data centre.
     """
     centres = data_centres(manifest)
     start = centres.index(data_centre) if data_centre in centres else 0
     floors = [floor_pool(name) for name in centres[start:] + centres[:start]]
     owners = [name for name in pool_names(manifest, shard_count) if name not in floors]
     sources = []
-    for pool in (*owners, *floors):
+    for pool in (*floors[:1], *owners, *floors[1:]):
         address = holder_address(pool)
         customers = tuple(pool_limits(manifest, pool, shard_count))
         if address and customers:
--- a/src/_pistachiopond/decisions/grants.py
+++ b/src/_pistachiopond/decisions/grants.py
@@ -4,7 +4,6 @@
 sent, so that the holder of the pool always counts them for longer than that.
 """
 
-from collections.abc import Iterable
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.holds import (
@@ -12,18 +11,24 @@
     Hold,
     Part,
     settle_parts,
+    spend_parts,
     take_parts,
 )
 from _pistachiopond.decisions.pools import Draw, DrawAnswer, DrawWant, GrantedTotal
 from _pistachiopond.schema.limits import LimitsView, PoolSource
 
-DRAW_PERIOD_S: Final = 1.0
+DRAW_PERIOD_S: Final = 2.0
 DRAW_TIMEOUT_S: Final = 0.5
 RENEW_BEFORE_S: Final = 5.0
 SOURCE_DOWN_S: Final = 1.0
 SHORT_LIMIT_S: Final = 0.5
-AHEAD_S: Final = 1.0
+SCARCE_PERIOD_S: Final = 0.5
+AHEAD_S: Final = 3.0
+SCARCE_AHEAD_S: Final = 0.5
+SCARCE_MEMORY_S: Final = 10.0
+SCARCE_SHARE: Final = 0.3
 SURPLUS_FACTOR: Final = 2.0
+LEAST_NOTE_TOKENS: Final = 16.0
 
 
 class PlannedDraw(NamedTuple):
@@ -60,6 +65,12 @@
     is_reachable: bool
 
 
+class _Reserved(NamedTuple):
+    customer: str
+    parts: tuple[Part, ...]
+    noted_tokens: float
+
+
 @final
 class _Pool:
     def __init__(self, source: PoolSource) -> None:
@@ -97,10 +108,11 @@
         self._pools: dict[str, _Pool] = {}
         self._older_holds: list[Hold] = []
         self._next_id = 1
-        self._reserved: dict[int, tuple[str, tuple[Part, ...]]] = {}
+        self._reserved: dict[int, _Reserved] = {}
         self._waiting: dict[str, float] = {}
         self._debts: dict[str, float] = {}
         self._demand = DemandRate()
+        self._scarce_until_s: dict[str, float] = {}
         self._is_closing = False
 
     def set_sources(self, view: LimitsView) -> None:
@@ -137,10 +149,10 @@
         if parts is None:
             return self._shortage(customer, tokens + debt, now_s)
         if debt:
-            parts = _pay(parts, self._debts.pop(customer))
+            parts, _ = spend_parts(parts, self._debts.pop(customer))
         self._demand.add(customer, tokens, now_s)
         reservation_id = self._take_id()
-        self._reserved[reservation_id] = (customer, parts)
+        self._reserved[reservation_id] = _Reserved(customer, parts, 0.0)
         return reservation_id
 
     def settle(self, reservation_id: int, used_tokens: float, now_s: float) -> None:
@@ -148,14 +160,30 @@
 
         Usage above the reservation is charged before the customer's next one.
         """
-        entry = self._reserved.pop(reservation_id, None)
-        if entry is None:
+        reserved = self._reserved.pop(reservation_id, None)
+        if reserved is None:
             return
-        customer, parts = entry
-        excess = settle_parts(parts, used_tokens, now_s)
+        left = max(0.0, used_tokens - reserved.noted_tokens)
+        excess = settle_parts(reserved.parts, left, now_s)
         if excess > 0.0:
+            customer = reserved.customer
             self._debts[customer] = self._debts.get(customer, 0.0) + excess
 
+    def note_used(self, reservation_id: int, used_tokens: float) -> None:
+        """Count what a running request has certainly used so far.
+
+        What may still come back of a reservation keeps the customer's bucket from
+        filling, so a long answer should not hold all of it until its end.
+        """
+        reserved = self._reserved.get(reservation_id)
+        if reserved is None:
+            return
+        if used_tokens < reserved.noted_tokens + LEAST_NOTE_TOKENS:
+            return
+        parts, spent = spend_parts(reserved.parts, used_tokens - reserved.noted_tokens)
+        noted = reserved.noted_tokens + spent
+        self._reserved[reservation_id] = _Reserved(reserved.customer, parts, noted)
+
     def set_waiting(self, customer: str, tokens: float) -> None:
         """Say how many tokens requests are waiting for at this moment."""
         if tokens > 0.0:
@@ -261,9 +289,12 @@
         held_of = {name for pool in self._pools.values() for name in pool.holds}
         for customer in held_of | self._demand.customers() | set(self._waiting):
             waiting = self._waiting.get(customer, 0.0)
-            ahead = self._demand.per_s(customer, now_s) * AHEAD_S
+            is_scarce = self._is_scarce(customer, now_s)
+            ahead_s = SCARCE_AHEAD_S if is_scarce else AHEAD_S
+            ahead = self._demand.per_s(customer, now_s) * ahead_s
             wanted = waiting + ahead + self._debts.get(customer, 0.0)
             held = self.held_tokens(customer, now_s)
+            self._note_scarcity(customer, now_s)
             pool = self._best_pool(customer, now_s)
             if pool is None:
                 continue
@@ -273,6 +304,16 @@
                 self._give_back_surplus(customer, held - wanted, now_s)
         return wishes
 
+    def _note_scarcity(self, customer: str, now_s: float) -> None:
+        """Remember that many pools are short: hold little and report spending soon."""
+        pools = [p for p in self._pools.values() if customer in p.source.customers]
+        short = sum(1 for pool in pools if not pool.has_more(customer, now_s))
+        if short and short >= SCARCE_SHARE * len(pools):
+            self._scarce_until_s[customer] = now_s + SCARCE_MEMORY_S
+
+    def _is_scarce(self, customer: str, now_s: float) -> bool:
+        return now_s < self._scarce_until_s.get(customer, float("-inf"))
+
     def _best_pool(self, customer: str, now_s: float) -> _Pool | None:
         usable = (p for p in self._pools.values() if p.has_more(customer, now_s))
         return next(usable, None)
@@ -288,7 +329,9 @@
     def _wants(
         self, pool: _Pool, wishes: dict[str, float], now_s: float
     ) -> tuple[DrawWant, ...]:
-        is_due = now_s >= pool.sent_s + DRAW_PERIOD_S
+        is_scarce = any(self._is_scarce(customer, now_s) for customer in pool.holds)
+        period_s = SCARCE_PERIOD_S if is_scarce else DRAW_PERIOD_S
+        is_due = now_s >= pool.sent_s + period_s
         is_urgent = any(customer in self._waiting for customer in wishes)
         if not (is_due or is_urgent):
             return ()
@@ -327,14 +370,3 @@
     else:
         pool.short_until_s.pop(grant.customer, None)
         pool.retry_at_s.pop(grant.customer, None)
-
-
-def _pay(parts: Iterable[Part], debt: float) -> tuple[Part, ...]:
-    """Count a debt as spent out of what was just taken, and keep the rest."""
-    kept = []
-    for part in parts:
-        paid = min(debt, part.tokens)
-        part.hold.settle(paid, paid)
-        debt -= paid
-        kept.append(part._replace(tokens=part.tokens - paid))
-    return tuple(kept)
--- a/src/_pistachiopond/decisions/holds.py
+++ b/src/_pistachiopond/decisions/holds.py
@@ -106,6 +106,18 @@
     return used_tokens
 
 
+def spend_parts(parts: Iterable[Part], tokens: float) -> tuple[tuple[Part, ...], float]:
+    """Count tokens of a reservation as spent; return what is left and was spent."""
+    kept = []
+    spent = 0.0
+    for hold, reserved in parts:
+        part = min(tokens - spent, reserved)
+        hold.settle(part, part)
+        spent += part
+        kept.append(Part(hold, reserved - part))
+    return tuple(kept), spent
+
+
 class _Rate(NamedTuple):
     per_s: float
     updated_s: float
--- a/src/_pistachiopond/entry/grants.py
+++ b/src/_pistachiopond/entry/grants.py
@@ -82,6 +82,10 @@
         now_s = self._timer.now_s()
         self._book.settle(reservation.reservation_id, used_tokens, now_s)
 
+    def note_used(self, reservation: Reservation, used_tokens: float) -> None:
+        """Count what a running request has used so far."""
+        self._book.note_used(reservation.reservation_id, used_tokens)
+
     async def on_tick(self, now_s: float) -> None:
         """Send the draws that are due, and let waiting requests look again."""
         self._pump()
@@ -172,7 +176,7 @@
         async with anyio.create_task_group() as group:
             desk.start(group)
             group.start_soon(every, timer, TICK_S, desk.on_tick)
-            task_status.started(Limits(desk.reserve, desk.settle))
+            task_status.started(Limits(desk.reserve, desk.settle, desk.note_used))
             await kernel.stop_event("limits").wait()
             await desk.give_back()
             group.cancel_scope.cancel()
--- a/src/_pistachiopond/entry/handler.py
+++ b/src/_pistachiopond/entry/handler.py
@@ -192,7 +192,7 @@
             if _is_keyed(admitted, work):
                 await _run_keyed(call, admitted, work, exchange)
             else:
-                await _run(call, exchange)
+                await _run(call, exchange, reserved.ok())
         finally:
             _leave(call, exchange, reserved.ok())
     finally:
@@ -230,7 +230,9 @@
     call.parts.record_arrival(arrival)
 
 
-async def _run(call: _Call, exchange: Exchange) -> None:
+async def _run(
+    call: _Call, exchange: Exchange, reservation: Reservation | None
+) -> None:
     call.parts.dispatch.submit(exchange)
     first_output_s: float | None = None
     async for part in exchange.parts:
@@ -239,6 +241,9 @@
             continue
         before_s = call.link.written_s
         await call.link.write(part.data)
+        if reservation is not None:
+            used = exchange.facts.prompt_tokens + exchange.generated_tokens
+            call.parts.limits.note_used(reservation, used)
         now_s = call.link.written_s or 0.0
         if first_output_s is None:
             first_output_s = now_s - call.arrived_s
--- a/src/_pistachiopond/entry/ports.py
+++ b/src/_pistachiopond/entry/ports.py
@@ -60,12 +60,17 @@
 
 Reserve = Callable[[str, float], Awaitable[Result[Reservation, Failure]]]
 Settle = Callable[[Reservation, float], None]
+NoteUsed = Callable[[Reservation, float], None]
 ClaimCall = Callable[
     [str, str, str, str], Awaitable[Result[CallClaim | KeptAnswer, Failure]]
 ]
 FinishCall = Callable[[CallClaim, CallOutcome], Awaitable[None]]
 
 
+def _note_nothing(reservation: Reservation, used_tokens: float) -> None:
+    """Leave all usage to the settlement."""
+
+
 class Limits(NamedTuple):
     """The service ``limits`` of an entry daemon.
 
@@ -75,10 +80,14 @@
         ``reserve(customer, tokens)``; a failure is always ``NOT_RUN``.
     settle : callable
         ``settle(reservation, used_tokens)``; exactly once for each reservation.
+    note_used : callable
+        ``note_used(reservation, used_tokens)`` while the request runs, with the total
+        that it has certainly used so far; frees what is kept for a refund.
     """
 
     reserve: Reserve
     settle: Settle
+    note_used: NoteUsed = _note_nothing
 
 
 class Calls(NamedTuple):
--- a/testing/decisions/test_grants.py
+++ b/testing/decisions/test_grants.py
@@ -115,19 +115,30 @@
         assert isinstance(outcome, Shortage)
         self.assertFalse(outcome.is_reachable)
 
+    def left_tokens(self) -> float:
+        """Return what has not been spent, once everybody has said so."""
+        self.book.give_back()
+        self.exchange()
+        tokens = [pool.tokens("kea", self.now_s) for pool in self.pools.values()]
+        return sum(level + outstanding for level, outstanding in tokens)
+
     def test_usage_above_the_reservation_is_charged_afterwards(self) -> None:
         number = self.must_reserve(10.0)
         self.book.settle(number, 25.0, self.now_s)
         self.must_reserve(10.0)
-        self.now_s += 1.5
-        self.exchange()
-        left = sum(
-            level + outstanding
-            for level, outstanding in (
-                pool.tokens("kea", self.now_s) for pool in self.pools.values()
-            )
-        )
-        self.assertLess(left, 100.0 - 25.0 + 15.0 + 1e-6)
+        self.assertAlmostEqual(self.left_tokens(), 100.0 - 25.0)
+
+    def test_what_a_running_request_has_used_is_spent_once(self) -> None:
+        number = self.must_reserve(60.0)
+        self.book.note_used(number, 20.0)
+        self.book.note_used(number, 40.0)
+        self.book.note_used(number, 30.0)
+        outstanding = 60.0 - 40.0
+        self.assertAlmostEqual(self.left_tokens(), 100.0 - 40.0)
+        held = [pool.tokens("kea", self.now_s)[1] for pool in self.pools.values()]
+        self.assertAlmostEqual(sum(held), outstanding)
+        self.book.settle(number, 45.0, self.now_s)
+        self.assertAlmostEqual(self.left_tokens(), 100.0 - 45.0)
 
     def test_giving_back_leaves_nothing_outstanding(self) -> None:
         number = self.must_reserve(20.0)
--- a/testing/decisions/test_limits_promise.py
+++ b/testing/decisions/test_limits_promise.py
@@ -321,6 +321,14 @@
     def settle(self, share: float, data: st.DataObject) -> None:
         self.settle_one(data.draw(st.integers(0, len(self.open) - 1)), share)
 
+    @precondition(lambda self: self.open)
+    @rule(data=st.data())
+    def note_half_used(self, data: st.DataObject) -> None:
+        """Say that half of a reservation is used; it may then not settle below."""
+        index = data.draw(st.integers(0, len(self.open) - 1))
+        entry, number, _, tokens = self.open[index]
+        self.books[entry].note_used(number, tokens / 2.0)
+
     def settle_one(self, index: int, share: float) -> None:
         entry, number, place, tokens = self.open.pop(index)
         self.books[entry].settle(number, tokens * share, self.entry_clock_s())
--- a/tools/limits_experiment.py
+++ b/tools/limits_experiment.py
@@ -40,6 +40,7 @@
 FAR_S: Final = 0.02
 WARM_UP_S: Final = 10.0
 FAULT_S: Final = 20.0
+FIRST_TOKEN_S: Final = 0.3
 LEASE_S: Final = 10.0
 LONG_HELD_S: Final = 1000.0
 
@@ -54,6 +55,7 @@
     load: float
     burst_s: float
     owner_share: float
+    notes: bool = True
 
 
 class Request(NamedTuple):
@@ -147,8 +149,8 @@
         mine = self.centres[daemon]
         names = list(CENTRES)
         start = names.index(mine)
-        pools = [owner_pool(0)]
-        pools += [floor_pool(c) for c in names[start:] + names[:start]]
+        floors = [floor_pool(c) for c in names[start:] + names[:start]]
+        pools = [floors[0], owner_pool(0), *floors[1:]]
         sources = (PoolSource(p, p, CUSTOMERS, p != owner_pool(0)) for p in pools)
         book.set_sources(LimitsView(tuple(sources)))
         return book
@@ -227,8 +229,23 @@
         took_s = (request.used - 0.5 * MEAN_PROMPT) * BETWEEN_TOKENS_S
         end_s = self.now_s + max(0.2, min(512 * BETWEEN_TOKENS_S, took_s))
         self.at(end_s, lambda: book.settle(number, request.used, self.now_s))
+        if self.options.notes:
+            self.plan_notes(book, number, request, end_s)
         return True
 
+    def plan_notes(
+        self, book: GrantBook, number: int, request: Request, end_s: float
+    ) -> None:
+        """Note the prompt at the first token, and what was generated each second."""
+        prompt = request.reserve - 512.0
+        start_s = self.now_s
+        at_s = start_s + FIRST_TOKEN_S
+        while at_s < end_s:
+            done = (at_s - start_s) / (end_s - start_s)
+            used = prompt + done * (request.used - prompt)
+            self.at(at_s, lambda used=used: book.note_used(number, used))
+            at_s += 1.0
+
     def look_again(self, daemon: int) -> None:
         """Let waiting requests try, refuse late ones, and send draws."""
         waiting = []
@@ -356,6 +373,7 @@
     parser.add_argument("--load", type=float, default=0.8)
     parser.add_argument("--burst", type=float, default=30.0)
     parser.add_argument("--owner-share", type=float, default=OWNER_SHARE)
+    parser.add_argument("--no-notes", action="store_true")
     given = parser.parse_args()
     print(
         "   n scenario     within      ours     worst    static   perfect "
@@ -370,6 +388,7 @@
             given.load,
             given.burst,
             given.owner_share,
+            not given.no_notes,
         )
         print(report(options), flush=True)
 
