--- a/src/_pistachiopond/control/crashes.py
+++ b/src/_pistachiopond/control/crashes.py
@@ -66,6 +66,8 @@
             )
             self._add(record, now_s)
             self._unconfirmed.append(_Unconfirmed(report, now_s))
+        # Each moment in which other daemons do not know may cost a server.
+        await self.flush()
 
     def clear(self, fingerprint: str) -> None:
         """Record that a suspect ran to its end."""
