Retries end 10 s after the request's arrival

Cause: a lone server that is gone is ejected for longer with each failure (5, 10, 20 s ...), and a request waits for each readmission. Ruled out: back-off between attempts (at most 1 s each). Change: no attempt later than 10 s after arrival; the answer then is not run, with when to come back.

--- a/src/_pistachiopond/decisions/dispatch.py
+++ b/src/_pistachiopond/decisions/dispatch.py
@@ -292,6 +292,7 @@
             customer=facts.customer,
             idempotent=facts.idempotent,
             verdict=request.verdict,
+            waited_s=now_s - request.arrived_s,
         )
         if self._is_stopping or not answer.is_allowed:
             return refusals.attempts_failed(
--- a/src/_pistachiopond/decisions/refusals.py
+++ b/src/_pistachiopond/decisions/refusals.py
@@ -12,6 +12,7 @@
     "output_began": "the answer broke off after it began; send the request again",
     "may_have_run": "the request may have run and must not run twice; check its effect",
     "attempts_used": "several backend servers failed; send the request again later",
+    "time_used": "no backend server answered in time; send the request again later",
     "budget_used": "too many retries are being made now; send the request again later",
     "stopping": "this process is stopping; send the request again",
 }
--- a/src/_pistachiopond/decisions/retry.py
+++ b/src/_pistachiopond/decisions/retry.py
@@ -14,6 +14,7 @@
 
 MAX_ATTEMPTS: Final = 4
 MAX_ATTEMPTS_NOT_RUN: Final = 8
+RETRY_WINDOW_S: Final = 10.0
 RETRY_RATIO: Final = 0.1
 CUSTOMER_RESERVE: Final = 10.0
 PROCESS_RESERVE: Final = 30.0
@@ -62,6 +63,7 @@
     customer: str,
     idempotent: bool,
     verdict: Verdict,
+    waited_s: float,
 ) -> RetryAnswer:
     """Return whether the request may be attempted again.
 
@@ -77,11 +79,16 @@
         Whether the request may run more than once.
     verdict : Verdict
         The combination over all attempts so far.
+    waited_s : float
+        How long ago the request arrived. Each failure ejects a lone server for
+        longer, so without a bound in time a caller would wait for minutes.
     """
     if event.output_began:
         return RetryAnswer(False, reason="output_began")
     if not may_retry(verdict, idempotent=idempotent):
         return RetryAnswer(False, reason="may_have_run")
+    if waited_s >= RETRY_WINDOW_S:
+        return RetryAnswer(False, reason="time_used")
     most = MAX_ATTEMPTS_NOT_RUN if verdict is Verdict.NOT_RUN else MAX_ATTEMPTS
     if event.attempt >= most:
         return RetryAnswer(False, reason="attempts_used")
--- a/testing/decisions/test_retry.py
+++ b/testing/decisions/test_retry.py
@@ -30,6 +30,7 @@
                 customer="c",
                 idempotent=False,
                 verdict=verdict,
+                waited_s=0.0,
             )
             self.assertEqual(answer.is_allowed, verdict is Verdict.NOT_RUN)
 
@@ -59,9 +60,24 @@
                     customer="c",
                     idempotent=True,
                     verdict=verdict,
+                    waited_s=0.0,
                 )
                 for attempt in range(1, 12)
             ]
             allowed[verdict] = sum(answer.is_allowed for answer in answers)
         self.assertEqual(allowed[Verdict.NOT_RUN], 7)
         self.assertEqual(allowed[Verdict.MAY_HAVE_RUN], 3)
+
+    def test_attempts_end_in_time_too(self) -> None:
+        answers = [
+            decide_retry(
+                RetryBudgets(),
+                make_event(Verdict.NOT_RUN, attempt=2),
+                customer="c",
+                idempotent=True,
+                verdict=Verdict.NOT_RUN,
+                waited_s=waited_s,
+            )
+            for waited_s in (9.9, 10.0)
+        ]
+        self.assertEqual([a.is_allowed for a in answers], [True, False])
