--- a/src/_pistachiopond/decisions/retry.py
+++ b/src/_pistachiopond/decisions/retry.py
@@ -13,7 +13,6 @@
 from _pistachiopond.schema.verdict import Verdict, may_retry
 
 MAX_ATTEMPTS: Final = 4
-MAX_ATTEMPTS_NOT_RUN: Final = 8
 RETRY_RATIO: Final = 0.1
 CUSTOMER_RESERVE: Final = 10.0
 PROCESS_RESERVE: Final = 30.0
@@ -82,8 +81,7 @@
         return RetryAnswer(False, reason="output_began")
     if not may_retry(verdict, idempotent=idempotent):
         return RetryAnswer(False, reason="may_have_run")
-    most = MAX_ATTEMPTS_NOT_RUN if verdict is Verdict.NOT_RUN else MAX_ATTEMPTS
-    if event.attempt >= most:
+    if event.attempt >= MAX_ATTEMPTS:
         return RetryAnswer(False, reason="attempts_used")
     cost = NOT_RUN_COST if event.verdict is Verdict.NOT_RUN else 1.0
     if not budgets.spend(customer, cost):
