--- a/src/_pistachiopond/decisions/retry.py
+++ b/src/_pistachiopond/decisions/retry.py
@@ -13,7 +13,6 @@
 from _pistachiopond.schema.verdict import Verdict, may_retry
 
 MAX_ATTEMPTS: Final = 4
-MAX_ATTEMPTS_NOT_RUN: Final = 8
 RETRY_WINDOW_S: Final = 10.0
 RETRY_RATIO: Final = 0.1
 CUSTOMER_RESERVE: Final = 10.0
@@ -81,7 +80,7 @@
         The combination over all attempts so far.
     waited_s : float
         How long ago the request arrived. Each failure ejects a lone server for
-        longer, so without a bound in time a caller would wait for minutes.
+        longer, so without a bound in time a caller would wait for long.
     """
     if event.output_began:
         return RetryAnswer(False, reason="output_began")
@@ -89,8 +88,7 @@
         return RetryAnswer(False, reason="may_have_run")
     if waited_s >= RETRY_WINDOW_S:
         return RetryAnswer(False, reason="time_used")
-    most = MAX_ATTEMPTS_NOT_RUN if verdict is Verdict.NOT_RUN else MAX_ATTEMPTS
-    if event.attempt >= most:
+    if event.attempt >= MAX_ATTEMPTS:
         return RetryAnswer(False, reason="attempts_used")
     cost = NOT_RUN_COST if event.verdict is Verdict.NOT_RUN else 1.0
     if not budgets.spend(customer, cost):
