--- a/src/_pistachiopond/control/orders.py
+++ b/src/_pistachiopond/control/orders.py
@@ -43,7 +43,7 @@
 )
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.kernel.timer import Timer
-from _pistachiopond.observe.logs import log_change
+from _pistachiopond.observe.logs import log_change, log_trouble
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.heartbeat import DrainedReplica
 from _pistachiopond.schema.manifest import Manifest
@@ -58,6 +58,7 @@
 
 ORDERS: Final = Counter("pond_orders", "Orders begun", ["verb"])
 ANSWERS: Final = Counter("pond_order_answers", "How exchanges ended", ["kind"])
+PLAN_FAILURES: Final = Counter("pond_plan_failures", "Plans that raised an error")
 UNPLACED: Final = Gauge("pond_models_unplaced", "Listed models without a place")
 UNSETTLED: Final = Gauge("pond_intents_unsettled", "Orders that may be in effect")
 
@@ -90,6 +91,7 @@
         self._settled_s: dict[tuple[str, int], float] = {}
         self.unplaced: tuple[str, ...] = ()
         self.is_stopping = False
+        self._has_failed = False
 
     # -- the loop ----------------------------------------------------------------
 
@@ -111,7 +113,7 @@
             self._settle_foreign(group, revision.manifest, held, now_s)
             if now_s - self._planned_s >= PLAN_PERIOD_S:
                 self._planned_s = now_s
-                self._plan(revision.manifest, held, now_s)
+                self._plan_safely(revision.manifest, held, now_s)
         pending = self._book.pending()
         self._engines.hurry(frozenset(item.order.server for item in pending))
         for action in self._book.next_actions(self._shard.held(), now_s):
@@ -213,6 +215,19 @@
 
     # -- planning ----------------------------------------------------------------
 
+    def _plan_safely(self, manifest: Manifest, held: Held, now_s: float) -> None:
+        # All daemons plan by the same code: a manifest that it fails on would take
+        # down one holder after another, and views and limits with them.
+        try:
+            self._plan(manifest, held, now_s)
+        except Exception as error:
+            PLAN_FAILURES.inc()
+            if not self._has_failed:
+                log_trouble("planning failed; engines stay as they are", error=error)
+            self._has_failed = True
+        else:
+            self._has_failed = False
+
     def _plan(self, manifest: Manifest, held: Held, now_s: float) -> None:
         facts = self._facts(manifest, held, now_s)
         if not self._has_first_reports(facts, held, now_s):
