--- a/testing/live/run.py
+++ b/testing/live/run.py
@@ -28,6 +28,7 @@
     one_vm_cut_off,
     snapshot_and_tail,
 )
+from testing.live.proofs_once import keyed_calls
 
 Proof = Callable[[float], Awaitable[Row]]
 DURATION_S: Final = 20.0
@@ -39,6 +40,7 @@
     "log-outage": (log_outage, OUTAGE_S),
     "conflict": (conflicting_manifests, DURATION_S),
     "replace-vms": (replace_all_vms, DURATION_S),
+    "keyed-calls": (keyed_calls, DURATION_S),
     "greedy-tenant": (greedy_tenant, DURATION_S * 2),
     "one-vm-cut-off": (one_vm_cut_off, DURATION_S * 2),
     "all-vms-killed": (all_vms_killed, DURATION_S / 2),
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import Any, Final
 
@@ -21,6 +22,7 @@
 REQUEST_TIMEOUT_S: Final = 60.0
 PUBLISH_WAIT_S: Final = 30.0
 MAX_TOKENS: Final = 24
+OUTCOME_RECORDED_S: Final = 2.0
 
 
 def main() -> None:
@@ -115,6 +117,7 @@
     prefix = next(r.path_prefix for r in manifest.routes if r.kind == "plain")
     headers = {"idempotency-key": "demo-1"}
     first = http.post(f"{url}{prefix}42", json={"confirm": True}, headers=headers)
+    time.sleep(OUTCOME_RECORDED_S)
     again = http.post(f"{url}{prefix}42", json={"confirm": True}, headers=headers)
     say(f"VM 2 posts to {prefix}42 twice with one Idempotency-Key:")
     print(f"    {first.status_code} {first.text}")
