--- a/src/_pistachiopond/decisions/grants.py
+++ b/src/_pistachiopond/decisions/grants.py
@@ -17,13 +17,13 @@
 from _pistachiopond.decisions.pools import Draw, DrawAnswer, DrawWant, GrantedTotal
 from _pistachiopond.schema.limits import LimitsView, PoolSource
 
-DRAW_PERIOD_S: Final = 2.0
+DRAW_PERIOD_S: Final = 4.0
 DRAW_TIMEOUT_S: Final = 0.5
 RENEW_BEFORE_S: Final = 5.0
 SOURCE_DOWN_S: Final = 1.0
 SHORT_LIMIT_S: Final = 0.5
 SCARCE_PERIOD_S: Final = 0.5
-AHEAD_S: Final = 3.0
+AHEAD_S: Final = 4.0
 SCARCE_AHEAD_S: Final = 0.5
 SCARCE_MEMORY_S: Final = 10.0
 SCARCE_SHARE: Final = 0.3
--- a/testing/decisions/test_grants.py
+++ b/testing/decisions/test_grants.py
@@ -115,6 +115,14 @@
         assert isinstance(outcome, Shortage)
         self.assertFalse(outcome.is_reachable)
 
+    def test_a_lost_draw_is_made_up_before_the_grant_expires(self) -> None:
+        number = self.must_reserve(30.0)
+        for _ in range(40):
+            self.now_s += 0.5
+            self.exchange(answered=self.now_s % 8.0 >= 4.0)
+        self.book.settle(number, 0.0, self.now_s)
+        self.assertGreaterEqual(self.book.held_tokens("kea", self.now_s), 30.0)
+
     def left_tokens(self) -> float:
         """Return what has not been spent, once everybody has said so."""
         self.book.give_back()
