--- a/src/_pistachiopond/entry/guards.py
+++ b/src/_pistachiopond/entry/guards.py
@@ -1,23 +1,19 @@
-"""The services that a request must pass before it is dispatched, by gRPC.
-
-Suspects are left to the dispatcher's standings.
-"""
+"""The services that a request must pass before it is dispatched, by gRPC."""
 
 from collections.abc import Callable
 from typing import Any, Final
 
 from anyio.abc import TaskStatus
-from result import Err, Ok, Result
+from result import Err, Result
 
 from _pistachiopond.decisions.grants import DRAW_TIMEOUT_S
 from _pistachiopond.entry.calls import make_calls_service
+from _pistachiopond.entry.crashes import make_crashes_service
 from _pistachiopond.entry.fleet import Fleet
 from _pistachiopond.entry.grants import make_limits_service
-from _pistachiopond.entry.ports import Crashes
 from _pistachiopond.entry.process import EntryProcess
 from _pistachiopond.entry.watch import ControlLink
 from _pistachiopond.kernel.service import Kernel, Service
-from _pistachiopond.schema.verdict import Failure
 from _pistachiopond.transport.channels import call
 from _pistachiopond.transport.generated import pond_pb2, pond_pb2_grpc
 
@@ -29,7 +25,7 @@
     return [
         _make_later("limits", lambda kernel: _limits(process, kernel)),
         _make_later("calls", lambda kernel: _calls(process, kernel)),
-        _make_crashes(),
+        _make_later("crashes", lambda kernel: _crashes(process, kernel)),
     ]
 
 
@@ -73,6 +69,20 @@
     return make_calls_service(process.timer, send_claim, send_finish)
 
 
+def _crashes(process: EntryProcess, kernel: Kernel) -> Service:
+    link = kernel.find("control", ControlLink)
+    fleet = kernel.find("fleet", Fleet)
+
+    async def send(
+        request: pond_pb2.ProbationRequest,
+    ) -> Result[pond_pb2.ProbationReply, str]:
+        return await _ask(link, "Probation", request)
+
+    return make_crashes_service(
+        process.timer, process.entry_id, lambda: fleet.state.suspects, send
+    )
+
+
 async def _ask(link: ControlLink, method: str, request: Any) -> Result[Any, str]:
     """Call the control daemon that is followed now."""
     address = link.address()
@@ -90,14 +100,3 @@
         await make(kernel).run(kernel, task_status)
 
     return Service(name, run)
-
-
-def _make_crashes() -> Service:
-    async def admit(fingerprint: str) -> Result[None, Failure]:
-        return Ok(None)
-
-    async def run(kernel: Kernel, task_status: TaskStatus[Any]) -> None:
-        task_status.started(Crashes(admit, lambda fingerprint: None))
-        await kernel.stop_event("crashes").wait()
-
-    return Service("crashes", run)
