--- a/src/_pistachiopond/control/configuration.py
+++ b/src/_pistachiopond/control/configuration.py
@@ -27,7 +27,7 @@
     PeerStatement,
     decide_freshness,
 )
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.decisions.rendezvous import rank_of
 from _pistachiopond.decisions.stream_reader import Step, StreamReader
 from _pistachiopond.kernel.service import Kernel, Service
--- a/src/_pistachiopond/control/demand.py
+++ b/src/_pistachiopond/control/demand.py
@@ -12,7 +12,7 @@
 
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.ports import Ownership
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.decisions.ownership import server_shard
 from _pistachiopond.kernel.service import Kernel, Service, UnknownServiceError
 from _pistachiopond.kernel.timer import Timer, every
--- a/src/_pistachiopond/control/engine_feed.py
+++ b/src/_pistachiopond/control/engine_feed.py
@@ -15,7 +15,7 @@
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.ports import Membership, Ownership
 from _pistachiopond.decisions.engine_feed import FeedSource, upstream_of
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.kernel.timer import Timer
 from _pistachiopond.schema.codec import from_json, to_json
--- a/src/_pistachiopond/control/identity.py
+++ b/src/_pistachiopond/control/identity.py
@@ -3,7 +3,7 @@
 import secrets
 import time
 
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.schema.settings import ControlSettings
 
 
--- a/src/_pistachiopond/control/membership.py
+++ b/src/_pistachiopond/control/membership.py
@@ -16,7 +16,8 @@
 from _pistachiopond.control.configuration import ConfigFollower
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.ports import LogAccess, Member, Membership
-from _pistachiopond.decisions.membership import Fleet, ListedDaemon
+from _pistachiopond.decisions.member_types import ListedDaemon
+from _pistachiopond.decisions.membership import Fleet
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.kernel.timer import Timer, every
 from _pistachiopond.platform.vmlist import ListedVm, ListVms, make_vm_list
--- a/src/_pistachiopond/control/orders.py
+++ b/src/_pistachiopond/control/orders.py
@@ -22,7 +22,7 @@
 from _pistachiopond.control.ports import Configuration, LogAccess, Membership
 from _pistachiopond.decisions.drains import Drains
 from _pistachiopond.decisions.intents import ForeignInput, judge_foreign
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.decisions.memory import free_mb
 from _pistachiopond.decisions.orders import Announce, BookAction, OrderBook, Send
 from _pistachiopond.decisions.ownership import Held, server_shard
--- a/src/_pistachiopond/control/ownership.py
+++ b/src/_pistachiopond/control/ownership.py
@@ -13,7 +13,7 @@
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.ports import Holding, LogAccess, Membership, Ownership
 from _pistachiopond.decisions.limits import FLOOR_LEASE_S
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.decisions.ownership import (
     CANDIDATES,
     SERVER_SHARDS,
--- a/src/_pistachiopond/control/program.py
+++ b/src/_pistachiopond/control/program.py
@@ -40,7 +40,8 @@
 from _pistachiopond.control.relay import make_relay_service
 from _pistachiopond.control.server import make_server_service
 from _pistachiopond.control.views import make_views_service
-from _pistachiopond.decisions.membership import Fleet, Identity
+from _pistachiopond.decisions.member_types import Identity
+from _pistachiopond.decisions.membership import Fleet
 from _pistachiopond.kernel.service import Kernel, Service, run_services
 from _pistachiopond.kernel.timer import RealTimer
 from _pistachiopond.observe.logs import log_change, set_up_logs
--- a/src/_pistachiopond/control/relay.py
+++ b/src/_pistachiopond/control/relay.py
@@ -10,7 +10,7 @@
 from _pistachiopond.control.configuration import ConfigFollower, RelayedPage
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.ports import LogAccess
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.kernel.timer import Timer, every
 from _pistachiopond.schema.codec import from_json, to_json
--- a/src/_pistachiopond/decisions/config.py
+++ b/src/_pistachiopond/decisions/config.py
@@ -7,7 +7,7 @@
 from typing import Final, Literal, NamedTuple
 
 from _pistachiopond.decisions.manifest_check import find_faults, find_unplaceable
-from _pistachiopond.decisions.stream_reader import Step, StreamFold
+from _pistachiopond.decisions.stream_reader import Step, StreamFold, check_follows
 from _pistachiopond.schema.records import (
     CONFIG_KINDS,
     ConfigState,
@@ -79,11 +79,7 @@
     ValueError
         When records before it have been left out.
     """
-    if offset != state.covers_offset + 1:
-        raise ValueError(
-            f"record {offset} does not follow {state.covers_offset}; "
-            "read the stream without gaps or start from a snapshot"
-        )
+    check_follows(state, offset)
     record = read_record(CONFIG_KINDS, payload)
     state = state._replace(covers_offset=offset)
     if record.is_err():
--- a/src/_pistachiopond/decisions/membership.py
+++ b/src/_pistachiopond/decisions/membership.py
@@ -11,19 +11,17 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple, final
 
-from _pistachiopond.decisions.flapping import Damping, add_change, is_damped
-from _pistachiopond.decisions.rendezvous import ranked, score
+from _pistachiopond.decisions.flapping import add_change, is_damped
+from _pistachiopond.decisions.member_ring import Ring, make_ring
+from _pistachiopond.decisions.member_types import Identity, Known, ListedDaemon
 from _pistachiopond.schema.heartbeat import (
     MAX_PEERS,
     MAX_RUMOURS,
     Heartbeat,
     PeerHint,
     Rumour,
-    Standing,
 )
 
-RING_PEERS: Final = 2
-CENTRE_PEERS: Final = 4
 SUSPECT_AFTER_S: Final = 3.0
 DEAD_AFTER_S: Final = 7.0
 DIRECT_EVIDENCE_S: Final = 3.0
@@ -32,85 +30,11 @@
 DEAD_PROBE_PERIOD_TICKS: Final = 5
 
 
-class Identity(NamedTuple):
-    """One control daemon process."""
-
-    address: str
-    data_centre: str
-    incarnation: str
-
-
-class ListedDaemon(NamedTuple):
-    """A control daemon as the platform lists it."""
-
-    address: str
-    data_centre: str
-    is_leaving: bool
-
-
-class Known(NamedTuple):
-    """What is known of one other daemon.
-
-    Attributes
-    ----------
-    identity : Identity
-        The incarnation is empty until it was heard of.
-    beat : int
-        The highest that was heard.
-    beat_s : float
-        When it last rose, by this daemon's clock.
-    direct_s : float
-        When it last rose in an answer or heartbeat of its own.
-    since_s : float
-        When this incarnation was first heard of.
-    standing : {"alive", "suspected", "dead"}
-        As judged here.
-    is_listed, is_leaving : bool
-        What the platform's list says.
-    probed_since_s : float or None
-        Since when this daemon sends it heartbeats without a rise of its beat.
-    damping : Damping
-        How often it came and went of late.
-    """
-
-    identity: Identity
-    beat: int = 0
-    beat_s: float = 0.0
-    direct_s: float = float("-inf")
-    since_s: float = 0.0
-    standing: Standing = "alive"
-    is_listed: bool = False
-    is_leaving: bool = False
-    probed_since_s: float | None = None
-    damping: Damping = Damping()
-
-
 class _Spread(NamedTuple):
     rumour: Rumour
     sends: int
 
 
-class _Ring(NamedTuple):
-    """The daemons that are not dead, as they stand to this one.
-
-    Attributes
-    ----------
-    order : tuple of str
-        All of them, in the ring's order.
-    following : tuple of str
-        The first few after this one.
-    centres : tuple of tuple of str
-        By data centre.
-    names : frozenset of str
-        The data centres.
-    """
-
-    order: tuple[str, ...]
-    following: tuple[str, ...]
-    centres: tuple[tuple[str, ...], ...]
-    names: frozenset[str]
-
-
 @final
 class Fleet:
     """One daemon's knowledge of all the others."""
@@ -126,7 +50,7 @@
         self._asked_about: set[str] = set()
         self._tick = 0
         self._beat = 0
-        self._ring: _Ring | None = None
+        self._ring: Ring | None = None
         self._probed: set[str] = set()
         self._dead: set[str] = set()
         self._to_check: list[str] = []
@@ -322,31 +246,16 @@
     def _ring_peers(self) -> list[str]:
         return list(self._ring_order().following)
 
-    def _ring_order(self) -> _Ring:
+    def _ring_order(self) -> Ring:
         if self._ring is None:
-            self._ring = self._make_ring()
+            centre_of = {
+                address: known.identity.data_centre
+                for address, known in self._known.items()
+                if address not in self._dead
+            }
+            self._ring = make_ring(self.me.address, centre_of)
         return self._ring
 
-    def _make_ring(self) -> _Ring:
-        living = [item for item in self._known if item not in self._dead]
-        ring = sorted((score("ring", item), item) for item in living)
-        own = (score("ring", self.me.address), self.me.address)
-        after = [item for key, item in ring if (key, item) > own]
-        before = [item for key, item in ring if (key, item) <= own]
-        centres: dict[str, list[str]] = {}
-        for _, address in ring:
-            centre = self._known[address].identity.data_centre
-            centres.setdefault(centre, []).append(address)
-        return _Ring(
-            tuple(item for _, item in ring),
-            tuple((after + before)[:RING_PEERS]),
-            tuple(
-                tuple(ranked(self.me.address, centres[name])[:CENTRE_PEERS])
-                for name in sorted(centres)
-            ),
-            frozenset(centres) - {""},
-        )
-
     def _centre_peer(self) -> str | None:
         centres = self._ring_order().centres
         if not centres:
--- a/src/_pistachiopond/decisions/shard_fold.py
+++ b/src/_pistachiopond/decisions/shard_fold.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from _pistachiopond.decisions.stream_reader import Step, StreamFold
+from _pistachiopond.decisions.stream_reader import Step, StreamFold, check_follows
 from _pistachiopond.schema.records import (
     SHARD_KINDS,
     ClaimRecord,
@@ -41,11 +41,7 @@
     ValueError
         When records before it have been left out.
     """
-    if offset != state.covers_offset + 1:
-        raise ValueError(
-            f"record {offset} does not follow {state.covers_offset}; "
-            "read the stream without gaps or start from a snapshot"
-        )
+    check_follows(state, offset)
     state = state._replace(covers_offset=offset)
     record = read_record(SHARD_KINDS, payload).ok()
     if record is None:
--- a/src/_pistachiopond/decisions/stream_reader.py
+++ b/src/_pistachiopond/decisions/stream_reader.py
@@ -56,6 +56,21 @@
 S = TypeVar("S", bound=Covering)
 
 
+def check_follows(state: Covering, offset: int) -> None:
+    """Raise when the record at `offset` is not the next one after the state.
+
+    Raises
+    ------
+    ValueError
+        When records before it have been left out.
+    """
+    if offset != state.covers_offset + 1:
+        raise ValueError(
+            f"record {offset} does not follow {state.covers_offset}; "
+            "read the stream without gaps or start from a snapshot"
+        )
+
+
 class Step(NamedTuple, Generic[S]):
     """The state after one record, and what became of the record."""
 
--- a/testing/control/test_orders.py
+++ b/testing/control/test_orders.py
@@ -16,7 +16,7 @@
 from _pistachiopond.control.orders import Planner
 from _pistachiopond.control.ownership import Shard, ShardPlace, Shards
 from _pistachiopond.control.ports import Configuration, LogAccess, Membership
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.decisions.ownership import ShardTerms
 from _pistachiopond.kernel.service import Kernel, Service, run_services
 from _pistachiopond.kernel.timer import VirtualTimer
--- a/testing/control/test_server.py
+++ b/testing/control/test_server.py
@@ -13,7 +13,7 @@
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.server import make_server_service
 from _pistachiopond.control.views import make_views_service
-from _pistachiopond.decisions.membership import Identity
+from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.kernel.service import Kernel, Service, run_services
 from _pistachiopond.kernel.timer import RealTimer
 from _pistachiopond.schema.codec import from_json, to_json
--- a/testing/decisions/fleet_network.py
+++ b/testing/decisions/fleet_network.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from typing import final
 
-from _pistachiopond.decisions.membership import Fleet, Identity, ListedDaemon
+from _pistachiopond.decisions.member_types import Identity, ListedDaemon
+from _pistachiopond.decisions.membership import Fleet
 from _pistachiopond.schema.heartbeat import (
     MAX_HINTS,
     Heartbeat,
--- a/testing/decisions/test_membership.py
+++ b/testing/decisions/test_membership.py
@@ -9,12 +9,8 @@
     add_change,
     is_damped,
 )
-from _pistachiopond.decisions.membership import (
-    LIST_GONE_S,
-    Fleet,
-    Identity,
-    ListedDaemon,
-)
+from _pistachiopond.decisions.member_types import Identity, ListedDaemon
+from _pistachiopond.decisions.membership import LIST_GONE_S, Fleet
 from _pistachiopond.schema.heartbeat import (
     MAX_PEERS,
     MAX_RUMOURS,
