--- a/testing/replay/test_simulator.py
+++ b/testing/replay/test_simulator.py
@@ -64,6 +64,12 @@
         )
         self.assertEqual(missed(experiment), [])
 
+    def test_loss_of_a_data_centre_on_another_seed(self) -> None:
+        experiment = Experiment(
+            "fjordmegling", scenario="data_centre_loss", length_s=120.0, seed=3
+        )
+        self.assertEqual(missed(experiment), [])
+
     def test_a_customer_at_eight_times_its_share(self) -> None:
         self.assertEqual(missed_beside_calm("limited"), [])
 
