--- a/src/_pistachiopond/schema/manifest.py
+++ b/src/_pistachiopond/schema/manifest.py
@@ -122,7 +122,7 @@
     rate_tokens_per_s : float
         Over all VMs together.
     burst_tokens : float
-        Over all VMs together; also the largest single request.
+        Over all VMs together; one request may use at most 0.8 of it.
     weight : float
         Share under contention, relative to other customers.
     key_digests : tuple of str
--- a/src/_pistachiopond/schema/settings.py
+++ b/src/_pistachiopond/schema/settings.py
@@ -106,8 +106,7 @@
     peer_tls : TlsFiles or None
         Mutual TLS between our own processes.
     shard_count : int
-        Backend servers and customers are split into this many shards; the same
-        in all VMs.
+        Customers are split into this many shards; the same in all VMs.
     lease_s : float
         How long a shard's owner holds it without renewal.
     """
