Ejected servers are used where there is no other

Cause: a request whose only servers are ejected waited for the end of the ejection, which doubles up to 120 s. Seen: callers of a lone dead server waited about 15 s with 4 attempts and over 60 s with 8; one live proof saw requests held for over 60 s. Ruled out: back-off between attempts; the hold for unreachable models, which does not count a server that is only ejected. Change: with all candidates ejected, they count as usable, without the limit of one probe at a time.

--- a/src/_pistachiopond/decisions/dispatch_servers.py
+++ b/src/_pistachiopond/decisions/dispatch_servers.py
@@ -117,6 +117,10 @@
         """Return the server for the request, or None when none has room now."""
         ready = self.ready(target)
         usable = [s for s in ready if not self.ejector.is_ejected(s, now_s)]
+        # With all of them ejected, an attempt that fails tells the caller sooner
+        # than waiting for the end of an ejection would.
+        is_last_resort = not usable
+        usable = usable or list(ready)
         fresh = [s for s in usable if s not in tried] or usable
 
         urgency = facts.urgency if self._options.urgency_classes else "normal"
@@ -126,7 +130,8 @@
             if target.is_suspect and self.suspects_running.get(server, 0):
                 return False
             load = self.load(server)
-            if self.ejector.is_probing(server) and load.in_flight:
+            is_probing = self.ejector.is_probing(server) and not is_last_resort
+            if is_probing and load.in_flight:
                 return False
             return load.has_room(urgency, now_s, is_over_share=is_over_share)
 
--- a/testing/decisions/test_dispatch.py
+++ b/testing/decisions/test_dispatch.py
@@ -285,3 +285,25 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class LastResortTests(unittest.TestCase):
+    def test_a_request_does_not_wait_for_a_lone_ejected_server(self) -> None:
+        dispatcher = make_ready_dispatcher([make_server("only")])
+        for _ in range(20):
+            dispatcher.servers.ejector.failed("only", "connect", 1.0)
+        self.assertTrue(dispatcher.servers.ejector.is_ejected("only", 1.0))
+        self.assertEqual(len(starts(arrive(dispatcher, make_facts("new"), 1.0))), 1)
+
+    def test_an_ejected_server_is_left_alone_while_another_serves(self) -> None:
+        servers = [make_server(name) for name in ("a", "b", "c")]
+        dispatcher = make_ready_dispatcher(servers)
+        for _ in range(20):
+            dispatcher.servers.ejector.failed("a", "connect", 1.0)
+        self.assertTrue(dispatcher.servers.ejector.is_ejected("a", 1.0))
+        chosen = {
+            start.server
+            for number in range(100, 110)
+            for start in starts(arrive(dispatcher, make_facts(f"r{number}"), 1.1))
+        }
+        self.assertNotIn("a", chosen)
