One replica size, one rendezvous hash, one list of fitting servers

Found by reading the whole change: manifest_check computed a replica's memory beside placement_types.replica_memory_mb; routing had its own copy of rendezvous.score; scaling up repeated choose_server's list of servers with room; and one look at a server's load built a set over all servers. Four names were never used (Candidate, SERVING_STATES, FAULT_PAIRS, SHIFT_FACTOR).

--- a/src/_pistachiopond/decisions/manifest_check.py
+++ b/src/_pistachiopond/decisions/manifest_check.py
@@ -7,14 +7,10 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from _pistachiopond.decisions.placement_types import replica_memory_mb
 from _pistachiopond.schema.manifest import Manifest, Model
 
 
-def model_memory_mb(model: Model) -> int:
-    """Return what one replica takes with all its adapters, in MB."""
-    return model.memory_mb + sum(item.memory_mb for item in model.adapters)
-
-
 def find_faults(manifest: Manifest) -> tuple[str, ...]:
     """Return one line for each contradiction inside the manifest."""
     callable_names = [model.name for model in manifest.models]
@@ -92,25 +88,25 @@
         if server.memory_mb > 0
     }
     wanted = sorted(
-        manifest.models, key=lambda item: (-model_memory_mb(item), item.name)
+        manifest.models, key=lambda item: (-replica_memory_mb(item), item.name)
     )
     misfits = [
-        f"model {model.name!r} needs {model_memory_mb(model)} MB, which no backend "
+        f"model {model.name!r} needs {replica_memory_mb(model)} MB, which no backend "
         "server has left; add memory or remove models"
         for model in wanted
-        if not _pack(model_memory_mb(model), free_mb)
+        if not _pack(replica_memory_mb(model), free_mb)
     ]
     if misfits:
         return tuple(misfits)
     changed = _changed_versions(manifest, previous)
     if not changed:
         return ()
-    largest = max(changed, key=lambda item: (model_memory_mb(item), item.name))
-    if _pack(model_memory_mb(largest), free_mb):
+    largest = max(changed, key=lambda item: (replica_memory_mb(item), item.name))
+    if _pack(replica_memory_mb(largest), free_mb):
         return ()
     return (
         f"model {largest.name!r} changes its version, but no backend server has "
-        f"{model_memory_mb(largest)} MB free to load the new one beside the old; "
+        f"{replica_memory_mb(largest)} MB free to load the new one beside the old; "
         "add memory or remove models first",
     )
 
--- a/src/_pistachiopond/decisions/placement.py
+++ b/src/_pistachiopond/decisions/placement.py
@@ -235,27 +235,24 @@
 
 
 def _coolest_fit(board: Board, model: Model) -> PlacementServer | None:
-    need_mb = replica_memory_mb(model)
-    fitting = [
-        server
-        for server in board.servers.values()
-        if board.free_mb[server.name] >= need_mb and board.can_host(server, model)
-    ]
-    return min(fitting, key=lambda s: (board.utilisation(s.name), s.name), default=None)
+    return min(
+        board.fitting(model),
+        key=lambda s: (board.utilisation(s.name), s.name),
+        default=None,
+    )
 
 
 def _make_room_for_load(board: Board, model: Model) -> bool:
     room = find_room(board, model, is_urgent=False)
-    if room is None or room.server.name in _too_busy(board):
+    if room is None or _is_too_busy(board, room.server):
         return False
     take_room(board, room)
     board.hold_slot()
     return True
 
 
-def _too_busy(board: Board) -> set[str]:
-    limit = board.options.high_utilisation
-    return {name for name in board.servers if board.utilisation(name) > limit}
+def _is_too_busy(board: Board, server: PlacementServer) -> bool:
+    return board.utilisation(server.name) > board.options.high_utilisation
 
 
 def _keep_useful_drains(board: Board) -> None:
--- a/src/_pistachiopond/decisions/placement_board.py
+++ b/src/_pistachiopond/decisions/placement_board.py
@@ -17,8 +17,6 @@
 )
 from _pistachiopond.schema.manifest import Model
 
-SERVING_STATES: Final = ("ready", "loading")
-
 
 @final
 class Board:
@@ -131,6 +129,15 @@
             for replica in self.by_server[server.name]
         )
 
+    def fitting(self, model: Model) -> list[PlacementServer]:
+        """Return the servers that may take the model and have room for it now."""
+        need_mb = replica_memory_mb(model)
+        return [
+            server
+            for server in self.servers.values()
+            if self.free_mb[server.name] >= need_mb and self.can_host(server, model)
+        ]
+
     def plan_load(self, server: PlacementServer, model: Model) -> None:
         """Hold the memory for a replica and ask for the load if a slot is free.
 
--- a/src/_pistachiopond/decisions/placement_room.py
+++ b/src/_pistachiopond/decisions/placement_room.py
@@ -38,12 +38,7 @@
     Failure domains go first: another region than the model's other replicas, then
     another data centre, then another rack; then the least loaded server.
     """
-    need_mb = replica_memory_mb(model)
-    fitting = [
-        server
-        for server in board.servers.values()
-        if board.free_mb[server.name] >= need_mb and board.can_host(server, model)
-    ]
+    fitting = board.fitting(model)
     if not fitting:
         return None
     peers = [board.servers[replica.server] for replica in board.staying(model.name)]
--- a/src/_pistachiopond/decisions/routing.py
+++ b/src/_pistachiopond/decisions/routing.py
@@ -9,13 +9,14 @@
 more than the prefix saves.
 """
 
-import hashlib
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from functools import lru_cache
 from typing import Final, NamedTuple, final
 
+from _pistachiopond.decisions.rendezvous import score
+
 BLOCK_TOKENS: Final = 64
 PREFILL_TOKENS_PER_S: Final = 20_000.0
 OTHER_DATA_CENTRE_S: Final = 0.002
@@ -25,6 +26,9 @@
 MAX_KNOWN_PREFIXES: Final = 20_000
 MAX_PREFIX_HOLDERS: Final = 4
 
+# Each arrival with a prefix asks for the weight of every candidate.
+_weight: Final = lru_cache(maxsize=200_000)(score)
+
 
 class Place(NamedTuple):
     """Where something stands."""
@@ -33,20 +37,6 @@
     region: str
 
 
-class Candidate(NamedTuple):
-    """A server that may take the request, and its cost in seconds of delay."""
-
-    server: str
-    cost_s: float
-
-
-@lru_cache(maxsize=200_000)
-def rendezvous_weight(key: str, server: str) -> int:
-    """Return a hash on which all daemons agree; the largest weight wins."""
-    digest = hashlib.blake2b(f"{key}\0{server}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
 def make_subset(
     daemon: str, servers: Sequence[str], here: Place, place_of: Callable[[str], Place]
 ) -> tuple[str, ...]:
@@ -58,7 +48,7 @@
     """
 
     def key(server: str) -> tuple[int, int]:
-        return (_distance(here, place_of(server)), -rendezvous_weight(daemon, server))
+        return (_distance(here, place_of(server)), -_weight(daemon, server))
 
     local = [s for s in servers if place_of(s).region == here.region]
     pool = local if len(local) >= MIN_LOCAL_SERVERS else servers
@@ -116,7 +106,7 @@
     if not prefix_ids or not servers:
         return None
     first = prefix_ids[0]
-    return max(servers, key=lambda server: rendezvous_weight(first, server))
+    return max(servers, key=lambda server: _weight(first, server))
 
 
 def choose_server(
--- a/src/_pistachiopond/replay/faults.py
+++ b/src/_pistachiopond/replay/faults.py
@@ -44,13 +44,6 @@
     "region_cut",
     "stale_reports",
 )
-FAULT_PAIRS: Final[tuple[tuple[FaultKind, FaultKind], ...]] = (
-    ("server_loss", "stale_reports"),
-    ("server_loss", "log_outage"),
-    ("vm_loss", "server_loss"),
-    ("data_centre_loss", "log_outage"),
-    ("region_cut", "stale_reports"),
-)
 
 
 def make_scenario(name: str, length_s: float) -> Scenario:
--- a/src/_pistachiopond/replay/generate.py
+++ b/src/_pistachiopond/replay/generate.py
@@ -33,7 +33,6 @@
 TEMPLATES_PER_CUSTOMER: Final = 12
 ZIPF_EXPONENT: Final = 0.9
 HEAVY_FACTOR: Final = 8.0
-SHIFT_FACTOR: Final = 10.0
 
 Shape = Callable[[float], float]
 
