--- a/src/_pistachiopond/cli/config_log.py
+++ b/src/_pistachiopond/cli/config_log.py
@@ -11,9 +11,9 @@
 import anyio
 from result import Err, Ok, Result
 
+from _pistachiopond.clients.log import LogClient
 from _pistachiopond.decisions.config import CONFIG_FOLD
 from _pistachiopond.decisions.stream_reader import Step, StreamReader
-from _pistachiopond.platform.log import LogClient
 from _pistachiopond.schema.records import CONFIG_STREAM, ConfigState
 
 PAGE_RECORDS: Final = 200
--- a/src/_pistachiopond/cli/publishing.py
+++ b/src/_pistachiopond/cli/publishing.py
@@ -10,6 +10,7 @@
 from _pistachiopond.cli.config_log import ConfigLog, Recorded, Unreachable
 from _pistachiopond.cli.fleet import Place, describe_places, wait_until_followed
 from _pistachiopond.cli.report import ExitCode, Report, refused
+from _pistachiopond.clients.log import make_log_client
 from _pistachiopond.decisions.config import (
     Accepted,
     Refused,
@@ -18,7 +19,6 @@
 )
 from _pistachiopond.decisions.manifest_check import find_faults, find_unplaceable
 from _pistachiopond.decisions.stream_reader import Step
-from _pistachiopond.platform.log import make_log_client
 from _pistachiopond.schema.codec import from_json, to_json
 from _pistachiopond.schema.manifest import Digest, Manifest
 from _pistachiopond.schema.records import (
--- /dev/null
+++ b/src/_pistachiopond/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's log, weight store and VM list."""
--- a/src/_pistachiopond/control/configuration.py
+++ b/src/_pistachiopond/control/configuration.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskStatus
 from prometheus_client import Counter, Gauge
 
+from _pistachiopond.clients.log import LogPage, LogRecord
 from _pistachiopond.control.exchange import UNKNOWN_AGE_S, Exchange
 from _pistachiopond.control.ports import Configuration, LogAccess
 from _pistachiopond.decisions.config import (
@@ -33,7 +34,6 @@
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.kernel.timer import Timer, every
 from _pistachiopond.observe.logs import log_change
-from _pistachiopond.platform.log import LogPage, LogRecord
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.heartbeat import LogStatement
 from _pistachiopond.schema.records import CONFIG_STREAM, ConfigState, SnapshotRecord
--- a/src/_pistachiopond/control/log.py
+++ b/src/_pistachiopond/control/log.py
@@ -14,10 +14,10 @@
 from prometheus_client import Counter, Gauge
 from result import Err, Result
 
+from _pistachiopond.clients.log import LogClient, LogFailure, LogPage, make_log_client
 from _pistachiopond.control.ports import LogAccess
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.kernel.timer import Timer
-from _pistachiopond.platform.log import LogClient, LogFailure, LogPage, make_log_client
 from _pistachiopond.schema.settings import ControlSettings
 
 T = TypeVar("T")
--- a/src/_pistachiopond/control/membership.py
+++ b/src/_pistachiopond/control/membership.py
@@ -13,6 +13,7 @@
 from anyio.abc import TaskGroup, TaskStatus
 from prometheus_client import Counter, Gauge
 
+from _pistachiopond.clients.vmlist import ListedVm, ListVms, make_vm_list
 from _pistachiopond.control.configuration import ConfigFollower
 from _pistachiopond.control.exchange import Exchange
 from _pistachiopond.control.ports import LogAccess, Member, Membership
@@ -20,7 +21,6 @@
 from _pistachiopond.decisions.membership import Fleet
 from _pistachiopond.kernel.service import Kernel, Service
 from _pistachiopond.kernel.timer import Timer, every
-from _pistachiopond.platform.vmlist import ListedVm, ListVms, make_vm_list
 from _pistachiopond.schema.codec import from_json, to_json
 from _pistachiopond.schema.heartbeat import Heartbeat, LogStatement
 from _pistachiopond.schema.settings import ControlSettings
--- a/src/_pistachiopond/control/ports.py
+++ b/src/_pistachiopond/control/ports.py
@@ -5,7 +5,7 @@
 
 from result import Result
 
-from _pistachiopond.platform.log import LogFailure, LogPage
+from _pistachiopond.clients.log import LogFailure, LogPage
 from _pistachiopond.schema.limits import LimitsView
 from _pistachiopond.schema.revision import Revision
 from _pistachiopond.schema.suspects import CrashReport, SuspectView
--- /dev/null
+++ b/src/_pistachiopond/decisions/model_board.py
@@ -0,0 +1,157 @@
+"""What each engine server holds, counted so that no order can overfill it.
+
+Every order names how many orders the server has accepted before. Of all orders that
+name one number the server carries out at most one, also late, so an order that fits
+what the server held at that number is safe whatever becomes of the others.
+"""
+
+from typing import Final, final
+
+from _pistachiopond.schema.deployment import BackendServer, EngineSpec
+from _pistachiopond.schema.model_orders import ModelOrder, ServerReport
+
+# An adapter that a request was sent for is not unloaded for this long.
+ADAPTER_KEPT_S: Final = 1.0
+# A load that has not shown up in the server's description after this many times its
+# usual duration is asked for.
+LOAD_OVERDUE_FACTOR: Final = 1.5
+LOAD_OVERDUE_SLACK_S: Final = 0.8
+
+
+@final
+class Holding:
+    """One server and what it holds.
+
+    Attributes
+    ----------
+    server : BackendServer
+        As it describes itself.
+    models : dict of str to set of str
+        The adapters of each model, loads in progress included.
+    loading : dict of str to float
+        When each load in progress is expected to end.
+    order_count : int
+        Orders that the server has accepted.
+    is_known : bool
+        Whether the count is certain; if not, the server must be asked first.
+    is_ordering : bool
+        Whether an order is on its way.
+    """
+
+    def __init__(self, server: BackendServer) -> None:
+        self.server = server
+        self.models = {name: set(adapters) for name, adapters in server.models.items()}
+        self.loading: dict[str, float] = {}
+        self.order_count = 0
+        self.is_known = False
+        self.is_ordering = False
+        self.asked_s = float("-inf")
+        self.adapter_used_s: dict[tuple[str, str], float] = {}
+
+    def describe(self, server: BackendServer) -> None:
+        """Take the server's newest description into account."""
+        self.server = server
+        for model in list(self.loading):
+            if model in server.models:
+                del self.loading[model]
+
+    def take_report(self, report: ServerReport) -> None:
+        """Replace what is known by what the server says when asked."""
+        self.order_count = report.order_count
+        loading = {} if not report.is_busy else dict(self.loading)
+        self.models = {name: set(names) for name, names in report.models.items()}
+        for model in loading:
+            self.models.setdefault(model, set())
+        self.loading = {
+            model: ready_s
+            for model, ready_s in loading.items()
+            if model not in report.models
+        }
+        self.is_known = True
+
+    def accepted(self, order: ModelOrder, ready_s: float) -> None:
+        """Note that the server has accepted an order."""
+        self.order_count = order.order_count + 1
+        if order.action == "load" and order.adapter:
+            self.models.setdefault(order.model, set()).add(order.adapter)
+        elif order.action == "load":
+            self.models.setdefault(order.model, set())
+            self.loading[order.model] = ready_s
+        elif order.adapter:
+            self.models.get(order.model, set()).discard(order.adapter)
+        else:
+            self.models.pop(order.model, None)
+
+    def serves(self, model: str) -> bool:
+        """Return whether requests for the model may be sent here."""
+        return model in self.models and model not in self.loading
+
+    def is_overdue(self, now_s: float) -> bool:
+        """Return whether a load should have ended by now."""
+        return any(now_s > ready_s for ready_s in self.loading.values())
+
+    def used_mb(self, spec: EngineSpec) -> float:
+        """Return the memory that models and adapters take."""
+        total = 0.0
+        for name, adapters in self.models.items():
+            model = spec.models.get(name)
+            if model is None:
+                # Not in the configuration any more; nothing else fits beside it.
+                return spec.memory_mb
+            total += model.memory_mb + len(adapters) * model.adapter_mb
+        return total
+
+    def adapter_count(self) -> int:
+        """Return how many adapters it holds."""
+        return sum(len(adapters) for adapters in self.models.values())
+
+    def free_mb(self, spec: EngineSpec) -> float:
+        """Return the memory that is left, with room kept for all adapter slots."""
+        widest = max((m.adapter_mb for m in spec.models.values()), default=0.0)
+        kept = max(0, spec.adapter_slots - self.adapter_count()) * widest
+        return spec.memory_mb - self.used_mb(spec) - kept
+
+
+@final
+class Board:
+    """All engine servers of one service."""
+
+    def __init__(self, spec: EngineSpec) -> None:
+        self.spec = spec
+        self.holdings: dict[str, Holding] = {}
+
+    def set_servers(self, servers: dict[str, BackendServer]) -> None:
+        """Take the servers' newest descriptions; those that are gone are dropped."""
+        for name in list(self.holdings):
+            known = self.holdings[name].server
+            now = servers.get(name)
+            if now is None or now.started_ms != known.started_ms:
+                del self.holdings[name]
+        for name, server in servers.items():
+            holding = self.holdings.get(name)
+            if holding is None:
+                self.holdings[name] = Holding(server)
+            elif holding.server is not server:
+                holding.describe(server)
+
+    def replicas(self, model: str) -> list[Holding]:
+        """Return the servers that hold the model or load it, but the leaving ones."""
+        return [
+            holding
+            for holding in self.holdings.values()
+            if model in holding.models and not holding.server.is_leaving
+        ]
+
+    def load_duration_s(self, holding: Holding, model: str) -> float:
+        """Return how long the server will take to load the model."""
+        spec = self.spec.models[model]
+        if model in holding.server.models_in_memory:
+            return spec.memory_load_s
+        if model in holding.server.models_on_disk:
+            return spec.disk_load_s
+        return spec.load_s
+
+    def is_store_load(self, holding: Holding, model: str) -> bool:
+        """Return whether loading the model takes from the weight store."""
+        kept = holding.server.models_in_memory + holding.server.models_on_disk
+        return model not in kept
--- /dev/null
+++ b/src/_pistachiopond/decisions/server_choice.py
@@ -0,0 +1,70 @@
+"""Chooses a backend server for a request of a plain or an engine service."""
+
+import random
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from _pistachiopond.decisions.rendezvous import score
+
+# Parts of a server's slots that a server nearer by, or one that has read the
+# request's prompt before, may be fuller.
+OTHER_DATA_CENTRE_LOAD: Final = 0.08
+PROMPT_HOME_GAIN: Final = 0.10
+# Load beyond the slots waits; it counts for more than load that runs.
+WAITING_WEIGHT: Final = 3.0
+
+
+class Candidate(NamedTuple):
+    """A server that may take a request.
+
+    Attributes
+    ----------
+    server_id : str
+        Its name.
+    load : float
+        Requests of all VMs that it has, as far as is known.
+    slots : int
+        Requests that it runs at a time.
+    is_near : bool
+        Whether it stands in the VM's own data centre.
+    is_doubtful : bool
+        Whether it has failed lately; used only where there is no other.
+    """
+
+    server_id: str
+    load: float
+    slots: int
+    is_near: bool
+    is_doubtful: bool
+
+
+def choose_candidate(
+    candidates: Sequence[Candidate], prompt_id: str | None, rng: random.Random
+) -> str | None:
+    """Return the server with the least load, or None where there is none.
+
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+        Those that may take the request.
+    prompt_id : str or None
+        What the request's prompt begins with; requests with the same beginning
+        prefer the same server, as long as it is not much fuller.
+    rng : random.Random
+        Decides between equals.
+    """
+    sound = [item for item in candidates if not item.is_doubtful] or list(candidates)
+    if not sound:
+        return None
+    home = None
+    if prompt_id is not None:
+        home = max(sound, key=lambda item: score(prompt_id, item.server_id)).server_id
+
+    def cost(item: Candidate) -> tuple[float, float]:
+        filled = item.load / max(1, item.slots)
+        waiting = max(0.0, filled - 1.0)
+        near = 0.0 if item.is_near else OTHER_DATA_CENTRE_LOAD
+        gain = PROMPT_HOME_GAIN if item.server_id == home else 0.0
+        return (filled + WAITING_WEIGHT * waiting + near - gain, rng.random())
+
+    return min(sound, key=cost).server_id
--- /dev/null
+++ b/src/_pistachiopond/http1/client.py
@@ -0,0 +1,290 @@
+"""Client connections: one request at a time, and never reused when in doubt.
+
+A response that does not belong to the request in progress is skipped, since a
+server may send one late. Bytes outside of any response end the connection.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Final, Literal, NamedTuple, final
+
+import httptools
+
+from _pistachiopond.http1.messages import HttpAddress, RawHeaders, ResponseHead
+from _pistachiopond.http1.sockets import detect_dead_peer
+
+# Received and not yet taken by the reader; beyond it the socket is not read.
+READ_AHEAD_BYTES: Final = 256 * 1024
+
+FailureKind = Literal["connect", "closed", "reset", "truncated", "garbled", "timeout"]
+IsExpected = Callable[[ResponseHead], bool]
+
+
+class ExchangeError(Exception):
+    """A request that got no whole response.
+
+    Attributes
+    ----------
+    kind : str
+        What was seen. Only ``connect`` says that nothing was sent.
+    """
+
+    def __init__(self, kind: FailureKind, detail: str) -> None:
+        super().__init__(f"{kind}: {detail}")
+        self.kind: FailureKind = kind
+
+
+def expect_any(head: ResponseHead) -> bool:
+    """Accept each response; for servers that send nothing unasked."""
+    return True
+
+
+class _Pending(NamedTuple):
+    is_expected: IsExpected
+    method: bytes
+
+
+@final
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._pending: _Pending | None = None
+        self._headers: RawHeaders = []
+        self._head: ResponseHead | None = None
+        self._is_skipping = False
+        self._ends_with_connection = False
+        self._has_response_bytes = False
+        self._chunks: deque[bytes] = deque()
+        self._chunk_bytes = 0
+        self._is_paused = False
+        self._is_done = False
+        self._error: ExchangeError | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self.is_usable = True
+        self.idle_since_s = 0.0
+        self.idle_limit_s: float | None = None
+
+    # The callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        detect_dead_peer(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the server."""
+        if self._pending is None:
+            self.close()
+            return
+        self._has_response_bytes = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self._is_done:
+                self._fail("garbled", str(error))
+            self.close()
+        self._pause_if_ahead()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Complete a response that ends with its connection."""
+        if self._head is not None and self._ends_with_connection:
+            self._is_done = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request in progress."""
+        self.is_usable = False
+        self._transport = None
+        if self._pending is not None and not self._is_done:
+            if self._head is not None or self._has_response_bytes:
+                self._fail("truncated", "the connection ended within the response")
+            elif exc is None:
+                self._fail("closed", "the connection was closed without a response")
+            else:
+                self._fail("reset", f"the connection broke: {exc}")
+        self._wake()
+
+    # The callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a response."""
+        self._headers = []
+        self._is_skipping = self._is_done
+        if self._is_done:
+            self.is_usable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Take the head if it belongs to the request in progress."""
+        head = ResponseHead(self._parser.get_status_code(), self._headers)
+        if self._is_skipping or self._pending is None:
+            return
+        if head.status < 200:
+            self._is_skipping = True
+        elif not self._pending.is_expected(head):
+            self._is_skipping = True
+            self.is_usable = False
+        else:
+            self._head = head
+            self._note_lifetime(head)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        if self._is_skipping or self._is_done:
+            return
+        self._chunks.append(body)
+        self._chunk_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """End the response, unless it was somebody else's."""
+        if self._is_skipping:
+            self._is_skipping = self._is_done
+            return
+        self._is_done = True
+
+    # What users of the connection call.
+
+    def send(
+        self, data: bytes, method: bytes, is_expected: IsExpected = expect_any
+    ) -> None:
+        """Send a request; only one may be in progress.
+
+        Raises
+        ------
+        ExchangeError
+            When the connection has ended before; nothing was sent.
+        """
+        if self._transport is None or self._transport.is_closing():
+            raise ExchangeError("connect", "the connection had ended before")
+        self._pending = _Pending(is_expected, method)
+        self._head = None
+        self._is_done = False
+        self._has_response_bytes = False
+        self._ends_with_connection = False
+        self._transport.write(data)
+
+    async def read_head(self) -> ResponseHead:
+        """Return the response's head.
+
+        Raises
+        ------
+        ExchangeError
+            When the response does not come or is not one.
+        """
+        while self._head is None:
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        return self._head
+
+    async def read_chunk(self) -> bytes:
+        """Return the next bytes of the body, or nothing at its end.
+
+        Raises
+        ------
+        ExchangeError
+            When the body breaks off.
+        """
+        while not self._chunks:
+            if self._is_done:
+                return b""
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        chunk = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
+        self._chunks.clear()
+        self._chunk_bytes = 0
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+        return chunk
+
+    def finish(self, now_s: float) -> bool:
+        """End the exchange; return whether the connection may be used again."""
+        is_whole = self._is_done and not self._chunks
+        self._pending = None
+        if not is_whole or not self.is_usable or self._transport is None:
+            self.close()
+            return False
+        if self._transport.is_closing() or self._transport.get_write_buffer_size():
+            self.close()
+            return False
+        self.idle_since_s = now_s
+        return True
+
+    def close(self) -> None:
+        """Close the connection; a request in progress is given up."""
+        self.is_usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def is_open(self) -> bool:
+        """Return whether a request may be sent."""
+        return (
+            self.is_usable
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    def _note_lifetime(self, head: ResponseHead) -> None:
+        connection = (head.value(b"connection") or b"").lower()
+        is_framed = head.value(b"content-length") is not None
+        coding = (head.value(b"transfer-encoding") or b"").lower()
+        is_bodyless = head.status in (204, 304)
+        if not is_framed and b"chunked" not in coding and not is_bodyless:
+            self._ends_with_connection = True
+        if self._ends_with_connection or b"close" in connection:
+            self.is_usable = False
+        for part in (head.value(b"keep-alive") or b"").split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                self.idle_limit_s = float(value)
+
+    def _fail(self, kind: FailureKind, detail: str) -> None:
+        if self._error is None:
+            self._error = ExchangeError(kind, detail)
+        self.is_usable = False
+
+    def _pause_if_ahead(self) -> None:
+        if self._chunk_bytes > READ_AHEAD_BYTES and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def connect(address: HttpAddress, limit_s: float) -> ClientConnection:
+    """Open a connection.
+
+    Raises
+    ------
+    ExchangeError
+        Of kind ``connect`` when it is refused or takes longer than `limit_s`.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(limit_s):
+            _, connection = await loop.create_connection(ClientConnection, *address)
+    except TimeoutError:
+        raise ExchangeError("connect", f"no connection in {limit_s} s") from None
+    except OSError as error:
+        raise ExchangeError("connect", str(error)) from None
+    return connection
--- /dev/null
+++ b/src/_pistachiopond/http1/messages.py
@@ -0,0 +1,127 @@
+"""The parts of HTTP/1.1 messages that both ends share."""
+
+import ipaddress
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+CONNECTION_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+
+
+class HttpAddress(NamedTuple):
+    """An IP address and a TCP port."""
+
+    ip: str
+    port: int
+
+
+class RequestHead(NamedTuple):
+    """The start line and headers of a request.
+
+    Attributes
+    ----------
+    method, target : bytes
+        As received; the target still has its query.
+    headers : list of (bytes, bytes)
+        In their order; names as received.
+    """
+
+    method: bytes
+    target: bytes
+    headers: RawHeaders
+
+    def values(self, lower_name: bytes) -> list[bytes]:
+        """Return all values of a header, whose name is given in lower case."""
+        return [value for name, value in self.headers if name.lower() == lower_name]
+
+
+class Request(NamedTuple):
+    """A whole request."""
+
+    head: RequestHead
+    body: bytes
+
+
+class ResponseHead(NamedTuple):
+    """The status line and headers of a response.
+
+    Attributes
+    ----------
+    status : int
+        The status code.
+    headers : list of (bytes, bytes)
+        In their order; names as received.
+    """
+
+    status: int
+    headers: RawHeaders
+
+    def value(self, lower_name: bytes) -> bytes | None:
+        """Return the first value of a header, whose name is given in lower case."""
+        for name, value in self.headers:
+            if name.lower() == lower_name:
+                return value
+        return None
+
+
+def parse_address(text: str) -> HttpAddress:
+    """Return the address written as ``IP:port``.
+
+    Raises
+    ------
+    ValueError
+        When the text is not an IPv4 address and a port.
+    """
+    ip, _, port = text.rpartition(":")
+    ipaddress.IPv4Address(ip)
+    number = int(port)
+    if not 0 < number < 65536:
+        raise ValueError(f"{text!r} has no valid TCP port")
+    return HttpAddress(ip, number)
+
+
+def end_to_end_headers(headers: RawHeaders) -> RawHeaders:
+    """Return the headers without those that concern one connection only."""
+    nominated: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            nominated.update(part.strip().lower() for part in value.split(b","))
+    dropped = CONNECTION_HEADERS | nominated
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def encode_request(head: RequestHead, body: bytes) -> bytes:
+    """Return the bytes of a request; the head must carry no body framing."""
+    lines = [b"%b %b HTTP/1.1" % (head.method, head.target)]
+    lines += [b"%b: %b" % header for header in head.headers]
+    if body or head.method not in (b"GET", b"DELETE", b"OPTIONS"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def encode_response_head(status: int, headers: RawHeaders) -> bytes:
+    """Return the bytes of a response's status line and headers."""
+    lines = [b"HTTP/1.1 %d %b" % (status, _reason(status))]
+    lines += [b"%b: %b" % header for header in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Unknown"
--- /dev/null
+++ b/src/_pistachiopond/http1/server.py
@@ -0,0 +1,349 @@
+"""Server connections: whole requests in, answers out as they come.
+
+A handler runs in a task of its own and is cancelled when the client leaves.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple, final
+
+import httptools
+
+from _pistachiopond.http1.messages import (
+    RawHeaders,
+    Request,
+    RequestHead,
+    encode_response_head,
+)
+from _pistachiopond.http1.sockets import detect_dead_peer
+
+# Requests that a client has sent ahead of the answer in progress.
+MAX_PIPELINED: Final = 8
+MAX_HEADER_COUNT: Final = 200
+
+
+class ServerLimits(NamedTuple):
+    """What a client may send, and how long it may take.
+
+    Attributes
+    ----------
+    header_bytes, body_bytes : int
+        The largest head and body of a request.
+    header_s : float
+        From a request's first byte to the end of its head.
+    idle_s : float
+        Without a request in progress.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_s: float
+    idle_s: float
+
+
+class ClientGoneError(Exception):
+    """The client has closed its connection."""
+
+
+Handler = Callable[[Request, "Responder"], Awaitable[None]]
+
+
+class ServerParts(NamedTuple):
+    """What the connections of one listener share.
+
+    Attributes
+    ----------
+    handler : callable
+        Answers each request.
+    limits : callable
+        Returns the limits in force.
+    now_s : callable
+        Returns the monotonic time.
+    is_stopping : callable
+        Whether answers end their connection.
+    connections : set of ServerConnection
+        Those that are open.
+    """
+
+    handler: Handler
+    limits: Callable[[], ServerLimits]
+    now_s: Callable[[], float]
+    is_stopping: Callable[[], bool]
+    connections: "set[ServerConnection]"
+
+
+@final
+class Responder:
+    """Writes the answer to one request."""
+
+    def __init__(self, connection: "ServerConnection", *, close: bool) -> None:
+        self._connection = connection
+        self._close = close
+        self._is_chunked = False
+        self.has_begun = False
+        self.is_finished = False
+
+    async def answer(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Write a whole answer."""
+        sized = [*headers, (b"Content-Length", b"%d" % len(body))]
+        self._write_head(status, sized, body)
+        self._finish()
+
+    async def begin(self, status: int, headers: RawHeaders, size: int | None) -> None:
+        """Write the head of an answer whose body follows.
+
+        Parameters
+        ----------
+        status : int
+            The status code.
+        headers : list of (bytes, bytes)
+            Without those that frame the body.
+        size : int or None
+            The body's bytes; None where they are not known beforehand.
+        """
+        self._is_chunked = size is None
+        framing = (
+            (b"Transfer-Encoding", b"chunked")
+            if size is None
+            else (b"Content-Length", b"%d" % size)
+        )
+        self._write_head(status, [*headers, framing], b"")
+
+    async def send(self, chunk: bytes) -> None:
+        """Write a part of the body, and wait while the client does not read."""
+        if self._is_chunked:
+            chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        self._connection.write(chunk)
+        await self._connection.drain()
+
+    async def end(self) -> None:
+        """End the body."""
+        if self._is_chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self._finish()
+
+    def abort(self) -> None:
+        """Break the connection, so that the answer cannot look complete."""
+        self.is_finished = True
+        self._connection.abort()
+
+    def _write_head(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        if self._close or self._connection.is_stopping():
+            self._close = True
+            headers = [*headers, (b"Connection", b"close")]
+        self.has_begun = True
+        self._connection.write(encode_response_head(status, headers) + body)
+
+    def _finish(self) -> None:
+        self.is_finished = True
+        if self._close:
+            self._connection.close_after_answer()
+
+
+@final
+class ServerConnection(asyncio.Protocol):
+    """One connection of a client."""
+
+    def __init__(self, parts: ServerParts) -> None:
+        self._parts = parts
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._headers: RawHeaders = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._is_in_head = False
+        self._is_in_body = False
+        self._refusal: int | None = None
+        self._queue: deque[tuple[Request, bool]] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._is_closing = False
+        self._since_s = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        detect_dead_peer(transport)
+        self._since_s = self._parts.now_s()
+        self._parts.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the client."""
+        if self._is_closing or self._refusal is not None:
+            return
+        if not self._is_in_head and not self._is_in_body:
+            self._since_s = self._parts.now_s()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400 if self._refusal is None else self._refusal)
+        if len(self._queue) > MAX_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as one whose client has left."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request in progress."""
+        self._transport = None
+        self._parts.connections.discard(self)
+        self._can_write.set()
+        self._queue.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold the handler back."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Let the handler go on."""
+        self._can_write.set()
+
+    # The callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._target, self._headers, self._body = b"", [], []
+        self._header_bytes = self._body_bytes = 0
+        self._is_in_head, self._is_in_body = True, False
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a part of the target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+        self._count_head(len(name) + len(value) + 4)
+        if len(self._headers) > MAX_HEADER_COUNT:
+            self._reject(431)
+
+    def on_headers_complete(self) -> None:
+        """Invite the body if the client waits for that."""
+        self._is_in_head, self._is_in_body = False, True
+        for name, value in self._headers:
+            if name.lower() == b"expect" and value.lower() == b"100-continue":
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._parts.limits().body_bytes:
+            self._reject(413)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request and start on it if no other is in progress."""
+        self._is_in_head = self._is_in_body = False
+        head = RequestHead(self._parser.get_method(), self._target, self._headers)
+        close = not self._parser.should_keep_alive()
+        self._queue.append((Request(head, b"".join(self._body)), close))
+        self._body = []
+        self._start_next()
+
+    # What the responder and the listener call.
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        if self._transport is None or self._transport.is_closing():
+            raise ClientGoneError
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the client reads again."""
+        await self._can_write.wait()
+
+    def abort(self) -> None:
+        """Break the connection."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_after_answer(self) -> None:
+        """Close once all written bytes are sent."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def is_stopping(self) -> bool:
+        """Return whether the answer must end the connection."""
+        return self._parts.is_stopping()
+
+    def is_idle(self) -> bool:
+        """Return whether no part of a request has been received or is in progress."""
+        is_reading = self._is_in_head or self._is_in_body
+        return self._task is None and not self._queue and not is_reading
+
+    def check_time(self, now_s: float) -> None:
+        """Close the connection when the client takes too long."""
+        limits = self._parts.limits()
+        if self.is_idle() and now_s - self._since_s > limits.idle_s:
+            self.close_after_answer()
+        elif self._is_in_head and now_s - self._since_s > limits.header_s:
+            self._refuse(408)
+
+    def _count_head(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._parts.limits().header_bytes:
+            self._reject(431)
+
+    def _reject(self, status: int) -> None:
+        if self._refusal is None:
+            self._refusal = status
+        raise httptools.HttpParserCallbackError(status)
+
+    def _refuse(self, status: int) -> None:
+        # Requests that came before in the same bytes are answered first.
+        self._refusal = status
+        self._is_in_head = self._is_in_body = False
+        if self._task is None and not self._queue:
+            self._answer_refusal()
+
+    def _answer_refusal(self) -> None:
+        if self._refusal is None or self._transport is None:
+            return
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        self._transport.write(encode_response_head(self._refusal, headers))
+        self.close_after_answer()
+
+    def _start_next(self) -> None:
+        if self._task is not None or self._is_closing:
+            return
+        if not self._queue:
+            self._answer_refusal()
+            return
+        request, close = self._queue.popleft()
+        responder = Responder(self, close=close)
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._run(request, responder))
+        self._task.add_done_callback(self._done)
+
+    async def _run(self, request: Request, responder: Responder) -> None:
+        try:
+            await self._parts.handler(request, responder)
+        except ClientGoneError:
+            return
+        if not responder.is_finished:
+            responder.abort()
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._task = None
+        self._since_s = self._parts.now_s()
+        if not task.cancelled() and task.exception() is not None:
+            self.abort()
+            raise RuntimeError("a request handler failed") from task.exception()
+        if self._transport is None:
+            return
+        if len(self._queue) <= MAX_PIPELINED:
+            self._transport.resume_reading()
+        self._start_next()
--- a/src/_pistachiopond/platform/__init__.py
+++ b/src/_pistachiopond/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Clients of the platform's log, weight store and VM list."""
+"""The users' platform: its names, formats and calls, decoded into our own types.
+
+Nothing here decides, and nothing outside this folder knows the platform's names.
+"""
--- /dev/null
+++ b/src/_pistachiopond/platform/servers.py
@@ -0,0 +1,144 @@
+"""Backend servers as they register themselves, and the orders they take."""
+
+import json
+from typing import Any, Literal, NamedTuple
+
+from result import Err, Ok, Result
+
+from _pistachiopond.http1.messages import Request, RequestHead, parse_address
+from _pistachiopond.platform.settings import MS_PER_S
+from _pistachiopond.schema.deployment import BackendServer
+from _pistachiopond.schema.model_orders import ModelOrder, ServerReport
+
+_STATES = {"ready": False, "draining": True}
+
+
+def decode_server(server_id: str, value: bytes) -> Result[BackendServer, str]:
+    """Return the server in a record's value, or why it names none.
+
+    Other writers may leave entries of any shape under the servers' keys.
+    """
+    try:
+        return Ok(_server(server_id, json.loads(value)))
+    except KeyError as error:
+        return Err(f"the field {error} is missing or unknown")
+    except (AttributeError, TypeError, ValueError) as error:
+        return Err(str(error))
+
+
+def _server(server_id: str, plain: dict[str, Any]) -> BackendServer:
+    for name in ("service", "address", "zone", "state"):
+        if not isinstance(plain[name], str):
+            raise TypeError(f"the field {name!r} is not a string")
+    for name in ("slots", "sequence"):
+        if not isinstance(plain[name], int) or isinstance(plain[name], bool):
+            raise TypeError(f"the field {name!r} is not an integer")
+    leaves_ms = plain.get("remainingMs")
+    kept = plain.get("atHand") or {}
+    return BackendServer(
+        server_id=server_id,
+        started_ms=int(plain.get("born", 0)),
+        service=plain["service"],
+        address=parse_address(plain["address"]),
+        data_centre=plain["zone"],
+        slots=plain["slots"],
+        is_leaving=_STATES[plain["state"]],
+        leaves_in_s=None if leaves_ms is None else float(leaves_ms) / MS_PER_S,
+        models=_models(plain.get("models") or []),
+        # Here the field counts heartbeats; in a report it counts orders.
+        heartbeats=plain["sequence"],
+        models_in_memory=_names(kept.get("inMemory")),
+        models_on_disk=_names(kept.get("onDisk")),
+    )
+
+
+def _models(plain: list[dict[str, Any]]) -> dict[str, tuple[str, ...]]:
+    return {item["name"]: _names(item.get("adapters")) for item in plain}
+
+
+def _names(plain: Any) -> tuple[str, ...]:
+    names = []
+    for item in plain or ():
+        names.append(str(item["name"]) if isinstance(item, dict) else str(item))
+    return tuple(names)
+
+
+class OrderReply(NamedTuple):
+    """What a server answered to an order.
+
+    Attributes
+    ----------
+    outcome : str
+        ``accepted``, ``holds_already``, ``conflict``, ``fenced``, ``refused`` or
+        ``not_here`` where another server has the address.
+    """
+
+    outcome: Literal[
+        "accepted", "holds_already", "conflict", "fenced", "refused", "not_here"
+    ]
+
+
+_ORDER_OUTCOMES: dict[int, Any] = {
+    200: "holds_already",
+    202: "accepted",
+    409: "conflict",
+    412: "fenced",
+    421: "not_here",
+}
+
+
+def encode_order(order: ModelOrder, holder: str, fence: int) -> Request:
+    """Return the request that carries an order to a server.
+
+    Parameters
+    ----------
+    order : ModelOrder
+        What to load or unload.
+    holder : str
+        The VM that gives the order.
+    fence : int
+        Its fencing token.
+    """
+    plain: dict[str, object] = {
+        "operation": order.action,
+        "model": order.model,
+        # The order is carried out only as the next one after this many.
+        "expected": order.order_count,
+        "holder": holder,
+        "fence": fence,
+    }
+    if order.adapter:
+        plain["adapter"] = order.adapter
+    headers = [
+        (b"Host", b"server"),
+        (b"Content-Type", b"application/json"),
+        (b"X-Expect-Instance", order.server_id.encode()),
+    ]
+    return Request(RequestHead(b"POST", b"/order", headers), json.dumps(plain).encode())
+
+
+def decode_order_reply(status: int) -> OrderReply:
+    """Return what the status of an answer to an order means."""
+    return OrderReply(_ORDER_OUTCOMES.get(status, "refused"))
+
+
+def encode_report_request(server_id: str) -> RequestHead:
+    """Return the request for a server's report on itself."""
+    headers = [(b"Host", b"server"), (b"X-Expect-Instance", server_id.encode())]
+    return RequestHead(b"GET", b"/report", headers)
+
+
+def decode_report(body: bytes) -> Result[ServerReport, str]:
+    """Return a server's report, or what is wrong with it."""
+    try:
+        plain = json.loads(body)
+        return Ok(
+            ServerReport(
+                models=_models(plain["models"]),
+                is_busy=bool(plain["busy"]),
+                # Here the field counts orders; in an entry it counts heartbeats.
+                order_count=int(plain["sequence"]),
+            )
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        return Err(f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/src/_pistachiopond/platform/settings.py
@@ -0,0 +1,75 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from _pistachiopond.http1.messages import HttpAddress, parse_address
+from _pistachiopond.schema.vm_settings import StoreTerms, VmBounds, VmSettings
+
+PATH_VARIABLE = "PISTACHIOPOND_NODE_FILE"
+MS_PER_S = 1000.0
+
+
+def settings_path() -> Result[Path, str]:
+    """Return where the platform has put the settings of this process."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        return Err(f"the environment variable {PATH_VARIABLE} is not set")
+    return Ok(Path(path))
+
+
+def read_vm_settings(path: Path) -> Result[VmSettings, str]:
+    """Return the settings in the file at `path`, or what is wrong with them."""
+    try:
+        return Ok(_decode(tomllib.loads(path.read_text(encoding="utf-8"))))
+    except KeyError as error:
+        return Err(f"{path}: the field {error} is missing")
+    except (OSError, TypeError, ValueError) as error:
+        return Err(f"{path}: {error}")
+
+
+def _decode(plain: dict[str, Any]) -> VmSettings:
+    listen = plain["listen"]
+    ports = plain["internalPortRange"]
+    limits = plain["limits"]
+    return VmSettings(
+        name=str(plain["nodeName"]),
+        ip=str(plain["ip"]),
+        data_centre=str(plain["zone"]),
+        caller_address=parse_address(listen["front"]),
+        ready_address=parse_address(listen["ready"]),
+        peer_address=HttpAddress(str(plain["ip"]), int(ports[0])),
+        heartbeat_s=float(plain["heartbeatMs"]) / MS_PER_S,
+        cpu_cores=float(limits["cpuShare"]) * float(limits["cpuCores"]),
+        memory_mb=float(limits["memoryMb"]),
+        descriptors=int(limits["fileDescriptors"]),
+        link_mbps=float(limits["linkMbps"]),
+        bounds=_decode_bounds(plain["bounds"]),
+        store=_decode_store(plain["platform"]),
+    )
+
+
+def _decode_bounds(plain: dict[str, Any]) -> VmBounds:
+    return VmBounds(
+        revoke_s=float(plain["revokeMs"]) / MS_PER_S,
+        drain_s=float(plain["drainMs"]) / MS_PER_S,
+        stop_grace_s=float(plain["graceS"]),
+        order_lease_s=float(plain["leaseMs"]) / MS_PER_S,
+        address_reuse_s=float(plain["reuseAfterS"]),
+        retry_ratio=float(plain["budgetRatio"]),
+        retry_window_s=float(plain["budgetWindowS"]),
+        retry_reserve=float(plain["budgetSlack"]),
+        load_window_s=float(plain["ceilingWindowS"]),
+    )
+
+
+def _decode_store(plain: dict[str, Any]) -> StoreTerms:
+    return StoreTerms(
+        address=parse_address(plain["address"]),
+        writes_per_s=float(plain["writesPerS"]),
+        reads_per_s=float(plain["readsPerS"]),
+    )
--- /dev/null
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -0,0 +1,79 @@
+"""What VMs and the one that leads tell each other, as lines of JSON."""
+
+import json
+from typing import Any, TypedDict
+
+from result import Err, Ok, Result
+
+
+class ModelUse(TypedDict):
+    """Requests of one VM for a model or adapter."""
+
+    service: str
+    model: str
+    adapter: str
+    running: int
+    waiting: int
+
+
+class MemberReport(TypedDict):
+    """A VM's report to the leader.
+
+    `usage` has for each customer the balance, the demand a second and what waiting
+    requests lack; `load` the requests in progress at each server; `doubtful` the
+    servers that have failed this VM lately.
+    """
+
+    member: str
+    number: int
+    usage: dict[str, tuple[float, float, float]]
+    load: dict[str, int]
+    models: list[ModelUse]
+    doubtful: list[str]
+
+
+class LeaderAnswer(TypedDict):
+    """The leader's answer to a report.
+
+    `given` has what each customer's balance grows by; `load` the requests of all VMs
+    at each server; `period_s` is the time until the next report.
+    """
+
+    number: int
+    leads: bool
+    fence: int
+    given: dict[str, float]
+    load: dict[str, int]
+    members: int
+    period_s: float
+
+
+class HeldUpdate(TypedDict):
+    """What one engine server holds and serves."""
+
+    server: str
+    started_ms: int
+    models: dict[str, list[str]]
+
+
+class LeaderMessage(TypedDict, total=False):
+    """One line from the leader: an answer, or updates since the last line."""
+
+    answer: LeaderAnswer
+    held: list[HeldUpdate]
+
+
+def encode_line(message: Any) -> bytes:
+    """Return a message as one line."""
+    return json.dumps(message, separators=(",", ":")).encode() + b"\n"
+
+
+def decode_line(line: bytes) -> Result[dict[str, Any], str]:
+    """Return the message in a line, or what is wrong with it."""
+    try:
+        plain = json.loads(line)
+    except ValueError as error:
+        return Err(str(error))
+    if not isinstance(plain, dict):
+        return Err("a message is not an object")
+    return Ok(plain)
--- a/src/_pistachiopond/standin/engine.py
+++ b/src/_pistachiopond/standin/engine.py
@@ -9,8 +9,8 @@
 from anyio.abc import TaskGroup, TaskStatus
 from result import Err, Ok, Result
 
+from _pistachiopond.clients.weightstore import WeightLoad, make_weight_store
 from _pistachiopond.kernel.timer import Timer
-from _pistachiopond.platform.weightstore import WeightLoad, make_weight_store
 from _pistachiopond.standin.batcher import Batcher, BatchTiming, Load
 from _pistachiopond.standin.engine_types import StateReport
 from _pistachiopond.standin.ledger import Ledger, MemoryEntry, RequestEntry
--- a/src/_pistachiopond/standin/vms.py
+++ b/src/_pistachiopond/standin/vms.py
@@ -6,8 +6,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from _pistachiopond.clients.vmlist import ListedVm
 from _pistachiopond.kernel.timer import Timer
-from _pistachiopond.platform.vmlist import ListedVm
 from _pistachiopond.standin.http import bad_request, json_answer, read_body
 
 
--- /dev/null
+++ b/src/_pistachiopond/vm/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs on every VM of a platform deployment."""
--- /dev/null
+++ b/src/_pistachiopond/vm/follow.py
@@ -0,0 +1,127 @@
+"""Follows a keyed topic of the platform's store."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple, final
+
+import anyio
+
+from _pistachiopond.observe.logs import log_change, log_trouble
+from _pistachiopond.platform.store import (
+    KeyedRecord,
+    Snapshot,
+    StoreClient,
+    StoreFailure,
+    TailPage,
+)
+from _pistachiopond.vm.clock import boot_s
+
+# A read waits for a record for this long. Longer saves calls, shorter proves sooner
+# that nothing has changed and shows sooner that a connection has gone silent.
+TAIL_WAIT_S: Final = 1.6
+READ_SLACK_S: Final = 1.0
+SNAPSHOT_LIMIT_S: Final = 4.0
+RETRY_S: Final = 0.15
+MAX_RETRY_S: Final = 0.6
+
+
+class TopicSink(NamedTuple):
+    """What a follower tells.
+
+    Attributes
+    ----------
+    replace : callable
+        Receives the newest records of all keys.
+    apply : callable
+        Receives one newer record.
+    reached : callable
+        Receives a time on the clock of `boot_s`: all that the topic held then has
+        been applied.
+    failed : callable
+        Receives each failure.
+    """
+
+    replace: Callable[[tuple[KeyedRecord, ...]], None]
+    apply: Callable[[KeyedRecord], None]
+    reached: Callable[[float], None]
+    failed: Callable[[StoreFailure], None]
+
+
+@final
+class TopicFollower:
+    """One reader of one topic."""
+
+    def __init__(self, store: StoreClient, topic: str, sink: TopicSink) -> None:
+        self._store = store
+        self._topic = topic
+        self._sink = sink
+        self._offset: int | None = None
+        self._is_failing = False
+        self._retry_s = RETRY_S
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            if self._offset is None:
+                await self._read_snapshot()
+            else:
+                await self._read_tail(self._offset)
+
+    async def _read_snapshot(self) -> None:
+        sent_s = boot_s()
+        answer = await self._store.read_newest(self._topic, SNAPSHOT_LIMIT_S)
+        if answer.is_err():
+            await self._fail(answer.err())
+            return
+        snapshot: Snapshot = answer.ok()
+        self._succeed()
+        self._sink.replace(snapshot.records)
+        self._offset = snapshot.end
+        self._sink.reached(sent_s)
+
+    async def _read_tail(self, offset: int) -> None:
+        sent_s = boot_s()
+        answer = await self._store.read_tail(
+            self._topic, offset, TAIL_WAIT_S, TAIL_WAIT_S + READ_SLACK_S
+        )
+        if answer.is_err():
+            failure = answer.err()
+            if failure.kind == "expired":
+                log_change("history of topic is gone", topic=self._topic, offset=offset)
+                self._offset = None
+                return
+            await self._fail(failure)
+            return
+        page: TailPage = answer.ok()
+        self._succeed()
+        for record in page.records:
+            self._sink.apply(record)
+        self._offset = page.next_offset
+        if page.next_offset < page.end:
+            return
+        if page.end < offset:
+            # The topic cannot have shrunk, so what is known of it is not this one.
+            log_trouble("topic ends before what was read", topic=self._topic)
+            self._offset = None
+            return
+        # An empty page after the whole wait was made at its end, not before.
+        is_waited = not page.records and boot_s() - sent_s >= TAIL_WAIT_S
+        self._sink.reached(sent_s + TAIL_WAIT_S if is_waited else sent_s)
+
+    def _succeed(self) -> None:
+        if self._is_failing:
+            log_change("store answers again", topic=self._topic)
+        self._is_failing = False
+        self._retry_s = RETRY_S
+
+    async def _fail(self, failure: StoreFailure) -> None:
+        if not self._is_failing:
+            log_trouble(
+                "store does not answer",
+                topic=self._topic,
+                kind=failure.kind,
+                detail=failure.detail,
+            )
+        self._is_failing = True
+        self._sink.failed(failure)
+        await anyio.sleep(self._retry_s)
+        self._retry_s = min(MAX_RETRY_S, self._retry_s * 1.5)
--- /dev/null
+++ b/src/_pistachiopond/vm/hub.py
@@ -0,0 +1,207 @@
+"""Answers the reports of all VMs; only the leader's answers carry anything."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, final
+
+from _pistachiopond.decisions.leadership import AUTHORITY_S, Leadership
+from _pistachiopond.decisions.model_plan import ModelDemand
+from _pistachiopond.decisions.usage import UsageGiver, UsageReport
+from _pistachiopond.observe.logs import log_change, log_trouble
+from _pistachiopond.schema.deployment import CustomerSpec
+from _pistachiopond.schema.peer_messages import (
+    HeldUpdate,
+    LeaderAnswer,
+    MemberReport,
+    decode_line,
+    encode_line,
+)
+from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.fleet import WantedModel
+
+# A leader that cannot prove its lead for this long says that it leads no more.
+RESIGN_AGE_S: Final = 2 * AUTHORITY_S
+# Members that are silent for this long are counted no more.
+MEMBER_KEPT_S: Final = 10.0
+# The leader answers about this many reports a second, over all members.
+REPORTS_PER_S: Final = 400.0
+MIN_PERIOD_S: Final = 0.2
+MAX_LINE_BYTES: Final = 4 * 1024 * 1024
+
+
+class HubParts(NamedTuple):
+    """What the hub uses.
+
+    Attributes
+    ----------
+    leadership : Leadership
+        Whether this VM leads.
+    customers : callable
+        Returns the customers of the configuration in force.
+    held : callable
+        Returns what all engine servers hold.
+    on_demand : callable
+        Called when a report shows requests that wait.
+    """
+
+    leadership: Leadership
+    customers: Callable[[], dict[str, CustomerSpec]]
+    held: Callable[[], list[HeldUpdate]]
+    on_demand: Callable[[], None]
+
+
+class _Member(NamedTuple):
+    report: MemberReport
+    at_s: float
+
+
+@final
+class Hub:
+    """What the members have reported, and the connections to them."""
+
+    def __init__(self, parts: HubParts) -> None:
+        self._parts = parts
+        self._members: dict[str, _Member] = {}
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._giver: UsageGiver | None = None
+        self._giver_fence = -1
+
+    async def run(self, ip: str, port: int) -> None:
+        """Listen until cancelled."""
+        server = await asyncio.start_server(
+            self._serve, ip, port, limit=MAX_LINE_BYTES, reuse_address=True
+        )
+        async with server:
+            await server.serve_forever()
+
+    def push_held(self, updates: list[HeldUpdate]) -> None:
+        """Tell all members what has changed at servers."""
+        if not updates:
+            return
+        line = encode_line({"held": updates})
+        for writer in self._writers:
+            writer.write(line)
+
+    def server_load(self) -> dict[str, int]:
+        """Return the requests in progress at each server, over all members."""
+        total: dict[str, int] = {}
+        for member in self._members.values():
+            for name, count in member.report["load"].items():
+                total[name] = total.get(name, 0) + count
+        return total
+
+    def demand(self, service: str) -> dict[WantedModel, ModelDemand]:
+        """Return what callers ask of each model and adapter of a service."""
+        demand: dict[WantedModel, ModelDemand] = {}
+        for member in self._members.values():
+            for use in member.report["models"]:
+                if use["service"] != service:
+                    continue
+                wanted = WantedModel(service, use["model"], use["adapter"])
+                seen = demand.get(wanted, ModelDemand(0.0, 0.0))
+                demand[wanted] = ModelDemand(
+                    seen.running + use["running"], seen.waiting + use["waiting"]
+                )
+        return demand
+
+    def doubtful(self) -> frozenset[str]:
+        """Return the servers that half of the members or more doubt."""
+        counts: dict[str, int] = {}
+        for member in self._members.values():
+            for name in member.report["doubtful"]:
+                counts[name] = counts.get(name, 0) + 1
+        half = max(1, len(self._members) / 2)
+        return frozenset(name for name, count in counts.items() if count >= half)
+
+    def drop_silent(self) -> None:
+        """Forget the members that have been silent for long."""
+        now_s = boot_s()
+        for name, member in list(self._members.items()):
+            if now_s - member.at_s > MEMBER_KEPT_S:
+                del self._members[name]
+                if self._giver is not None:
+                    self._giver.forget_member(name)
+                log_change("member silent", member=name, members=len(self._members))
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            if self._parts.leadership.is_mine():
+                writer.write(encode_line({"held": self._parts.held()}))
+            while line := await reader.readline():
+                decoded = decode_line(line)
+                if decoded.is_err():
+                    log_trouble("report cannot be read", reason=decoded.err())
+                    break
+                writer.write(encode_line({"answer": self._answer(decoded.ok())}))
+        except (OSError, ValueError) as error:
+            log_trouble("member's connection ended", reason=str(error))
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    def _answer(self, plain: dict[str, Any]) -> LeaderAnswer:
+        report: MemberReport = plain  # type: ignore[assignment]
+        now_s = boot_s()
+        leadership = self._parts.leadership
+        if report["member"] not in self._members:
+            log_change("member seen", member=report["member"])
+        self._members[report["member"]] = _Member(report, now_s)
+        leads = (
+            leadership.is_mine()
+            and (leadership.read_age_s(now_s) < RESIGN_AGE_S)
+            and not leadership.has_given_up()
+        )
+        if any(use["waiting"] for use in report["models"]):
+            self._parts.on_demand()
+        period_s = max(MIN_PERIOD_S, len(self._members) / REPORTS_PER_S)
+        return {
+            "number": report["number"],
+            "leads": leads,
+            "fence": -1 if leadership.claim is None else leadership.claim.fence,
+            "given": self._give(report, now_s),
+            "load": self.server_load(),
+            "members": len(self._members),
+            "period_s": period_s,
+        }
+
+    def _give(self, report: MemberReport, now_s: float) -> dict[str, float]:
+        leadership = self._parts.leadership
+        if not leadership.is_mine() or not leadership.has_taken_over(now_s):
+            return {}
+        assert leadership.claim is not None
+        if self._giver is None or self._giver_fence != leadership.claim.fence:
+            self._giver = UsageGiver(now_s)
+            self._giver_fence = leadership.claim.fence
+        share = self._share(now_s)
+        customers = self._parts.customers()
+        given: dict[str, float] = {}
+        for name, (balance, demand_per_s, missing) in report["usage"].items():
+            customer = customers.get(name)
+            if customer is None or customer.rate_per_s <= 0:
+                continue
+            scaled = customer._replace(
+                rate_per_s=customer.rate_per_s * share, burst=customer.burst * share
+            )
+            amount = self._giver.give(
+                report["member"],
+                scaled,
+                UsageReport(balance, demand_per_s, missing),
+                now_s,
+            )
+            if amount > 0:
+                given[name] = round(amount, 1)
+        return given
+
+    def _share(self, now_s: float) -> float:
+        """Return the part of the limits that this VM may give out.
+
+        Without authority another leader may have been chosen by the members that do
+        not report here any more.
+        """
+        if self._parts.leadership.may_act(now_s) or not self._members:
+            return 1.0
+        recent = sum(1 for m in self._members.values() if now_s - m.at_s < 1.0)
+        return recent / len(self._members)
--- /dev/null
+++ b/src/_pistachiopond/vm/link.py
@@ -0,0 +1,224 @@
+"""A VM's connection to the one that leads."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, NamedTuple, final
+
+from _pistachiopond.decisions.leadership import Claim, Leadership
+from _pistachiopond.decisions.retry_share import RetryShare
+from _pistachiopond.decisions.usage import UsageTaker
+from _pistachiopond.http1.messages import parse_address
+from _pistachiopond.observe.logs import log_trouble
+from _pistachiopond.schema.deployment import CustomerSpec
+from _pistachiopond.schema.peer_messages import (
+    HeldUpdate,
+    LeaderAnswer,
+    MemberReport,
+    decode_line,
+    encode_line,
+)
+from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.fleet import Fleet, HeldModels
+from _pistachiopond.vm.wants import Wants
+
+CONNECT_LIMIT_S: Final = 0.5
+# A leader that does not answer a report for this long is tried anew.
+ANSWER_LIMIT_S: Final = 0.7
+RECONNECT_S: Final = 0.1
+FIRST_PERIOD_S: Final = 0.2
+# Reports that are hurried are at least this far apart.
+MIN_PERIOD_S: Final = 0.01
+MAX_LINE_BYTES: Final = 4 * 1024 * 1024
+
+
+class LinkParts(NamedTuple):
+    """What the link reports and updates.
+
+    Attributes
+    ----------
+    name : str
+        This VM.
+    fleet : Fleet
+        Servers, their load and what they hold.
+    usage : UsageTaker
+        This VM's balances.
+    retries : RetryShare
+        This VM's part of the retry budget.
+    customers : callable
+        Returns the customers of the configuration in force.
+    """
+
+    name: str
+    fleet: Fleet
+    usage: UsageTaker
+    retries: RetryShare
+    customers: Callable[[], dict[str, CustomerSpec]]
+
+
+@final
+class LeaderLink:
+    """Reports to the leader and takes its answers."""
+
+    def __init__(self, parts: LinkParts, leadership: Leadership) -> None:
+        self._parts = parts
+        self._leadership = leadership
+        self._hurry = asyncio.Event()
+        self._answered = asyncio.Event()
+        self._number = 0
+        self._answered_s = float("-inf")
+        self._resigned_fence = -1
+        self._period_s = FIRST_PERIOD_S
+        self._members = 1
+        self.wants = Wants(self.hurry)
+
+    def hurry(self) -> None:
+        """Report at once."""
+        self._hurry.set()
+
+    def answer_age_s(self) -> float:
+        """Return how long ago the leader answered."""
+        return boot_s() - self._answered_s
+
+    def has_resigned(self) -> bool:
+        """Return whether the known leader has said that it leads no more."""
+        claim = self._leadership.claim
+        return claim is not None and claim.fence == self._resigned_fence
+
+    async def run(self) -> None:
+        """Keep a connection to the leader until cancelled."""
+        while True:
+            claim = self._leadership.claim
+            if claim is not None:
+                await self._serve(claim)
+            self._leadership.leader_lost(boot_s())
+            self._parts.fleet.peer_load.clear()
+            self._parts.usage.allow_isolated(
+                self._parts.customers(), self._members, boot_s()
+            )
+            await asyncio.sleep(RECONNECT_S)
+
+    async def _serve(self, claim: Claim) -> None:
+        address = parse_address(claim.address)
+        writer: asyncio.StreamWriter | None = None
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                reader, writer = await asyncio.open_connection(
+                    *address, limit=MAX_LINE_BYTES
+                )
+            async with asyncio.TaskGroup() as group:
+                reading = group.create_task(self._read(reader))
+                group.create_task(self._report(writer, claim, reading))
+        except (OSError, TimeoutError) as error:
+            self._log_lost(claim, error)
+        except ExceptionGroup as errors:
+            _, rest = errors.split((OSError, TimeoutError, ValueError))
+            if rest is not None:
+                raise
+            self._log_lost(claim, errors.exceptions[0])
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+
+    async def _report(
+        self,
+        writer: asyncio.StreamWriter,
+        claim: Claim,
+        reading: "asyncio.Task[None]",
+    ) -> None:
+        try:
+            while self._leadership.claim == claim:
+                self._hurry.clear()
+                self._number += 1
+                self._answered.clear()
+                writer.write(encode_line(self._make_report()))
+                async with asyncio.timeout(ANSWER_LIMIT_S):
+                    await self._answered.wait()
+                if self.has_resigned():
+                    return
+                await asyncio.sleep(MIN_PERIOD_S)
+                await self._wait_for_hurry()
+        finally:
+            reading.cancel()
+
+    async def _wait_for_hurry(self) -> None:
+        try:
+            async with asyncio.timeout(self._period_s):
+                await self._hurry.wait()
+        except TimeoutError:
+            return
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        while line := await reader.readline():
+            decoded = decode_line(line)
+            if decoded.is_err():
+                raise ValueError(f"the leader sent no message: {decoded.err()}")
+            message = decoded.ok()
+            for update in message.get("held", ()):
+                self._take_held(update)
+            if "answer" in message:
+                self._take_answer(message["answer"])
+        raise ConnectionResetError("the leader closed the connection")
+
+    def _make_report(self) -> MemberReport:
+        parts = self._parts
+        wants = self.wants
+        return {
+            "member": parts.name,
+            "number": self._number,
+            "usage": {
+                name: (report.balance, report.demand_per_s, report.missing)
+                for name, report in parts.usage.reports(boot_s()).items()
+            },
+            "load": dict(parts.fleet.own_load),
+            "models": [
+                {
+                    "service": wanted.service,
+                    "model": wanted.model,
+                    "adapter": wanted.adapter,
+                    "running": wants.running.get(wanted, 0),
+                    "waiting": wants.lacking.get(wanted, 0),
+                }
+                for wanted in wants.take_used() | set(wants.lacking)
+            ],
+            "doubtful": sorted(parts.fleet.doubtful()),
+        }
+
+    def _take_answer(self, answer: LeaderAnswer) -> None:
+        if answer["number"] != self._number:
+            return
+        parts = self._parts
+        now_s = boot_s()
+        self._answered.set()
+        claim = self._leadership.claim
+        if not answer["leads"]:
+            if claim is not None:
+                self._resigned_fence = claim.fence
+        else:
+            self._leadership.leader_answered(now_s)
+        self._answered_s = now_s
+        self._period_s = answer["period_s"]
+        self._members = max(1, answer["members"])
+        parts.retries.set_members(self._members)
+        for name, amount in answer["given"].items():
+            parts.usage.add(name, amount, now_s)
+        own = parts.fleet.own_load
+        parts.fleet.peer_load = {
+            name: max(0, total - own.get(name, 0))
+            for name, total in answer["load"].items()
+        }
+
+    def _take_held(self, update: HeldUpdate) -> None:
+        models = {
+            name: frozenset(adapters) for name, adapters in update["models"].items()
+        }
+        held = HeldModels(update["started_ms"], models)
+        self._parts.fleet.set_held(update["server"], held)
+
+    def _log_lost(self, claim: Claim, error: BaseException) -> None:
+        self._parts.fleet.forget_held()
+        log_trouble(
+            "leader does not answer",
+            leader=claim.leader,
+            fence=claim.fence,
+            reason=f"{type(error).__name__}: {error}",
+        )
--- /dev/null
+++ b/src/_pistachiopond/vm/placer.py
@@ -0,0 +1,330 @@
+"""The leader's service that decides what engine servers hold, and orders it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, NamedTuple, final
+
+from result import Err, Ok, Result
+
+from _pistachiopond.decisions.leadership import Leadership
+from _pistachiopond.decisions.model_board import (
+    LOAD_OVERDUE_FACTOR,
+    LOAD_OVERDUE_SLACK_S,
+    Board,
+    Holding,
+)
+from _pistachiopond.decisions.model_plan import (
+    DemandMemory,
+    LoadAllowance,
+    ModelDemand,
+    PlanInputs,
+    plan_adapter,
+    plan_models,
+)
+from _pistachiopond.http1.client import ExchangeError
+from _pistachiopond.http1.messages import Request, encode_request
+from _pistachiopond.observe.logs import log_change, log_trouble
+from _pistachiopond.platform.servers import (
+    decode_order_reply,
+    decode_report,
+    encode_order,
+    encode_report_request,
+)
+from _pistachiopond.schema.deployment import BackendServer, Deployment, EngineSpec
+from _pistachiopond.schema.model_orders import ModelOrder
+from _pistachiopond.schema.peer_messages import HeldUpdate
+from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.fleet import Fleet, WantedModel
+from _pistachiopond.vm.hub import Hub
+from _pistachiopond.vm.pools import ServerPools
+
+TICK_S: Final = 0.1
+ORDER_LIMIT_S: Final = 1.0
+REPORT_LIMIT_S: Final = 1.0
+# A server that could not be asked is asked again after this.
+ASK_AGAIN_S: Final = 0.6
+# An accepted adapter takes up to this long until requests may use it.
+ADAPTER_LOAD_S: Final = 0.012
+
+
+class PlacerParts(NamedTuple):
+    """What the placer uses.
+
+    Attributes
+    ----------
+    name : str
+        This VM, as servers see the holder of orders.
+    leadership : Leadership
+        Whether it may act, and its fencing token.
+    fleet : Fleet
+        The servers.
+    pools : ServerPools
+        Connections to them.
+    deployment : callable
+        Returns the configuration in force, or None.
+    """
+
+    name: str
+    leadership: Leadership
+    fleet: Fleet
+    pools: ServerPools
+    deployment: Callable[[], Deployment | None]
+
+
+class _Engines:
+    """The engine servers of one service."""
+
+    def __init__(self, spec: EngineSpec, now_s: float) -> None:
+        self.spec = spec
+        self.board = Board(spec)
+        self.memory = DemandMemory()
+        self.allowance = LoadAllowance(spec.loads_per_s, now_s)
+
+
+@final
+class Placer:
+    """The engine services while this VM leads."""
+
+    def __init__(self, parts: PlacerParts) -> None:
+        self._parts = parts
+        self._engines: dict[str, _Engines] = {}
+        self._told: dict[str, HeldUpdate] = {}
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._fence = -1
+        self.hub: Hub | None = None
+
+    def wake(self) -> None:
+        """Plan at once."""
+        self._wake.set()
+
+    def held(self) -> list[HeldUpdate]:
+        """Return what the members have been told of all servers."""
+        return list(self._told.values())
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            self._wake.clear()
+            if self._parts.leadership.may_act(boot_s()):
+                self._step(boot_s())
+            elif not self._parts.leadership.is_mine():
+                self._forget()
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    def _forget(self) -> None:
+        self._engines.clear()
+        self._told.clear()
+
+    def _step(self, now_s: float) -> None:
+        deployment = self._parts.deployment()
+        claim = self._parts.leadership.claim
+        if deployment is None or claim is None:
+            return
+        if claim.fence != self._fence:
+            self._forget()
+            self._fence = claim.fence
+        for name, service in deployment.services.items():
+            if service.engine is not None:
+                self._plan(name, service.engine, now_s)
+        self._tell()
+
+    def _plan(self, service: str, spec: EngineSpec, now_s: float) -> None:
+        engines = self._engines.get(service)
+        if engines is None:
+            engines = _Engines(spec, now_s)
+            self._engines[service] = engines
+        elif engines.spec != spec:
+            engines.spec = engines.board.spec = spec
+        board = engines.board
+        servers = self._parts.fleet.of_service(service)
+        board.set_servers({server.server_id: server for server in servers})
+        for holding in board.holdings.values():
+            self._ask_if_unsure(holding, now_s)
+        assert self.hub is not None
+        demand = self.hub.demand(service)
+        self._note_use(board, demand, now_s)
+        inputs = PlanInputs(
+            board=board,
+            demand=_by_model(demand),
+            memory=engines.memory,
+            server_load=self.hub.server_load(),
+            doubtful=self.hub.doubtful(),
+            allowance=engines.allowance,
+        )
+        engines.memory.update(inputs.demand, now_s)
+        for order in plan_models(inputs, now_s):
+            self._send(board.holdings[order.server_id], order)
+        self._plan_adapters(inputs, demand, now_s)
+
+    def _plan_adapters(
+        self,
+        inputs: PlanInputs,
+        demand: dict[WantedModel, ModelDemand],
+        now_s: float,
+    ) -> None:
+        for wanted, seen in demand.items():
+            if not wanted.adapter or seen.waiting <= 0:
+                continue
+            is_held = any(
+                wanted.adapter in holding.models.get(wanted.model, ())
+                for holding in inputs.board.holdings.values()
+                if not holding.server.is_leaving
+            )
+            if is_held:
+                continue
+            order = plan_adapter(inputs, wanted.model, wanted.adapter, now_s)
+            if order is not None:
+                self._send(inputs.board.holdings[order.server_id], order)
+
+    def _note_use(
+        self, board: Board, demand: dict[WantedModel, ModelDemand], now_s: float
+    ) -> None:
+        for wanted in demand:
+            if not wanted.adapter:
+                continue
+            for holding in board.holdings.values():
+                if wanted.adapter in holding.models.get(wanted.model, ()):
+                    holding.adapter_used_s[(wanted.model, wanted.adapter)] = now_s
+
+    def _ask_if_unsure(self, holding: Holding, now_s: float) -> None:
+        is_unsure = not holding.is_known or holding.is_overdue(now_s)
+        if not is_unsure or holding.is_ordering or holding.server.is_leaving:
+            return
+        if now_s - holding.asked_s < ASK_AGAIN_S:
+            return
+        holding.asked_s = now_s
+        self._start(self._ask(holding))
+
+    def _send(self, holding: Holding, order: ModelOrder) -> None:
+        holding.is_ordering = True
+        self._start(self._order(holding, order, self._fence))
+
+    def _start(self, work: "asyncio.coroutines.Coroutine[None, None, None]") -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, holding: Holding) -> None:
+        server = holding.server
+        head = encode_report_request(server.server_id)
+        answer = await self._call(server, Request(head, b""), REPORT_LIMIT_S)
+        report = answer.and_then(
+            lambda found: (
+                decode_report(found[1])
+                if found[0] == 200
+                else Err(f"status {found[0]}")
+            )
+        )
+        if report.is_err():
+            log_trouble(
+                "server gave no report", server=server.server_id, reason=report.err()
+            )
+            return
+        if holding.is_ordering:
+            return
+        holding.take_report(report.ok())
+        self.wake()
+
+    async def _order(self, holding: Holding, order: ModelOrder, fence: int) -> None:
+        server = holding.server
+        request = encode_order(order, self._parts.name, fence)
+        answer = await self._call(server, request, ORDER_LIMIT_S)
+        outcome = "unanswered"
+        if answer.is_ok():
+            outcome = decode_order_reply(answer.ok()[0]).outcome
+        log_change(
+            "order given",
+            server=server.server_id,
+            action=order.action,
+            model=order.model,
+            adapter=order.adapter,
+            order_count=order.order_count,
+            fence=fence,
+            outcome=outcome,
+            detail=answer.err() if answer.is_err() else "",
+        )
+        if outcome in ("accepted", "holds_already"):
+            await self._accepted(holding, order, outcome)
+        elif outcome == "fenced":
+            self._parts.leadership.resign()
+        else:
+            holding.is_known = False
+        holding.is_ordering = False
+        self.wake()
+
+    async def _accepted(
+        self, holding: Holding, order: ModelOrder, outcome: str
+    ) -> None:
+        now_s = boot_s()
+        board_s = 0.0
+        for engines in self._engines.values():
+            if order.model in engines.spec.models:
+                board_s = engines.board.load_duration_s(holding, order.model)
+        ready_s = now_s + board_s * LOAD_OVERDUE_FACTOR + LOAD_OVERDUE_SLACK_S
+        if order.adapter and order.action == "load":
+            await asyncio.sleep(ADAPTER_LOAD_S)
+        holding.accepted(order, ready_s)
+        if outcome == "holds_already":
+            # Whether it counted as an order is not said.
+            holding.is_known = order.action == "unload" and bool(order.adapter)
+
+    async def _call(
+        self, server: BackendServer, request: Request, limit_s: float
+    ) -> Result[tuple[int, bytes], str]:
+        pool = self._parts.pools.of(server)
+        try:
+            connection = await pool.acquire()
+        except ExchangeError as error:
+            return Err(str(error))
+        try:
+            async with asyncio.timeout(limit_s):
+                data = encode_request(request.head, request.body)
+                connection.send(data, request.head.method)
+                head = await connection.read_head()
+                chunks = []
+                while chunk := await connection.read_chunk():
+                    chunks.append(chunk)
+                return Ok((head.status, b"".join(chunks)))
+        except ExchangeError as error:
+            return Err(str(error))
+        except TimeoutError:
+            return Err(f"no answer within {limit_s} s")
+        finally:
+            pool.release(connection)
+
+    def _tell(self) -> None:
+        updates: list[HeldUpdate] = []
+        present: dict[str, HeldUpdate] = {}
+        for engines in self._engines.values():
+            for name, holding in engines.board.holdings.items():
+                update: HeldUpdate = {
+                    "server": name,
+                    "started_ms": holding.server.started_ms,
+                    "models": {
+                        model: sorted(adapters)
+                        for model, adapters in holding.models.items()
+                        if holding.serves(model)
+                    },
+                }
+                present[name] = update
+                if self._told.get(name) != update:
+                    updates.append(update)
+        self._told = present
+        if self.hub is not None:
+            self.hub.push_held(updates)
+
+
+def _by_model(demand: dict[WantedModel, ModelDemand]) -> dict[str, ModelDemand]:
+    by_model: dict[str, ModelDemand] = {}
+    for wanted, seen in demand.items():
+        known = by_model.get(wanted.model, ModelDemand(0.0, 0.0))
+        # A request that lacks only its adapter still counts for its model.
+        by_model[wanted.model] = ModelDemand(
+            known.running + seen.running, known.waiting + seen.waiting
+        )
+    return by_model
--- /dev/null
+++ b/src/_pistachiopond/vm/pools.py
@@ -0,0 +1,47 @@
+"""Kept connections to all backend servers."""
+
+from collections.abc import Callable
+from typing import Final, final
+
+from _pistachiopond.decisions.attempt_policy import is_repeatable
+from _pistachiopond.http1.pool import ConnectionPool
+from _pistachiopond.schema.deployment import BackendServer, Route
+
+# A server in reach answers within a few milliseconds; a lost opening packet is sent
+# again after a second.
+CONNECT_LIMIT_S: Final = 1.2
+# The longer a connection has been idle, the likelier its server is about to close it;
+# a request that must not run twice is not sent into that.
+MAX_IDLE_ONCE_S: Final = 2.5
+
+
+@final
+class ServerPools:
+    """A pool for each server that runs."""
+
+    def __init__(self, now_s: Callable[[], float]) -> None:
+        self._now_s = now_s
+        self._pools: dict[tuple[str, int], ConnectionPool] = {}
+
+    def of(self, server: BackendServer) -> ConnectionPool:
+        """Return the pool of one incarnation of a server."""
+        key = server.incarnation()
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = ConnectionPool(server.address, self._now_s, CONNECT_LIMIT_S)
+            self._pools[key] = pool
+        return pool
+
+    def max_idle_s(self, route: Route) -> float | None:
+        """Return how long a connection for the route may have been idle."""
+        return None if is_repeatable(route) else MAX_IDLE_ONCE_S
+
+    def tidy(self, servers: dict[str, BackendServer]) -> None:
+        """Close idle connections, and the pools of servers that are gone."""
+        kept = {server.incarnation() for server in servers.values()}
+        for key, pool in list(self._pools.items()):
+            pool.close_old()
+            if key not in kept:
+                pool.close()
+                if pool.open_count == 0:
+                    del self._pools[key]
--- /dev/null
+++ b/src/_pistachiopond/vm/program.py
@@ -0,0 +1,284 @@
+"""Puts the parts of a VM's process together and runs them until it is stopped."""
+
+import asyncio
+import gc
+import secrets
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Final, NamedTuple
+
+import anyio
+from prometheus_client import generate_latest
+
+from _pistachiopond.decisions.leadership import Leadership
+from _pistachiopond.decisions.rendezvous import score
+from _pistachiopond.decisions.retry_share import RetryShare
+from _pistachiopond.decisions.route_table import HASH_RANGE
+from _pistachiopond.decisions.usage import UsageTaker
+from _pistachiopond.http1.messages import HttpAddress, Request
+from _pistachiopond.http1.server import (
+    Handler,
+    Responder,
+    ServerConnection,
+    ServerParts,
+)
+from _pistachiopond.kernel.timer import RealTimer, every
+from _pistachiopond.observe.bounded import BoundedLines, set_up_bounded_logs
+from _pistachiopond.observe.logs import log_change, log_trouble
+from _pistachiopond.observe.metrics import Metrics
+from _pistachiopond.platform.settings import read_vm_settings, settings_path
+from _pistachiopond.platform.store import (
+    OPERATOR_TOPIC,
+    SERVERS_TOPIC,
+    StoreFailure,
+    make_store_client,
+)
+from _pistachiopond.schema.deployment import CustomerSpec, Deployment
+from _pistachiopond.schema.vm_settings import VmSettings
+from _pistachiopond.vm.admission import Admission
+from _pistachiopond.vm.fleet import Fleet
+from _pistachiopond.vm.follow import TopicFollower, TopicSink
+from _pistachiopond.vm.forward import ForwardParts
+from _pistachiopond.vm.front import Front, FrontMetrics
+from _pistachiopond.vm.hub import Hub, HubParts
+from _pistachiopond.vm.lead import LeadService
+from _pistachiopond.vm.link import LeaderLink, LinkParts
+from _pistachiopond.vm.placer import Placer, PlacerParts
+from _pistachiopond.vm.pools import ServerPools
+from _pistachiopond.vm.state import FIRST_LIMITS, ConfigurationState
+from _pistachiopond.vm.stop import drain
+from _pistachiopond.vm.store_calls import make_store_call
+
+METRICS_PORT: Final = 9464
+LOG_FLUSH_S: Final = 0.1
+TIDY_S: Final = 0.25
+SETTINGS_LOOK_S: Final = 1.0
+LISTEN_BACKLOG: Final = 512
+# VMs below these lead only where there is no other.
+STRONG_CORES: Final = 0.8
+STRONG_LINK_MBPS: Final = 50.0
+
+
+class Vm(NamedTuple):
+    """The parts of one process."""
+
+    settings: VmSettings
+    state: ConfigurationState
+    fleet: Fleet
+    pools: ServerPools
+    usage: UsageTaker
+    link: LeaderLink
+    lead: LeadService
+    hub: Hub
+    placer: Placer
+    front: Front
+    followers: tuple[TopicFollower, ...]
+    metrics: Metrics
+
+
+def make_vm(settings: VmSettings, metrics: Metrics) -> Vm:
+    """Return the parts for a new start of the process."""
+    timer = RealTimer()
+    incarnation = secrets.token_hex(8)
+    state = ConfigurationState(settings.bounds.revoke_s)
+    fleet = Fleet(settings.data_centre, settings.heartbeat_s, settings.bounds.drain_s)
+    pools = ServerPools(timer.now_s)
+    usage = UsageTaker()
+    retries = RetryShare(settings.bounds.retry_ratio, settings.bounds.retry_reserve)
+    leadership = Leadership(incarnation, _preference(settings))
+
+    def deployment() -> Deployment | None:
+        return None if state.table is None else state.table.deployment
+
+    def customers() -> dict[str, CustomerSpec]:
+        return {} if state.table is None else state.table.deployment.customers
+
+    link = LeaderLink(
+        LinkParts(settings.name, fleet, usage, retries, customers), leadership
+    )
+    store = make_store_client(make_store_call(settings.store.address, timer.now_s))
+    lead = LeadService(store, leadership, settings, incarnation, link.has_resigned)
+    placer = Placer(PlacerParts(settings.name, leadership, fleet, pools, deployment))
+    hub = Hub(HubParts(leadership, customers, placer.held, placer.wake))
+    placer.hub = hub
+    admission = Admission(state, usage, link)
+    forward_parts = ForwardParts(fleet, pools, link.wants, retries, admission.refund)
+    front = Front(admission, forward_parts, FrontMetrics.make(metrics))
+    followers = (
+        TopicFollower(
+            store,
+            OPERATOR_TOPIC,
+            TopicSink(state.replace, state.apply, state.reached, _ignore_failure),
+        ),
+        TopicFollower(
+            store,
+            SERVERS_TOPIC,
+            TopicSink(fleet.replace, fleet.apply, fleet.reached, _ignore_failure),
+        ),
+    )
+    return Vm(
+        settings=settings,
+        state=state,
+        fleet=fleet,
+        pools=pools,
+        usage=usage,
+        link=link,
+        lead=lead,
+        hub=hub,
+        placer=placer,
+        front=front,
+        followers=followers,
+        metrics=metrics,
+    )
+
+
+async def run_vm(settings: VmSettings, path: Path, lines: BoundedLines) -> None:
+    """Run the process until SIGTERM and the end of its requests.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        As read at the start.
+    path : Path
+        Where newer settings appear.
+    lines : BoundedLines
+        The log lines that wait for standard output.
+    """
+    metrics = Metrics()
+    vm = make_vm(settings, metrics)
+    timer = RealTimer()
+    stopping = anyio.Event()
+    connections: set[ServerConnection] = set()
+    metrics.gauge("pond_log_lines_dropped", "Dropped lines.", lambda: lines.dropped)
+    metrics.gauge("pond_open_connections", "Of callers.", lambda: len(connections))
+    metrics.gauge("pond_configuration_age_s", "Proof's age.", vm.state.age_s)
+
+    async def flush(_: float) -> None:
+        lines.flush_ready()
+
+    async def tidy(now_s: float) -> None:
+        for connection in list(connections):
+            connection.check_time(now_s)
+        vm.pools.tidy(vm.fleet.servers)
+        vm.fleet.drop_lapsed()
+        vm.hub.drop_silent()
+        vm.usage.cap(_customers(vm))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_signals, stopping, path)
+        group.start_soon(every, timer, LOG_FLUSH_S, flush)
+        group.start_soon(every, timer, TIDY_S, tidy)
+        group.start_soon(_watch_settings, path, settings)
+        for work in (*[f.run for f in vm.followers], vm.link.run, vm.lead.run):
+            group.start_soon(work)
+        group.start_soon(vm.placer.run)
+        group.start_soon(vm.hub.run, *settings.peer_address)
+        await _listen(
+            settings.caller_address,
+            ServerParts(
+                vm.front.handle,
+                vm.state.limits,
+                timer.now_s,
+                stopping.is_set,
+                connections,
+            ),
+        )
+        await _listen_plain(settings.ready_address, _ready_handler(vm, stopping))
+        metrics_address = HttpAddress(settings.ip, METRICS_PORT)
+        await _listen_plain(metrics_address, _metrics_handler(metrics))
+        gc.collect()
+        gc.freeze()
+        log_change("started", vm=settings.name, data_centre=settings.data_centre)
+        await stopping.wait()
+        log_change("stopping", grace_s=settings.bounds.stop_grace_s)
+        await vm.lead.resign()
+        await drain(connections, settings.bounds.stop_grace_s, timer.now_s)
+        log_change("stopped")
+        lines.flush_ready()
+        group.cancel_scope.cancel()
+
+
+def _preference(settings: VmSettings) -> float:
+    is_strong = (
+        settings.cpu_cores >= STRONG_CORES and settings.link_mbps >= STRONG_LINK_MBPS
+    )
+    drawn = score("leader", settings.name) / HASH_RANGE / 2.0
+    return drawn if is_strong else 0.5 + drawn
+
+
+def _customers(vm: Vm) -> dict[str, CustomerSpec]:
+    return {} if vm.state.table is None else vm.state.table.deployment.customers
+
+
+def _ignore_failure(failure: StoreFailure) -> None:
+    """Do nothing; the follower has logged it and the age of its data shows it."""
+
+
+async def _listen(address: HttpAddress, parts: ServerParts) -> None:
+    loop = asyncio.get_running_loop()
+    await loop.create_server(
+        lambda: ServerConnection(parts),
+        *address,
+        backlog=LISTEN_BACKLOG,
+        reuse_address=True,
+    )
+
+
+async def _listen_plain(address: HttpAddress, handler: Handler) -> None:
+    parts = ServerParts(
+        handler, lambda: FIRST_LIMITS, RealTimer().now_s, lambda: False, set()
+    )
+    await _listen(address, parts)
+
+
+def _ready_handler(vm: Vm, stopping: anyio.Event) -> Handler:
+    async def handle(request: Request, responder: Responder) -> None:
+        is_ready = not stopping.is_set() and vm.state.is_fresh() and vm.fleet.is_loaded
+        await responder.answer(200 if is_ready else 503, [], b"")
+
+    return handle
+
+
+def _metrics_handler(metrics: Metrics) -> Handler:
+    async def handle(request: Request, responder: Responder) -> None:
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        await responder.answer(200, headers, generate_latest(metrics.registry))
+
+    return handle
+
+
+async def _watch_signals(stopping: anyio.Event, path: Path) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as received:
+        async for number in received:
+            if number == signal.SIGHUP:
+                log_change("asked to read the settings again", path=str(path))
+            else:
+                stopping.set()
+
+
+async def _watch_settings(path: Path, settings: VmSettings) -> None:
+    known = settings
+    while True:
+        await anyio.sleep(SETTINGS_LOOK_S)
+        answer = read_vm_settings(path)
+        if answer.is_err():
+            log_trouble("settings cannot be read", reason=answer.err())
+        elif answer.ok() != known:
+            known = answer.ok()
+            log_change("settings changed; they take effect at the next start")
+
+
+def main(run: Callable[..., Awaitable[None]] = run_vm) -> None:
+    """Read the settings and run the process."""
+    path = settings_path()
+    if path.is_err():
+        sys.exit(f"pond-vm: {path.err()}")
+    settings = read_vm_settings(path.ok())
+    if settings.is_err():
+        sys.exit(f"pond-vm: {settings.err()}")
+    lines = set_up_bounded_logs()
+    anyio.run(run, settings.ok(), path.ok(), lines)
--- a/testing/control/test_calls.py
+++ b/testing/control/test_calls.py
@@ -10,7 +10,7 @@
 from _pistachiopond.control.calls import CallDesk
 from _pistachiopond.control.ports import LogAccess
 from _pistachiopond.kernel.timer import RealTimer
-from _pistachiopond.platform.log import LogFailure, LogPage, LogRecord
+from _pistachiopond.clients.log import LogFailure, LogPage, LogRecord
 from _pistachiopond.transport.generated import pond_pb2 as pb
 
 RUN = pb.ClaimCallReply.RUN
--- a/testing/control/test_configuration.py
+++ b/testing/control/test_configuration.py
@@ -13,7 +13,7 @@
 from _pistachiopond.control.relay import answer_relay, best_peer, read_relay
 from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.kernel.timer import VirtualTimer
-from _pistachiopond.platform.log import LogClient, LogFailure, LogPage
+from _pistachiopond.clients.log import LogClient, LogFailure, LogPage
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.heartbeat import DrainNotice, LogStatement, OwnerHint
 from _pistachiopond.schema.records import SnapshotRecord, WithdrawalRecord
--- a/testing/control/test_orders.py
+++ b/testing/control/test_orders.py
@@ -20,7 +20,7 @@
 from _pistachiopond.decisions.ownership import ShardTerms
 from _pistachiopond.kernel.service import Kernel, Service, run_services
 from _pistachiopond.kernel.timer import VirtualTimer
-from _pistachiopond.platform.log import LogFailure, LogPage
+from _pistachiopond.clients.log import LogFailure, LogPage
 from _pistachiopond.schema.revision import Revision
 from testing.control.test_server import provide
 from testing.decisions.fleet_world import FakeLog
--- a/testing/decisions/fleet_world.py
+++ b/testing/decisions/fleet_world.py
@@ -20,7 +20,7 @@
     ShardClaimant,
     ShardTerms,
 )
-from _pistachiopond.platform.log import LogPage, LogRecord
+from _pistachiopond.clients.log import LogPage, LogRecord
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.engine import EngineModel, EngineOrder, EngineState
 from _pistachiopond.schema.records import Order, SettlementRecord
--- a/testing/decisions/test_config.py
+++ b/testing/decisions/test_config.py
@@ -23,7 +23,7 @@
     snapshot_due_in_s,
 )
 from _pistachiopond.decisions.stream_reader import StreamReader
-from _pistachiopond.platform.log import LogPage, LogRecord
+from _pistachiopond.clients.log import LogPage, LogRecord
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.manifest import BackendServer, Manifest, Model
 from _pistachiopond.schema.records import (
--- a/testing/standin/test_platform.py
+++ b/testing/standin/test_platform.py
@@ -6,9 +6,9 @@
 import httpx
 
 from _pistachiopond.kernel.timer import RealTimer, VirtualTimer
-from _pistachiopond.platform.log import make_log_client
-from _pistachiopond.platform.vmlist import ListedVm, make_vm_list
-from _pistachiopond.platform.weightstore import (
+from _pistachiopond.clients.log import make_log_client
+from _pistachiopond.clients.vmlist import ListedVm, make_vm_list
+from _pistachiopond.clients.weightstore import (
     InFlight,
     WeightLoad,
     make_weight_store,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -8,7 +8,7 @@
 
 import httpx
 
-from _pistachiopond.platform.vmlist import ListedVm
+from _pistachiopond.clients.vmlist import ListedVm
 from _pistachiopond.schema.codec import to_plain
 from _pistachiopond.schema.manifest import BackendServer, Manifest
 from _pistachiopond.schema.settings import ControlSettings, EntrySettings
