Reports are old: what a server holds is taken from its entry and from late reports

Change: reports within 0.6 s of an order are ignored; unloads stay counted until the entry shows them done.

--- a/src/_pistachiopond/decisions/model_board.py
+++ b/src/_pistachiopond/decisions/model_board.py
@@ -12,10 +12,11 @@
 
 # An adapter that a request was sent for is not unloaded for this long.
 ADAPTER_KEPT_S: Final = 1.0
-# A load that has not shown up in the server's description after this many times its
-# usual duration is asked for.
-LOAD_OVERDUE_FACTOR: Final = 1.5
-LOAD_OVERDUE_SLACK_S: Final = 0.8
+# Reports show the state of some hundred milliseconds before, so one that was asked
+# for sooner than this after the last order says nothing about it.
+REPORT_LAG_S: Final = 0.6
+# An order that should have ended this long ago is asked about.
+OVERDUE_S: Final = 0.8
 
 
 @final
@@ -27,24 +28,29 @@
     server : BackendServer
         As it describes itself.
     models : dict of str to set of str
-        The adapters of each model, loads in progress included.
-    loading : dict of str to float
-        When each load in progress is expected to end.
+        The adapters of each model, those being loaded or unloaded included.
+    loading, unloading : dict of str to float
+        When each order in progress is expected to end.
     order_count : int
         Orders that the server has accepted.
     is_known : bool
-        Whether the count is certain; if not, the server must be asked first.
+        Whether the count and the models are certain; if not, the server must be
+        asked before it gets another order.
     is_ordering : bool
         Whether an order is on its way.
+    ordered_s, asked_s : float
+        When the last order was answered, and the last report asked for.
     """
 
     def __init__(self, server: BackendServer) -> None:
         self.server = server
         self.models = {name: set(adapters) for name, adapters in server.models.items()}
         self.loading: dict[str, float] = {}
+        self.unloading: dict[str, float] = {}
         self.order_count = 0
         self.is_known = False
         self.is_ordering = False
+        self.ordered_s = float("-inf")
         self.asked_s = float("-inf")
         self.adapter_used_s: dict[tuple[str, str], float] = {}
 
@@ -54,41 +60,73 @@
         for model in list(self.loading):
             if model in server.models:
                 del self.loading[model]
-
-    def take_report(self, report: ServerReport) -> None:
-        """Replace what is known by what the server says when asked."""
+        for model in list(self.unloading):
+            if model not in server.models:
+                self._dropped(model)
+        settled = set(self.models) - set(self.loading) - set(self.unloading)
+        if settled != set(server.models) - set(self.unloading):
+            # An order of before was carried out late, or somebody else gave one.
+            self.is_known = False
+
+    def take_report(self, report: ServerReport, asked_s: float) -> None:
+        """Replace what is known by what the server says when asked.
+
+        Parameters
+        ----------
+        report : ServerReport
+            Its answer.
+        asked_s : float
+            When it was asked; a report that may show the state before the last
+            order is ignored.
+        """
+        if self.is_ordering or asked_s - self.ordered_s < REPORT_LAG_S:
+            return
+        if report.is_busy:
+            # Asked again until the order in progress has ended.
+            return
         self.order_count = report.order_count
-        loading = {} if not report.is_busy else dict(self.loading)
         self.models = {name: set(names) for name, names in report.models.items()}
-        for model in loading:
-            self.models.setdefault(model, set())
-        self.loading = {
-            model: ready_s
-            for model, ready_s in loading.items()
-            if model not in report.models
-        }
+        self.loading.clear()
+        self.unloading.clear()
         self.is_known = True
 
-    def accepted(self, order: ModelOrder, ready_s: float) -> None:
-        """Note that the server has accepted an order."""
+    def accepted(self, order: ModelOrder, now_s: float, duration_s: float) -> None:
+        """Note that the server has accepted an order.
+
+        Parameters
+        ----------
+        order : ModelOrder
+            The order.
+        now_s : float
+            When its answer came.
+        duration_s : float
+            How long it takes.
+        """
         self.order_count = order.order_count + 1
+        end_s = now_s + duration_s + OVERDUE_S
         if order.action == "load" and order.adapter:
             self.models.setdefault(order.model, set()).add(order.adapter)
         elif order.action == "load":
             self.models.setdefault(order.model, set())
-            self.loading[order.model] = ready_s
+            self.loading[order.model] = end_s
         elif order.adapter:
             self.models.get(order.model, set()).discard(order.adapter)
         else:
-            self.models.pop(order.model, None)
+            self.unloading[order.model] = end_s
+
+    def is_busy(self) -> bool:
+        """Return whether an order for a model is in progress."""
+        return bool(self.loading or self.unloading)
 
     def serves(self, model: str) -> bool:
         """Return whether requests for the model may be sent here."""
-        return model in self.models and model not in self.loading
+        is_moving = model in self.loading or model in self.unloading
+        return model in self.models and not is_moving
 
     def is_overdue(self, now_s: float) -> bool:
-        """Return whether a load should have ended by now."""
-        return any(now_s > ready_s for ready_s in self.loading.values())
+        """Return whether an order should have ended by now."""
+        ends = (*self.loading.values(), *self.unloading.values())
+        return any(now_s > end_s for end_s in ends)
 
     def used_mb(self, spec: EngineSpec) -> float:
         """Return the memory that models and adapters take."""
@@ -105,6 +143,10 @@
         """Return how many adapters it holds."""
         return sum(len(adapters) for adapters in self.models.values())
 
+    def _dropped(self, model: str) -> None:
+        self.unloading.pop(model, None)
+        self.models.pop(model, None)
+
     def free_mb(self, spec: EngineSpec) -> float:
         """Return the memory that is left, with room kept for all adapter slots."""
         widest = max((m.adapter_mb for m in spec.models.values()), default=0.0)
@@ -139,7 +181,9 @@
         return [
             holding
             for holding in self.holdings.values()
-            if model in holding.models and not holding.server.is_leaving
+            if model in holding.models
+            and model not in holding.unloading
+            and not holding.server.is_leaving
         ]
 
     def load_duration_s(self, holding: Holding, model: str) -> float:
--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -195,7 +195,7 @@
     return (
         holding.is_known
         and not holding.is_ordering
-        and not holding.loading
+        and not holding.is_busy()
         and not holding.server.is_leaving
         and holding.server.server_id not in doubtful
     )
@@ -258,9 +258,7 @@
     options: list[tuple[float, str, Holding, tuple[str, str] | None]] = []
     for holding in board.holdings.values():
         name = holding.server.server_id
-        if not holding.serves(model) or not holding.is_known or holding.is_ordering:
-            continue
-        if holding.server.is_leaving or name in inputs.doubtful:
+        if not holding.serves(model) or not _takes_orders(holding, inputs.doubtful):
             continue
         filled = inputs.server_load.get(name, 0.0) / max(1, board.spec.slots)
         if holding.adapter_count() < board.spec.adapter_slots:
--- a/src/_pistachiopond/decisions/usage.py
+++ b/src/_pistachiopond/decisions/usage.py
@@ -176,6 +176,11 @@
         """Add what the leader gave."""
         self._balance(customer, now_s).amount += amount
 
+    def balance(self, customer: str) -> float:
+        """Return what may still be spent."""
+        balance = self._balances.get(customer)
+        return 0.0 if balance is None else balance.amount
+
     def cap(self, customers: Mapping[str, CustomerSpec]) -> None:
         """Lower balances to the limits in force."""
         for name, balance in list(self._balances.items()):
--- a/src/_pistachiopond/platform/servers.py
+++ b/src/_pistachiopond/platform/servers.py
@@ -45,8 +45,6 @@
         is_leaving=_STATES[plain["state"]],
         leaves_in_s=None if leaves_ms is None else float(leaves_ms) / MS_PER_S,
         models=_models(plain.get("models") or []),
-        # Here the field counts heartbeats; in a report it counts orders.
-        heartbeats=plain["sequence"],
         models_in_memory=_names(kept.get("inMemory")),
         models_on_disk=_names(kept.get("onDisk")),
     )
--- a/src/_pistachiopond/schema/deployment.py
+++ b/src/_pistachiopond/schema/deployment.py
@@ -216,8 +216,6 @@
         When it will be gone, if it said so.
     models : dict of str to tuple of str
         The adapters of each model that it holds.
-    heartbeats : int
-        Its heartbeats since its start.
     models_in_memory, models_on_disk : tuple of str
         Weights that it loads faster.
     """
@@ -231,7 +229,6 @@
     is_leaving: bool
     leaves_in_s: float | None
     models: dict[str, tuple[str, ...]]
-    heartbeats: int
     models_in_memory: tuple[str, ...]
     models_on_disk: tuple[str, ...]
 
--- a/src/_pistachiopond/vm/admission.py
+++ b/src/_pistachiopond/vm/admission.py
@@ -157,6 +157,9 @@
         facts: dict[str, object] = {
             "customer": customer.name,
             "cost": cost,
+            "rate_per_s": customer.rate_per_s,
+            "burst": customer.burst,
+            "balance": round(self._usage.balance(customer.name), 1),
             "leader_age_s": round(self._link.answer_age_s(), 2),
         }
         wait_s = wait_for_tokens_s(customer, cost)
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -226,6 +226,12 @@
                 started_ms=server.started_ms,
                 is_leaving=server.is_leaving,
             )
+        elif known.models != server.models:
+            log_change(
+                "server holds other models",
+                server=server.server_id,
+                models=sorted(server.models),
+            )
         if server.is_leaving and (is_new or not known.is_leaving):
             self._leaving_since_s[server.server_id] = boot_s()
         if known is not None and known.service != server.service:
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -7,12 +7,7 @@
 from result import Err, Ok, Result
 
 from _pistachiopond.decisions.leadership import Leadership
-from _pistachiopond.decisions.model_board import (
-    LOAD_OVERDUE_FACTOR,
-    LOAD_OVERDUE_SLACK_S,
-    Board,
-    Holding,
-)
+from _pistachiopond.decisions.model_board import REPORT_LAG_S, Board, Holding
 from _pistachiopond.decisions.model_plan import (
     DemandMemory,
     LoadAllowance,
@@ -41,8 +36,6 @@
 TICK_S: Final = 0.1
 ORDER_LIMIT_S: Final = 1.0
 REPORT_LIMIT_S: Final = 1.0
-# A server that could not be asked is asked again after this.
-ASK_AGAIN_S: Final = 0.6
 # An accepted adapter takes up to this long until requests may use it.
 ADAPTER_LOAD_S: Final = 0.012
 
@@ -195,7 +188,7 @@
         is_unsure = not holding.is_known or holding.is_overdue(now_s)
         if not is_unsure or holding.is_ordering or holding.server.is_leaving:
             return
-        if now_s - holding.asked_s < ASK_AGAIN_S:
+        if now_s - max(holding.asked_s, holding.ordered_s) < REPORT_LAG_S:
             return
         holding.asked_s = now_s
         self._start(self._ask(holding))
@@ -211,6 +204,7 @@
 
     async def _ask(self, holding: Holding) -> None:
         server = holding.server
+        asked_s = boot_s()
         head = encode_report_request(server.server_id)
         answer = await self._call(server, Request(head, b""), REPORT_LIMIT_S)
         report = answer.and_then(
@@ -225,9 +219,7 @@
                 "server gave no report", server=server.server_id, reason=report.err()
             )
             return
-        if holding.is_ordering:
-            return
-        holding.take_report(report.ok())
+        holding.take_report(report.ok(), asked_s)
         self.wake()
 
     async def _order(self, holding: Holding, order: ModelOrder, fence: int) -> None:
@@ -254,21 +246,20 @@
             self._parts.leadership.resign()
         else:
             holding.is_known = False
+        holding.ordered_s = boot_s()
         holding.is_ordering = False
         self.wake()
 
     async def _accepted(
         self, holding: Holding, order: ModelOrder, outcome: str
     ) -> None:
-        now_s = boot_s()
-        board_s = 0.0
+        duration_s = 0.0
         for engines in self._engines.values():
             if order.model in engines.spec.models:
-                board_s = engines.board.load_duration_s(holding, order.model)
-        ready_s = now_s + board_s * LOAD_OVERDUE_FACTOR + LOAD_OVERDUE_SLACK_S
+                duration_s = engines.board.load_duration_s(holding, order.model)
         if order.adapter and order.action == "load":
             await asyncio.sleep(ADAPTER_LOAD_S)
-        holding.accepted(order, ready_s)
+        holding.accepted(order, boot_s(), duration_s)
         if outcome == "holds_already":
             # Whether it counted as an order is not said.
             holding.is_known = order.action == "unload" and bool(order.adapter)
