--- a/src/_pistachiopond/decisions/model_board.py
+++ b/src/_pistachiopond/decisions/model_board.py
@@ -40,6 +40,8 @@
         Whether an order is on its way.
     ordered_s, asked_s : float
         When the last order was answered, and the last report asked for.
+    reserved_for : str
+        The model for which another was unloaded; empty for none.
     """
 
     def __init__(self, server: BackendServer) -> None:
@@ -53,6 +55,7 @@
         self.ordered_s = float("-inf")
         self.asked_s = float("-inf")
         self.adapter_used_s: dict[tuple[str, str], float] = {}
+        self.reserved_for = ""
 
     def describe(self, server: BackendServer) -> None:
         """Take the server's newest description into account."""
--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -136,8 +136,10 @@
                 if not inputs.allowance.may_load(now_s):
                     continue
                 inputs.allowance.spend()
+            holding.reserved_for = ""
             orders.append(_order(holding, "load", model))
         else:
+            holding.reserved_for = model
             orders.append(_order(holding, "unload", option.victim))
         busy.add(holding.server.server_id)
     return orders
@@ -157,6 +159,8 @@
             continue
         if any(model in holding.loading for holding in replicas):
             continue
+        if _reserved(inputs.board, model) is not None and seen.waiting <= 0:
+            continue
         share = level / len(replicas)
         filled = min(
             inputs.server_load.get(h.server.server_id, 0.0) / slots for h in replicas
@@ -173,11 +177,16 @@
     inputs: PlanInputs, model: str, gain: float, busy: set[str], now_s: float
 ) -> _Option | None:
     options = []
-    for holding in inputs.board.holdings.values():
+    reserved = _reserved(inputs.board, model)
+    if reserved is not None and _is_sound(reserved, inputs.doubtful):
+        candidates = [reserved]
+    else:
+        candidates = list(inputs.board.holdings.values())
+    for holding in candidates:
         name = holding.server.server_id
         if name in busy or not _takes_orders(holding, inputs.doubtful):
             continue
-        if model in holding.models:
+        if model in holding.models or holding.reserved_for not in ("", model):
             continue
         option = _option(inputs, holding, model, now_s)
         if option is not None:
@@ -191,13 +200,25 @@
     return best
 
 
+def _reserved(board: Board, model: str) -> Holding | None:
+    """Return the server on which room is being made for the model."""
+    for holding in board.holdings.values():
+        if holding.reserved_for == model and model not in holding.models:
+            return holding
+    return None
+
+
+def _is_sound(holding: Holding, doubtful: frozenset[str]) -> bool:
+    name = holding.server.server_id
+    return not holding.server.is_leaving and name not in doubtful
+
+
 def _takes_orders(holding: Holding, doubtful: frozenset[str]) -> bool:
     return (
         holding.is_known
         and not holding.is_ordering
         and not holding.is_busy()
-        and not holding.server.is_leaving
-        and holding.server.server_id not in doubtful
+        and _is_sound(holding, doubtful)
     )
 
 
--- a/src/_pistachiopond/decisions/usage.py
+++ b/src/_pistachiopond/decisions/usage.py
@@ -15,8 +15,10 @@
 HELD_BACK_SHARE: Final = 0.25
 # Demand seen by a member is smoothed over about this time.
 DEMAND_SMOOTHING_S: Final = 1.0
-# How far ahead a member's balance should last.
-COVER_S: Final = 2.0
+# How far ahead a member's balance should last: some reports, so that most requests
+# need not ask. More would leave the bucket in pieces that are too small to use.
+COVER_S: Final = 0.5
+KEPT_COVERS: Final = 2.0
 # A member without a leader may spend this share of the limit over all members, once
 # for each isolation; below the tolerance that operators allow.
 ISOLATED_SHARE: Final = 0.06
@@ -36,11 +38,14 @@
         What requests have asked for lately, admitted or not.
     missing : float
         What the requests that wait for it now lack.
+    returned : float
+        What it has given back with this report.
     """
 
     balance: float
     demand_per_s: float
     missing: float
+    returned: float = 0.0
 
 
 class _Bucket:
@@ -89,6 +94,7 @@
         held[member] = report
         outstanding = sum(item.balance for item in held.values())
         bucket = self._refill(customer, outstanding, now_s)
+        bucket.level += report.returned
         demand = sum(item.demand_per_s for item in held.values())
         wanted = self._wanted(customer, report, demand)
         reserve = 0.0 if report.missing > 0 else HELD_BACK_SHARE * customer.burst
@@ -191,12 +197,15 @@
                 balance.amount = min(balance.amount, spec.burst)
 
     def reports(self, now_s: float) -> dict[str, UsageReport]:
-        """Return what to tell the leader."""
+        """Return what to tell the leader, and give back what is not needed."""
         reports = {}
         for name, balance in self._balances.items():
             self._smooth(balance, now_s)
+            kept = KEPT_COVERS * COVER_S * balance.demand_per_s + balance.missing
+            returned = max(0.0, balance.amount - kept)
+            balance.amount -= returned
             reports[name] = UsageReport(
-                balance.amount, balance.demand_per_s, balance.missing
+                balance.amount, balance.demand_per_s, balance.missing, returned
             )
         return reports
 
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -16,17 +16,33 @@
     waiting: int
 
 
+class RelayedRecord(TypedDict):
+    """A record of the platform's store; the value's bytes as Latin-1."""
+
+    topic: str
+    offset: int
+    key: str
+    value: str
+
+
+class TopicProof(TypedDict):
+    """How old the leader's knowledge of a topic is, and from where to read on."""
+
+    age_s: float
+    next_offset: int
+
+
 class MemberReport(TypedDict):
     """A VM's report to the leader.
 
-    `usage` has for each customer the balance, the demand a second and what waiting
-    requests lack; `load` the requests in progress at each server; `doubtful` the
+    `usage` has for each customer the balance, the demand a second, what waiting
+    requests lack and what is given back; `load` the requests in progress at each server; `doubtful` the
     servers that have failed this VM lately.
     """
 
     member: str
     number: int
-    usage: dict[str, tuple[float, float, float]]
+    usage: dict[str, tuple[float, float, float, float]]
     load: dict[str, int]
     models: list[ModelUse]
     doubtful: list[str]
@@ -36,7 +52,8 @@
     """The leader's answer to a report.
 
     `given` has what each customer's balance grows by; `load` the requests of all VMs
-    at each server; `period_s` is the time until the next report.
+    at each server; `period_s` is the time until the next report; `topics` proves
+    what was relayed.
     """
 
     number: int
@@ -46,6 +63,7 @@
     load: dict[str, int]
     members: int
     period_s: float
+    topics: dict[str, TopicProof]
 
 
 class HeldUpdate(TypedDict):
@@ -61,6 +79,7 @@
 
     answer: LeaderAnswer
     held: list[HeldUpdate]
+    records: list[RelayedRecord]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -59,7 +59,6 @@
         self._drain_s = drain_s
         self.servers: dict[str, BackendServer] = {}
         self._by_service: dict[str, dict[str, BackendServer]] = {}
-        self._offsets: dict[str, int] = {}
         self._lapsed: dict[str, float] = {}
         self._leaving_since_s: dict[str, float] = {}
         self._held: dict[str, HeldModels] = {}
@@ -74,20 +73,8 @@
 
     # What the follower of the servers' topic tells.
 
-    def replace(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Take the newest entries of all servers."""
-        kept = {record.key for record in records}
-        for record in records:
-            self.apply(record)
-        for name in [name for name in self.servers if name not in kept]:
-            self._gone(name)
-        self.is_loaded = True
-
     def apply(self, record: KeyedRecord) -> None:
-        """Take one entry, unless a newer one of that server is known."""
-        if record.offset <= self._offsets.get(record.key, -1):
-            return
-        self._offsets[record.key] = record.offset
+        """Take the newest entry of a server."""
         if not record.value:
             self._gone(record.key)
             return
@@ -105,6 +92,7 @@
         if at_s - self._reached_s >= self._lapse_outage_s:
             self._returned_s = boot_s()
         self._reached_s = max(self._reached_s, at_s)
+        self.is_loaded = True
 
     def drop_lapsed(self) -> None:
         """Drop the servers whose entries have not come back."""
@@ -234,6 +222,9 @@
             )
         if server.is_leaving and (is_new or not known.is_leaving):
             self._leaving_since_s[server.server_id] = boot_s()
+        if known == server:
+            self._lapsed.pop(server.server_id, None)
+            return
         if known is not None and known.service != server.service:
             self._by_service[known.service].pop(server.server_id, None)
         self._lapsed.pop(server.server_id, None)
--- a/src/_pistachiopond/vm/follow.py
+++ b/src/_pistachiopond/vm/follow.py
@@ -7,13 +7,13 @@
 
 from _pistachiopond.observe.logs import log_change, log_trouble
 from _pistachiopond.platform.store import (
-    KeyedRecord,
     Snapshot,
     StoreClient,
     StoreFailure,
     TailPage,
 )
 from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.relay import TopicShelf
 
 # A read waits for a record for this long. Longer saves calls, shorter proves sooner
 # that nothing has changed and shows sooner that a connection has gone silent.
@@ -22,49 +22,54 @@
 SNAPSHOT_LIMIT_S: Final = 4.0
 RETRY_S: Final = 0.15
 MAX_RETRY_S: Final = 0.6
+# How soon a follower sees that the leader relays no more.
+RELAYED_LOOK_S: Final = 0.1
 
 
-class TopicSink(NamedTuple):
-    """What a follower tells.
+class FollowedTopic(NamedTuple):
+    """A topic and how often it is read while records come.
 
     Attributes
     ----------
-    replace : callable
-        Receives the newest records of all keys.
-    apply : callable
-        Receives one newer record.
-    reached : callable
-        Receives a time on the clock of `boot_s`: all that the topic held then has
-        been applied.
-    failed : callable
-        Receives each failure.
+    name : str
+        In the store.
+    pause_s : float
+        Between a read that brought records and the next.
     """
 
-    replace: Callable[[tuple[KeyedRecord, ...]], None]
-    apply: Callable[[KeyedRecord], None]
-    reached: Callable[[float], None]
-    failed: Callable[[StoreFailure], None]
+    name: str
+    pause_s: float
 
 
 @final
 class TopicFollower:
     """One reader of one topic."""
 
-    def __init__(self, store: StoreClient, topic: str, sink: TopicSink) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        topic: FollowedTopic,
+        shelf: TopicShelf,
+        is_relayed: Callable[[], bool],
+    ) -> None:
         self._store = store
-        self._topic = topic
-        self._sink = sink
-        self._offset: int | None = None
+        self._topic = topic.name
+        self._pause_s = topic.pause_s
+        self._shelf = shelf
+        self._is_relayed = is_relayed
         self._is_failing = False
         self._retry_s = RETRY_S
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
-            if self._offset is None:
+            offset = self._shelf.next_offset
+            if offset is None:
                 await self._read_snapshot()
+            elif self._is_relayed():
+                await anyio.sleep(RELAYED_LOOK_S)
             else:
-                await self._read_tail(self._offset)
+                await self._read_tail(offset)
 
     async def _read_snapshot(self) -> None:
         sent_s = boot_s()
@@ -74,9 +79,9 @@
             return
         snapshot: Snapshot = answer.ok()
         self._succeed()
-        self._sink.replace(snapshot.records)
-        self._offset = snapshot.end
-        self._sink.reached(sent_s)
+        self._shelf.replace(snapshot.records)
+        self._shelf.next_offset = snapshot.end
+        self._shelf.reached(sent_s)
 
     async def _read_tail(self, offset: int) -> None:
         sent_s = boot_s()
@@ -87,25 +92,28 @@
             failure = answer.err()
             if failure.kind == "expired":
                 log_change("history of topic is gone", topic=self._topic, offset=offset)
-                self._offset = None
+                self._shelf.next_offset = None
                 return
             await self._fail(failure)
             return
         page: TailPage = answer.ok()
         self._succeed()
         for record in page.records:
-            self._sink.apply(record)
-        self._offset = page.next_offset
+            self._shelf.apply(record)
         if page.next_offset < page.end:
+            self._shelf.next_offset = page.next_offset
             return
         if page.end < offset:
             # The topic cannot have shrunk, so what is known of it is not this one.
             log_trouble("topic ends before what was read", topic=self._topic)
-            self._offset = None
+            self._shelf.next_offset = None
             return
+        self._shelf.next_offset = max(page.next_offset, offset)
         # An empty page after the whole wait was made at its end, not before.
         is_waited = not page.records and boot_s() - sent_s >= TAIL_WAIT_S
-        self._sink.reached(sent_s + TAIL_WAIT_S if is_waited else sent_s)
+        self._shelf.reached(sent_s + TAIL_WAIT_S if is_waited else sent_s)
+        if page.records:
+            await anyio.sleep(self._pause_s)
 
     def _succeed(self) -> None:
         if self._is_failing:
@@ -122,6 +130,5 @@
                 detail=failure.detail,
             )
         self._is_failing = True
-        self._sink.failed(failure)
         await anyio.sleep(self._retry_s)
         self._retry_s = min(MAX_RETRY_S, self._retry_s * 1.5)
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -8,16 +8,19 @@
 from _pistachiopond.decisions.model_plan import ModelDemand
 from _pistachiopond.decisions.usage import UsageGiver, UsageReport
 from _pistachiopond.observe.logs import log_change, log_trouble
+from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import CustomerSpec
 from _pistachiopond.schema.peer_messages import (
     HeldUpdate,
     LeaderAnswer,
+    LeaderMessage,
     MemberReport,
     decode_line,
     encode_line,
 )
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import WantedModel
+from _pistachiopond.vm.relay import TopicShelf, to_relayed
 
 # A leader that cannot prove its lead for this long says that it leads no more.
 RESIGN_AGE_S: Final = 2 * AUTHORITY_S
@@ -42,12 +45,15 @@
         Returns what all engine servers hold.
     on_demand : callable
         Called when a report shows requests that wait.
+    shelves : dict of str to TopicShelf
+        What this VM knows of the store's topics.
     """
 
     leadership: Leadership
     customers: Callable[[], dict[str, CustomerSpec]]
     held: Callable[[], list[HeldUpdate]]
     on_demand: Callable[[], None]
+    shelves: dict[str, TopicShelf]
 
 
 class _Member(NamedTuple):
@@ -78,7 +84,15 @@
         """Tell all members what has changed at servers."""
         if not updates:
             return
-        line = encode_line({"held": updates})
+        self._push({"held": updates})
+
+    def push_records(self, topic: str, records: list[KeyedRecord]) -> None:
+        """Tell all members what has changed in the store."""
+        if self._parts.leadership.is_mine():
+            self._push({"records": [to_relayed(topic, item) for item in records]})
+
+    def _push(self, message: LeaderMessage) -> None:
+        line = encode_line(message)
         for writer in self._writers:
             writer.write(line)
 
@@ -129,7 +143,7 @@
         self._writers.add(writer)
         try:
             if self._parts.leadership.is_mine():
-                writer.write(encode_line({"held": self._parts.held()}))
+                writer.write(encode_line(self._first_message()))
             while line := await reader.readline():
                 decoded = decode_line(line)
                 if decoded.is_err():
@@ -142,6 +156,14 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    def _first_message(self) -> LeaderMessage:
+        records = [
+            to_relayed(topic, record)
+            for topic, shelf in self._parts.shelves.items()
+            for record in shelf.records()
+        ]
+        return {"held": self._parts.held(), "records": records}
+
     def _answer(self, plain: dict[str, Any]) -> LeaderAnswer:
         report: MemberReport = plain  # type: ignore[assignment]
         now_s = boot_s()
@@ -165,6 +187,9 @@
             "load": self.server_load(),
             "members": len(self._members),
             "period_s": period_s,
+            "topics": {
+                topic: shelf.proof() for topic, shelf in self._parts.shelves.items()
+            },
         }
 
     def _give(self, report: MemberReport, now_s: float) -> dict[str, float]:
@@ -178,7 +203,7 @@
         share = self._share(now_s)
         customers = self._parts.customers()
         given: dict[str, float] = {}
-        for name, (balance, demand_per_s, missing) in report["usage"].items():
+        for name, usage in report["usage"].items():
             customer = customers.get(name)
             if customer is None or customer.rate_per_s <= 0:
                 continue
@@ -188,7 +213,7 @@
             amount = self._giver.give(
                 report["member"],
                 scaled,
-                UsageReport(balance, demand_per_s, missing),
+                UsageReport(*usage),
                 now_s,
             )
             if amount > 0:
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -14,11 +14,13 @@
     HeldUpdate,
     LeaderAnswer,
     MemberReport,
+    RelayedRecord,
     decode_line,
     encode_line,
 )
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet, HeldModels
+from _pistachiopond.vm.relay import RELAY_AGE_S, TopicShelf, from_relayed
 from _pistachiopond.vm.wants import Wants
 
 CONNECT_LIMIT_S: Final = 0.5
@@ -28,7 +30,9 @@
 FIRST_PERIOD_S: Final = 0.2
 # Reports that are hurried are at least this far apart.
 MIN_PERIOD_S: Final = 0.01
-MAX_LINE_BYTES: Final = 4 * 1024 * 1024
+# Without a proof for this many reports, the store is read.
+RELAY_PERIODS: Final = 2.5
+MAX_LINE_BYTES: Final = 16 * 1024 * 1024
 
 
 class LinkParts(NamedTuple):
@@ -46,6 +50,8 @@
         This VM's part of the retry budget.
     customers : callable
         Returns the customers of the configuration in force.
+    shelves : dict of str to TopicShelf
+        What this VM knows of the store's topics.
     """
 
     name: str
@@ -53,6 +59,7 @@
     usage: UsageTaker
     retries: RetryShare
     customers: Callable[[], dict[str, CustomerSpec]]
+    shelves: dict[str, TopicShelf]
 
 
 @final
@@ -66,6 +73,8 @@
         self._answered = asyncio.Event()
         self._number = 0
         self._answered_s = float("-inf")
+        self._relayed_s = float("-inf")
+        self._sent_s = 0.0
         self._resigned_fence = -1
         self._period_s = FIRST_PERIOD_S
         self._members = 1
@@ -130,6 +139,7 @@
                 self._hurry.clear()
                 self._number += 1
                 self._answered.clear()
+                self._sent_s = boot_s()
                 writer.write(encode_line(self._make_report()))
                 async with asyncio.timeout(ANSWER_LIMIT_S):
                     await self._answered.wait()
@@ -153,6 +163,8 @@
             if decoded.is_err():
                 raise ValueError(f"the leader sent no message: {decoded.err()}")
             message = decoded.ok()
+            for plain in message.get("records", ()):
+                self._take_record(plain)
             for update in message.get("held", ()):
                 self._take_held(update)
             if "answer" in message:
@@ -166,7 +178,7 @@
             "member": parts.name,
             "number": self._number,
             "usage": {
-                name: (report.balance, report.demand_per_s, report.missing)
+                name: tuple(report)
                 for name, report in parts.usage.reports(boot_s()).items()
             },
             "load": dict(parts.fleet.own_load),
@@ -199,6 +211,8 @@
         self._period_s = answer["period_s"]
         self._members = max(1, answer["members"])
         parts.retries.set_members(self._members)
+        if answer["leads"] and not self._leadership.is_mine():
+            self._take_proofs(answer)
         for name, amount in answer["given"].items():
             parts.usage.add(name, amount, now_s)
         own = parts.fleet.own_load
@@ -207,6 +221,25 @@
             for name, total in answer["load"].items()
         }
 
+    def _take_record(self, plain: RelayedRecord) -> None:
+        shelf = self._parts.shelves.get(plain["topic"])
+        if shelf is not None and not self._leadership.is_mine():
+            shelf.apply(from_relayed(plain))
+
+    def _take_proofs(self, answer: LeaderAnswer) -> None:
+        for topic, proof in answer["topics"].items():
+            shelf = self._parts.shelves.get(topic)
+            if shelf is not None:
+                shelf.take_proof(proof, self._sent_s)
+        if all(proof["age_s"] < RELAY_AGE_S for proof in answer["topics"].values()):
+            self._relayed_s = boot_s()
+
+    def is_relayed(self) -> bool:
+        """Return whether the leader passes the store's records on."""
+        limit_s = max(ANSWER_LIMIT_S, RELAY_PERIODS * self._period_s)
+        is_mine = self._leadership.is_mine()
+        return not is_mine and boot_s() - self._relayed_s < limit_s
+
     def _take_held(self, update: HeldUpdate) -> None:
         models = {
             name: frozenset(adapters) for name, adapters in update["models"].items()
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Final, NamedTuple
 
@@ -32,14 +33,13 @@
 from _pistachiopond.platform.store import (
     OPERATOR_TOPIC,
     SERVERS_TOPIC,
-    StoreFailure,
     make_store_client,
 )
 from _pistachiopond.schema.deployment import CustomerSpec, Deployment
 from _pistachiopond.schema.vm_settings import VmSettings
 from _pistachiopond.vm.admission import Admission
 from _pistachiopond.vm.fleet import Fleet
-from _pistachiopond.vm.follow import TopicFollower, TopicSink
+from _pistachiopond.vm.follow import FollowedTopic, TopicFollower
 from _pistachiopond.vm.forward import ForwardParts
 from _pistachiopond.vm.front import Front, FrontMetrics
 from _pistachiopond.vm.hub import Hub, HubParts
@@ -47,6 +47,7 @@
 from _pistachiopond.vm.link import LeaderLink, LinkParts
 from _pistachiopond.vm.placer import Placer, PlacerParts
 from _pistachiopond.vm.pools import ServerPools
+from _pistachiopond.vm.relay import TopicShelf, TopicView
 from _pistachiopond.vm.state import FIRST_LIMITS, ConfigurationState
 from _pistachiopond.vm.stop import drain
 from _pistachiopond.vm.store_calls import make_store_call
@@ -56,6 +57,12 @@
 TIDY_S: Final = 0.25
 SETTINGS_LOOK_S: Final = 1.0
 LISTEN_BACKLOG: Final = 512
+# Every heartbeat of a server is a record, so reading each at once would cost a call
+# for each of them.
+TOPICS: Final = (
+    FollowedTopic(OPERATOR_TOPIC, 0.0),
+    FollowedTopic(SERVERS_TOPIC, 0.2),
+)
 # VMs below these lead only where there is no other.
 STRONG_CORES: Final = 0.8
 STRONG_LINK_MBPS: Final = 50.0
@@ -95,28 +102,27 @@
     def customers() -> dict[str, CustomerSpec]:
         return {} if state.table is None else state.table.deployment.customers
 
+    shelves = {
+        OPERATOR_TOPIC: TopicShelf(TopicView(state.apply, state.reached)),
+        SERVERS_TOPIC: TopicShelf(TopicView(fleet.apply, fleet.reached)),
+    }
     link = LeaderLink(
-        LinkParts(settings.name, fleet, usage, retries, customers), leadership
+        LinkParts(settings.name, fleet, usage, retries, customers, shelves),
+        leadership,
     )
     store = make_store_client(make_store_call(settings.store.address, timer.now_s))
     lead = LeadService(store, leadership, settings, incarnation, link.has_resigned)
     placer = Placer(PlacerParts(settings.name, leadership, fleet, pools, deployment))
-    hub = Hub(HubParts(leadership, customers, placer.held, placer.wake))
+    hub = Hub(HubParts(leadership, customers, placer.held, placer.wake, shelves))
     placer.hub = hub
+    for topic, shelf in shelves.items():
+        shelf.on_change = partial(hub.push_records, topic)
     admission = Admission(state, usage, link)
     forward_parts = ForwardParts(fleet, pools, link.wants, retries, admission.refund)
     front = Front(admission, forward_parts, FrontMetrics.make(metrics))
-    followers = (
-        TopicFollower(
-            store,
-            OPERATOR_TOPIC,
-            TopicSink(state.replace, state.apply, state.reached, _ignore_failure),
-        ),
-        TopicFollower(
-            store,
-            SERVERS_TOPIC,
-            TopicSink(fleet.replace, fleet.apply, fleet.reached, _ignore_failure),
-        ),
+    followers = tuple(
+        TopicFollower(store, topic, shelves[topic.name], link.is_relayed)
+        for topic in TOPICS
     )
     return Vm(
         settings=settings,
@@ -212,10 +218,6 @@
     return {} if vm.state.table is None else vm.state.table.deployment.customers
 
 
-def _ignore_failure(failure: StoreFailure) -> None:
-    """Do nothing; the follower has logged it and the age of its data shows it."""
-
-
 async def _listen(address: HttpAddress, parts: ServerParts) -> None:
     loop = asyncio.get_running_loop()
     await loop.create_server(
--- a/src/_pistachiopond/vm/state.py
+++ b/src/_pistachiopond/vm/state.py
@@ -26,18 +26,11 @@
         self.table: RouteTable | None = None
         self._limits = FIRST_LIMITS
         self._known_s = float("-inf")
-        self._offset = -1
-
-    def replace(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Take the newest record of each key."""
-        for record in records:
-            self.apply(record)
 
     def apply(self, record: KeyedRecord) -> None:
         """Take one record; a version never goes back."""
-        if record.key != CONFIG_KEY or record.offset <= self._offset:
+        if record.key != CONFIG_KEY or not record.value:
             return
-        self._offset = record.offset
         decoded = decode_deployment(record.value)
         if decoded.is_err():
             log_trouble(
