--- a/src/_pistachiopond/decisions/leadership.py
+++ b/src/_pistachiopond/decisions/leadership.py
@@ -2,9 +2,10 @@
 
 A claim is a record in the platform's store that is added only where the log ends as
 the claimer saw it, so the newest claim is the same for all. There are no renewals: a
-leader keeps reading the log and stops as soon as its last read is too old, and a new
-leader waits for that long before it acts. The offset of the claim is the fencing
-token.
+leader keeps reading the log and stops as soon as its last read is too old; a leader
+that had to stop for longer gives up and acts again only on a new claim. A new leader
+waits until the one before must have stopped, unless that one has said so. The offset
+of the claim is the fencing token.
 """
 
 from typing import Final, NamedTuple, final
@@ -13,6 +14,8 @@
 AUTHORITY_S: Final = 1.5
 # What a new leader waits for, longer than AUTHORITY_S by the error of clock rates.
 HANDOVER_S: Final = 1.6
+# A leader without such a read for this long gives up.
+GIVE_UP_S: Final = 1.9
 # A leader that does not answer for this long is replaced.
 SILENCE_S: Final = 1.0
 # Claims of several VMs are spread over this time, by their preference.
@@ -95,13 +98,24 @@
             self._acts_from_s = sent_s + HANDOVER_S
         self._lost_s = None
 
-    def claimed(self, claim: Claim, sent_s: float) -> None:
-        """Note that the store has added this VM's claim."""
+    def claimed(self, claim: Claim, sent_s: float, *, has_resigned: bool) -> None:
+        """Note that the store has added this VM's claim.
+
+        Parameters
+        ----------
+        claim : Claim
+            This VM's.
+        sent_s : float
+            When it was sent.
+        has_resigned : bool
+            Whether the leader before has said that it acts no more.
+        """
+        is_first = self.claim is None or has_resigned
         self.claim = claim
         self._is_given_up = False
         self.end_offset = claim.fence + 1
         self._read_s = sent_s
-        self._acts_from_s = sent_s + HANDOVER_S
+        self._acts_from_s = sent_s if is_first else sent_s + HANDOVER_S
 
     def is_mine(self) -> bool:
         """Return whether the newest known claim is this process's."""
@@ -166,9 +180,11 @@
         """Return whether the leader before cannot act any more."""
         return self.is_mine() and now_s >= self._acts_from_s
 
-    def has_given_up(self) -> bool:
-        """Return whether this VM has stopped acting on its claim for good."""
-        return self._is_given_up
+    def leads(self, now_s: float) -> bool:
+        """Return whether other VMs should take this one for the leader."""
+        if self.is_mine() and now_s - self._read_s > GIVE_UP_S:
+            self._is_given_up = True
+        return self.is_mine() and not self._is_given_up
 
     def resign(self) -> None:
         """Stop acting on the present claim, whatever later reads show."""
--- a/src/_pistachiopond/decisions/usage.py
+++ b/src/_pistachiopond/decisions/usage.py
@@ -3,7 +3,7 @@
 The VM that leads gives out parts of a token bucket ahead of need, so that a request
 is admitted without asking. What was given out counts as spent, so the sum over all
 VMs never exceeds the limit, whatever is lost, restarted or cut off. A new leader
-starts with an empty bucket and counts what members still hold.
+starts with a small part of the bucket and counts what members still hold.
 """
 
 from collections.abc import Mapping
@@ -13,6 +13,9 @@
 
 # Part of the bucket that is kept for members that run short between two exchanges.
 HELD_BACK_SHARE: Final = 0.25
+# Part of the bucket that a new leader starts with. Together with what members without
+# a leader may spend, it stays below the tolerance that operators allow in a window.
+FIRST_SHARE: Final = 0.3
 # Demand seen by a member is smoothed over about this time.
 DEMAND_SMOOTHING_S: Final = 1.0
 # How far ahead a member's balance should last: some reports, so that most requests
@@ -21,7 +24,7 @@
 KEPT_COVERS: Final = 2.0
 # A member without a leader may spend this share of the limit over all members, once
 # for each isolation; below the tolerance that operators allow.
-ISOLATED_SHARE: Final = 0.06
+ISOLATED_SHARE: Final = 0.04
 ISOLATED_PERIOD_S: Final = 10.0
 MIN_WAIT_S: Final = 0.05
 MAX_WAIT_S: Final = 3.0
@@ -110,8 +113,7 @@
     ) -> _Bucket:
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            # Tokens accrue from when this VM began to lead.
-            bucket = _Bucket(self._began_s, 0.0)
+            bucket = _Bucket(self._began_s, FIRST_SHARE * customer.burst)
             self._buckets[customer.name] = bucket
         grown = bucket.level + customer.rate_per_s * max(0.0, now_s - bucket.at_s)
         room = max(0.0, customer.burst - outstanding)
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -36,8 +36,8 @@
     """A VM's report to the leader.
 
     `usage` has for each customer the balance, the demand a second, what waiting
-    requests lack and what is given back; `load` the requests in progress at each server; `doubtful` the
-    servers that have failed this VM lately.
+    requests lack and what is given back; `load` the requests in progress at each
+    server; `doubtful` the servers that have failed this VM lately.
     """
 
     member: str
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -42,6 +42,8 @@
 MIN_SILENCE_S: Final = 0.25
 # A request whose model nobody holds waits for it up to this part of its time.
 MODEL_WAIT_SHARE: Final = 0.6
+# Waits that are longer have a log line.
+LONG_WAIT_S: Final = 0.25
 
 
 class WholeAnswer(NamedTuple):
@@ -145,6 +147,7 @@
                 return
             outcome = await self._attempt(server)
             if outcome.kind is None:
+                parts.fleet.ejector.succeeded(server.server_id)
                 return
             state = self._note(server, outcome)
             if not may_try_again(self._admitted.route, state):
@@ -194,11 +197,13 @@
         left_s = self._admitted.end_s - loop.time()
         until_s = loop.time() + MODEL_WAIT_SHARE * left_s
         fleet = self._parts.fleet
+        began_s = loop.time()
         with self._parts.wants.waiting(self._wanted):
             while loop.time() < until_s:
                 changed = fleet.changed
                 server = fleet.choose(self._wanted, frozenset(), prompt_id)
                 if server is not None:
+                    self._log_wait(loop.time() - began_s)
                     self._tried.clear()
                     return server
                 try:
@@ -209,6 +214,16 @@
                         raise
         return None
 
+    def _log_wait(self, waited_s: float) -> None:
+        if waited_s > LONG_WAIT_S:
+            log_change(
+                "request waited for its model",
+                request=self._admitted.caller.attempt_id,
+                model=self._wanted.model,
+                adapter=self._wanted.adapter,
+                seconds=round(waited_s, 3),
+            )
+
     async def _attempt(self, server: BackendServer) -> Outcome:
         parts = self._parts
         self._tried.add(server.server_id)
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple, final
 
-from _pistachiopond.decisions.leadership import AUTHORITY_S, Leadership
+from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.model_plan import ModelDemand
 from _pistachiopond.decisions.usage import UsageGiver, UsageReport
 from _pistachiopond.observe.logs import log_change, log_trouble
@@ -22,8 +22,6 @@
 from _pistachiopond.vm.fleet import WantedModel
 from _pistachiopond.vm.relay import TopicShelf, to_relayed
 
-# A leader that cannot prove its lead for this long says that it leads no more.
-RESIGN_AGE_S: Final = 2 * AUTHORITY_S
 # Members that are silent for this long are counted no more.
 MEMBER_KEPT_S: Final = 10.0
 # The leader answers about this many reports a second, over all members.
@@ -47,6 +45,8 @@
         Called when a report shows requests that wait.
     shelves : dict of str to TopicShelf
         What this VM knows of the store's topics.
+    members : callable
+        Returns how many VMs the leader before counted.
     """
 
     leadership: Leadership
@@ -54,6 +54,7 @@
     held: Callable[[], list[HeldUpdate]]
     on_demand: Callable[[], None]
     shelves: dict[str, TopicShelf]
+    members: Callable[[], int]
 
 
 class _Member(NamedTuple):
@@ -171,11 +172,7 @@
         if report["member"] not in self._members:
             log_change("member seen", member=report["member"])
         self._members[report["member"]] = _Member(report, now_s)
-        leads = (
-            leadership.is_mine()
-            and (leadership.read_age_s(now_s) < RESIGN_AGE_S)
-            and not leadership.has_given_up()
-        )
+        leads = leadership.leads(now_s)
         if any(use["waiting"] for use in report["models"]):
             self._parts.on_demand()
         period_s = max(MIN_PERIOD_S, len(self._members) / REPORTS_PER_S)
@@ -194,7 +191,7 @@
 
     def _give(self, report: MemberReport, now_s: float) -> dict[str, float]:
         leadership = self._parts.leadership
-        if not leadership.is_mine() or not leadership.has_taken_over(now_s):
+        if not leadership.is_mine():
             return {}
         assert leadership.claim is not None
         if self._giver is None or self._giver_fence != leadership.claim.fence:
@@ -223,10 +220,11 @@
     def _share(self, now_s: float) -> float:
         """Return the part of the limits that this VM may give out.
 
-        Without authority another leader may have been chosen by the members that do
-        not report here any more.
+        Where another leader may still act, or has been chosen already, each gives
+        out the part of those members that report to it.
         """
         if self._parts.leadership.may_act(now_s) or not self._members:
             return 1.0
         recent = sum(1 for m in self._members.values() if now_s - m.at_s < 1.0)
-        return recent / len(self._members)
+        known = max(len(self._members), self._parts.members())
+        return recent / known
--- a/src/_pistachiopond/vm/lead.py
+++ b/src/_pistachiopond/vm/lead.py
@@ -45,7 +45,7 @@
         """Follow the claims until cancelled."""
         looked_s = float("-inf")
         while True:
-            if self._leadership.is_mine() and not self.is_stopping:
+            if self._leadership.leads(boot_s()) and not self.is_stopping:
                 await self._prove()
                 continue
             now_s = boot_s()
@@ -105,8 +105,9 @@
     async def _claim_if_due(self) -> None:
         leadership = self._leadership
         now_s = boot_s()
+        has_resigned = self._has_resigned()
         if self.is_stopping or not leadership.may_claim(
-            now_s, has_resigned=self._has_resigned()
+            now_s, has_resigned=has_resigned
         ):
             return
         offset = leadership.end_offset
@@ -123,7 +124,7 @@
         )
         if answer.is_ok():
             claim = Claim(answer.ok(), *value.values())
-            leadership.claimed(claim, now_s)
+            leadership.claimed(claim, now_s, has_resigned=has_resigned)
             log_change("lead claimed", fence=claim.fence)
             return
         log_trouble(
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -113,7 +113,9 @@
     store = make_store_client(make_store_call(settings.store.address, timer.now_s))
     lead = LeadService(store, leadership, settings, incarnation, link.has_resigned)
     placer = Placer(PlacerParts(settings.name, leadership, fleet, pools, deployment))
-    hub = Hub(HubParts(leadership, customers, placer.held, placer.wake, shelves))
+    hub = Hub(
+        HubParts(leadership, customers, placer.held, placer.wake, shelves, link.members)
+    )
     placer.hub = hub
     for topic, shelf in shelves.items():
         shelf.on_change = partial(hub.push_records, topic)
