Placement weighs what a replica is worth against what its place costs

Ruled out: adapter orders during a model load (a trial: the server answers 409). Change: gains and prices in one unit; models are kept for a while after a load; room made for a model is given up when it is not wanted; leadership proofs each 0.4 s.

--- a/src/_pistachiopond/decisions/leadership.py
+++ b/src/_pistachiopond/decisions/leadership.py
@@ -11,11 +11,11 @@
 from typing import Final, NamedTuple, final
 
 # A leader acts only on a read of the claims that is younger than this.
-AUTHORITY_S: Final = 1.5
+AUTHORITY_S: Final = 1.0
 # What a new leader waits for, longer than AUTHORITY_S by the error of clock rates.
-HANDOVER_S: Final = 1.6
+HANDOVER_S: Final = 1.1
 # A leader without such a read for this long gives up.
-GIVE_UP_S: Final = 1.9
+GIVE_UP_S: Final = 1.3
 # A leader that does not answer for this long is replaced.
 SILENCE_S: Final = 1.0
 # Claims of several VMs are spread over this time, by their preference.
--- a/src/_pistachiopond/decisions/model_board.py
+++ b/src/_pistachiopond/decisions/model_board.py
@@ -10,8 +10,11 @@
 from _pistachiopond.schema.deployment import BackendServer, EngineSpec
 from _pistachiopond.schema.model_orders import ModelOrder, ServerReport
 
-# An adapter that a request was sent for is not unloaded for this long.
-ADAPTER_KEPT_S: Final = 1.0
+# A model stays for this long after its load, so that what waited for it is served.
+KEPT_S: Final = 1.5
+# An adapter that a request was sent for is not unloaded for this long: members report
+# about five times a second, so one without a report for longer is not in use.
+ADAPTER_KEPT_S: Final = 0.35
 # Reports show the state of some hundred milliseconds before, so one that was asked
 # for sooner than this after the last order says nothing about it.
 REPORT_LAG_S: Final = 0.6
@@ -42,6 +45,8 @@
         When the last order was answered, and the last report asked for.
     reserved_for : str
         The model for which another was unloaded; empty for none.
+    kept_until_s : dict of str to float
+        Until when a model that was loaded is not unloaded.
     """
 
     def __init__(self, server: BackendServer) -> None:
@@ -56,6 +61,7 @@
         self.asked_s = float("-inf")
         self.adapter_used_s: dict[tuple[str, str], float] = {}
         self.reserved_for = ""
+        self.kept_until_s: dict[str, float] = {}
 
     def describe(self, server: BackendServer) -> None:
         """Take the server's newest description into account."""
@@ -112,6 +118,7 @@
         elif order.action == "load":
             self.models.setdefault(order.model, set())
             self.loading[order.model] = end_s
+            self.kept_until_s[order.model] = now_s + duration_s + KEPT_S
         elif order.adapter:
             self.models.get(order.model, set()).discard(order.adapter)
         else:
--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -1,7 +1,8 @@
 """Decides which models and adapters the engine servers load and unload.
 
-Requests that wait for a model or adapter go first, then replicas of models whose
-replicas are full. What makes room is what has the least demand for each replica.
+Requests that wait for a model go first. Then models that no server holds, since a
+rare model must stay reachable, and replicas of models whose replicas are busy. What
+makes room is first the replicas that a model can spare.
 """
 
 from collections.abc import Mapping
@@ -10,19 +11,43 @@
 from _pistachiopond.decisions.model_board import ADAPTER_KEPT_S, Board, Holding
 from _pistachiopond.schema.model_orders import ModelOrder
 
-# Another replica is loaded where those there are hold more than this of their slots.
-FULL_SHARE: Final = 0.45
-# A model with this many requests in progress has a second replica.
-SECOND_REPLICA_LOAD: Final = 3.0
-# A model stays for at least this long after its load.
-KEPT_S: Final = 1.5
+# Requests at a time that a replica takes with short first-event times, as a part of a
+# server's slots: prompts are read one after the other, so a full batch is slow.
+BUSY_SHARE: Final = 1 / 8
 # Demand is remembered for about this long.
 MEMORY_S: Final = 6.0
+# Whether a model is asked for at all is remembered for about this long.
+USE_MEMORY_S: Final = 15.0
 # Of the weight store's rate; the rest is for loads that start late.
 STORE_RATE_SHARE: Final = 0.85
 STORE_BURST: Final = 2.0
-# A model is worth this much less to a server that would only be its spare.
-SWAP_GAIN: Final = 2.0
+# What a replica is worth, in busy replicas' demand: for requests that wait and for each
+# second of their wait, for a model that nobody holds, as the second of a model in
+# demand, and as the only one. With more models in demand than fit, those that have
+# waited longer take the place of those that have been served.
+WAITING_GAIN: Final = 2.0
+WAITING_GAIN_PER_S: Final = 2.0
+MISSING_GAIN: Final = 0.9
+SECOND_GAIN: Final = 0.5
+ONLY_PRICE: Final = 1.5
+USE_PRICE: Final = 3.0
+SPARE_PRICE: Final = 0.05
+# Of a second that a load takes, against the prices above.
+DURATION_PRICE: Final = 1.0
+# A model with this demand should survive the loss of a server.
+SECOND_LEVEL: Final = 3.0
+# While a server loads a model it takes no orders for adapters, so servers that hold
+# models with adapters in demand are the last to be chosen.
+ADAPTER_SERVER_PRICE: Final = 1.5
+# What an adapter in demand without a slot is worth against busy replicas: each of its
+# requests waits for two orders.
+ADAPTER_GAIN: Final = 2.0
+# Until demand has been seen for this long, the replicas found at the start are taken
+# for wanted ones.
+LEARNING_S: Final = 5.0
+LEARNING_PRICE: Final = 1.5
+# Adapters used within this time want a slot.
+ADAPTER_USE_S: Final = 3.0
 
 
 class ModelDemand(NamedTuple):
@@ -34,10 +59,13 @@
         Requests in progress at servers.
     waiting : float
         Requests that wait for a server that holds it.
+    waiting_s : float
+        For how long some have waited.
     """
 
     running: float
     waiting: float
+    waiting_s: float = 0.0
 
 
 @final
@@ -46,12 +74,20 @@
 
     def __init__(self) -> None:
         self._level: dict[str, float] = {}
+        self._use: dict[str, float] = {}
         self._at_s = 0.0
+        self._first_s: float | None = None
+
+    def is_learning(self) -> bool:
+        """Return whether demand has not been seen for long enough."""
+        return self._first_s is None or self._at_s - self._first_s < LEARNING_S
 
     def update(self, demand: Mapping[str, ModelDemand], now_s: float) -> None:
         """Raise levels to the present demand; let the others fade."""
         elapsed_s = max(0.0, now_s - self._at_s)
         self._at_s = now_s
+        if demand and self._first_s is None:
+            self._first_s = now_s
         fade = max(0.0, 1.0 - elapsed_s / MEMORY_S)
         for name in list(self._level):
             self._level[name] *= fade
@@ -60,6 +96,15 @@
         for name, seen in demand.items():
             present = seen.running + seen.waiting
             self._level[name] = max(self._level.get(name, 0.0), present)
+        step = min(1.0, elapsed_s / USE_MEMORY_S)
+        for name in set(self._use) | set(demand):
+            is_used = 1.0 if name in demand else 0.0
+            known = self._use.get(name, 0.0)
+            self._use[name] = known + step * (is_used - known)
+
+    def use(self, model: str) -> float:
+        """Return the part of the time in which the model was asked for, 0 to 1."""
+        return self._use.get(model, 0.0)
 
     def level(self, model: str) -> float:
         """Return the remembered demand, in requests at a time."""
@@ -104,6 +149,8 @@
         Servers that have failed lately.
     allowance : LoadAllowance
         For loads from the weight store.
+    adapters : mapping of str to int
+        How many adapters of each model were asked for lately.
     """
 
     board: Board
@@ -112,6 +159,7 @@
     server_load: Mapping[str, float]
     doubtful: frozenset[str]
     allowance: LoadAllowance
+    adapters: Mapping[str, int]
 
 
 class _Option(NamedTuple):
@@ -126,62 +174,79 @@
     """Return orders for models, at most one for each server."""
     orders: list[ModelOrder] = []
     busy: set[str] = set()
-    for model, gain in _wanted(inputs):
-        option = _best_option(inputs, model, gain, busy, now_s)
-        if option is None:
+    wanted = _wanted(inputs)
+    _drop_reservations(inputs.board, {model for _, model in wanted})
+    for gain, model in wanted:
+        option = _best_option(inputs, model, busy, now_s)
+        if option is None or option.price >= gain:
             continue
         holding = option.holding
-        if option.victim is None:
-            if inputs.board.is_store_load(holding, model):
-                if not inputs.allowance.may_load(now_s):
-                    continue
-                inputs.allowance.spend()
-            holding.reserved_for = ""
-            orders.append(_order(holding, "load", model))
-        else:
+        if not _may_start(inputs, holding, model, now_s):
+            continue
+        busy.add(holding.server.server_id)
+        if option.victim is not None:
             holding.reserved_for = model
             orders.append(_order(holding, "unload", option.victim))
-        busy.add(holding.server.server_id)
+            continue
+        if inputs.board.is_store_load(holding, model):
+            inputs.allowance.spend()
+        holding.reserved_for = ""
+        orders.append(_order(holding, "load", model))
     return orders
 
 
-def _wanted(inputs: PlanInputs) -> list[tuple[str, float]]:
-    """Return the models that need a replica, with the demand it would serve."""
-    slots = inputs.board.spec.slots
-    wanted: list[tuple[bool, float, str]] = []
-    for model in inputs.board.spec.models:
-        replicas = inputs.board.replicas(model)
+def _may_start(inputs: PlanInputs, holding: Holding, model: str, now_s: float) -> bool:
+    is_free = not inputs.board.is_store_load(holding, model)
+    return is_free or inputs.allowance.may_load(now_s)
+
+
+def _wanted(inputs: PlanInputs) -> list[tuple[float, str]]:
+    """Return the models that need a replica, with what it would be worth."""
+    board = inputs.board
+    wanted: list[tuple[float, str]] = []
+    for model in board.spec.models:
+        replicas = board.replicas(model)
         seen = inputs.demand.get(model, ModelDemand(0.0, 0.0))
         level = inputs.memory.level(model)
         if not replicas:
             if seen.waiting > 0:
-                wanted.append((True, level + seen.waiting, model))
+                waited = WAITING_GAIN_PER_S * seen.waiting_s
+                wanted.append((WAITING_GAIN + seen.waiting + waited, model))
+            else:
+                wanted.append((MISSING_GAIN + inputs.memory.use(model), model))
             continue
         if any(model in holding.loading for holding in replicas):
             continue
-        if _reserved(inputs.board, model) is not None and seen.waiting <= 0:
-            continue
-        share = level / len(replicas)
-        filled = min(
-            inputs.server_load.get(h.server.server_id, 0.0) / slots for h in replicas
-        )
-        is_full = filled > FULL_SHARE and share > SECOND_REPLICA_LOAD
-        is_alone = len(replicas) == 1 and level > SECOND_REPLICA_LOAD
-        if is_full or is_alone:
-            wanted.append((False, level / (len(replicas) + 1), model))
+        filled = _filled(inputs, model, len(replicas))
+        if filled > 1.0:
+            wanted.append((filled, model))
+        elif len(replicas) == 1 and level > SECOND_LEVEL:
+            wanted.append((SECOND_GAIN, model))
     wanted.sort(reverse=True)
-    return [(model, gain) for _, gain, model in wanted]
+    return wanted
+
+
+def _filled(inputs: PlanInputs, model: str, replicas: int) -> float:
+    """Return how busy each of so many replicas would be, 1 for just busy enough."""
+    level = inputs.memory.level(model) / _busy_level(inputs.board)
+    slots = max(1, inputs.board.spec.adapter_slots)
+    adapters = inputs.adapters.get(model, 0) / slots
+    return max(level, ADAPTER_GAIN * adapters) / replicas
+
+
+def _busy_level(board: Board) -> float:
+    return max(1.0, board.spec.slots * BUSY_SHARE)
 
 
 def _best_option(
-    inputs: PlanInputs, model: str, gain: float, busy: set[str], now_s: float
+    inputs: PlanInputs, model: str, busy: set[str], now_s: float
 ) -> _Option | None:
-    options = []
     reserved = _reserved(inputs.board, model)
     if reserved is not None and _is_sound(reserved, inputs.doubtful):
         candidates = [reserved]
     else:
         candidates = list(inputs.board.holdings.values())
+    options = []
     for holding in candidates:
         name = holding.server.server_id
         if name in busy or not _takes_orders(holding, inputs.doubtful):
@@ -191,13 +256,55 @@
         option = _option(inputs, holding, model, now_s)
         if option is not None:
             options.append(option)
-    if not options:
-        return None
-    best = min(options)
-    is_first = not inputs.board.replicas(model)
-    if not is_first and best.price * SWAP_GAIN > gain:
+    return min(options, default=None, key=lambda option: option[:3])
+
+
+def _option(
+    inputs: PlanInputs, holding: Holding, model: str, now_s: float
+) -> _Option | None:
+    board = inputs.board
+    name = holding.server.server_id
+    load = inputs.server_load.get(name, 0.0)
+    delay = DURATION_PRICE * board.load_duration_s(holding, model)
+    extra = delay
+    if any(inputs.adapters.get(held) for held in holding.models):
+        extra += ADAPTER_SERVER_PRICE
+    need_mb = board.spec.models[model].memory_mb
+    free_mb = holding.free_mb(board.spec)
+    if free_mb >= need_mb:
+        return _Option(extra, load / board.spec.slots, name, holding, None)
+    prices = []
+    for held in holding.models:
+        if now_s < holding.kept_until_s.get(held, now_s):
+            continue
+        spec = board.spec.models.get(held)
+        freed_mb = spec.memory_mb if spec is not None else board.spec.memory_mb
+        if free_mb + freed_mb >= need_mb:
+            prices.append((_price(inputs, held), held))
+    if not prices:
         return None
-    return best
+    price, victim = min(prices)
+    return _Option(price + extra, load / board.spec.slots, name, holding, victim)
+
+
+def _price(inputs: PlanInputs, model: str) -> float:
+    """Return what the loss of one replica of the model costs."""
+    replicas = len(inputs.board.replicas(model))
+    level = inputs.memory.level(model)
+    if model not in inputs.board.spec.models:
+        return 0.0
+    if replicas <= 1:
+        # The server keeps a copy on its disk, so it comes back in this time.
+        back_s = inputs.board.spec.models[model].disk_load_s
+        return ONLY_PRICE + back_s + USE_PRICE * inputs.memory.use(model) + level
+    if inputs.memory.is_learning():
+        return LEARNING_PRICE
+    left = _filled(inputs, model, replicas - 1)
+    if left > 1.0:
+        return left
+    if replicas == 2 and level > SECOND_LEVEL:
+        return SECOND_GAIN + SPARE_PRICE
+    return SPARE_PRICE * left
 
 
 def _reserved(board: Board, model: str) -> Holding | None:
@@ -208,6 +315,12 @@
     return None
 
 
+def _drop_reservations(board: Board, wanted: set[str]) -> None:
+    for holding in board.holdings.values():
+        if not holding.is_busy() and holding.reserved_for not in wanted:
+            holding.reserved_for = ""
+
+
 def _is_sound(holding: Holding, doubtful: frozenset[str]) -> bool:
     name = holding.server.server_id
     return not holding.server.is_leaving and name not in doubtful
@@ -222,35 +335,6 @@
     )
 
 
-def _option(
-    inputs: PlanInputs, holding: Holding, model: str, now_s: float
-) -> _Option | None:
-    board = inputs.board
-    name = holding.server.server_id
-    load = inputs.server_load.get(name, 0.0)
-    duration_s = board.load_duration_s(holding, model)
-    need_mb = board.spec.models[model].memory_mb
-    if holding.free_mb(board.spec) >= need_mb:
-        return _Option(0.0, load + duration_s, name, holding, None)
-    prices = []
-    for held in holding.models:
-        spec = board.spec.models.get(held)
-        freed_mb = spec.memory_mb if spec is not None else board.spec.memory_mb
-        if holding.free_mb(board.spec) + freed_mb < need_mb:
-            continue
-        prices.append((_price(inputs, held), held))
-    if not prices:
-        return None
-    price, victim = min(prices)
-    return _Option(price, load + duration_s, name, holding, victim)
-
-
-def _price(inputs: PlanInputs, model: str) -> float:
-    """Return the demand that one replica of the model serves."""
-    replicas = len(inputs.board.replicas(model))
-    return inputs.memory.level(model) / max(1, replicas)
-
-
 def _order(holding: Holding, action: str, model: str, adapter: str = "") -> ModelOrder:
     return ModelOrder(
         server_id=holding.server.server_id,
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -135,6 +135,11 @@
         is_resumed = admitted.route.kind == "stream" and admitted.route.is_resumable
         self._cutter = EventCutter(_last_event(request)) if is_resumed else None
         self._is_settled = False
+        self._arrival_s = asyncio.get_running_loop().time()
+        self._first_event_s = 0.0
+        self._sent_s = 0.0
+        self._server = ""
+        self._load_when_sent = 0
 
     async def go(self) -> None:
         """Try servers until the request has its answer or no try is left."""
@@ -270,6 +275,9 @@
             urgency_rank=admitted.rank,
             resume_after=self._resume_after(),
         )
+        self._sent_s = loop.time()
+        self._server = server.server_id
+        self._load_when_sent = self._parts.fleet.load(server.server_id)
         encoded = encode_forwarded(self._request, terms)
         attempt_id = admitted.caller.attempt_id
         connection.send(
@@ -334,12 +342,20 @@
         self, head: ResponseHead, connection: ClientConnection
     ) -> Outcome:
         responder = self._responder
+        loop = asyncio.get_running_loop()
+        sent_s = last_s = loop.time()
+        longest_s = 0.0
         while chunk := await connection.read_chunk():
+            now_s = loop.time()
+            if responder.has_begun:
+                longest_s = max(longest_s, now_s - last_s)
+            last_s = now_s
             if self._cutter is not None:
                 chunk = self._cutter.feed(chunk)
                 if not chunk:
                     continue
             if not responder.has_begun:
+                self._first_event_s = now_s - self._arrival_s
                 await responder.begin(head.status, answer_headers(head), None)
             await responder.send(chunk)
         if self._cutter is not None and self._cutter.has_rest():
@@ -347,8 +363,27 @@
         if not responder.has_begun:
             await responder.begin(head.status, answer_headers(head), None)
         await responder.end()
+        self._log_if_late(longest_s, sent_s)
         return DELIVERED
 
+    def _log_if_late(self, longest_pause_s: float, head_s: float) -> None:
+        route = self._admitted.route
+        is_late = self._first_event_s > route.aim_s
+        if not is_late and longest_pause_s <= route.gap_aim_s:
+            return
+        log_change(
+            "answer late",
+            request=self._admitted.caller.attempt_id,
+            server=self._server,
+            model=self._wanted.model,
+            adapter=self._wanted.adapter,
+            first_event_s=round(self._first_event_s, 3),
+            head_s=round(head_s - self._arrival_s, 3),
+            sent_s=round(self._sent_s - self._arrival_s, 3),
+            longest_pause_s=round(longest_pause_s, 3),
+            load_when_sent=self._load_when_sent,
+        )
+
     def _resume_after(self) -> str | None:
         if self._cutter is None or self._cutter.last_id is None:
             return None
--- a/src/_pistachiopond/vm/lead.py
+++ b/src/_pistachiopond/vm/lead.py
@@ -14,8 +14,8 @@
 
 LEADER_KEY: Final = "leader"
 # The leader's reads prove its authority, so two must fit into it.
-PROOF_WAIT_S: Final = 0.7
-PROOF_LIMIT_S: Final = 1.1
+PROOF_WAIT_S: Final = 0.4
+PROOF_LIMIT_S: Final = 0.9
 CALL_LIMIT_S: Final = 1.0
 # While the leader does not answer, its claim is read again this often.
 LOOK_PERIOD_S: Final = 0.4
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -76,6 +76,7 @@
         self._relayed_s = float("-inf")
         self._sent_s = 0.0
         self._resigned_fence = -1
+        self._connected_fence = -1
         self._period_s = FIRST_PERIOD_S
         self._members = 1
         self.wants = Wants(self.hurry)
@@ -112,6 +113,7 @@
 
     async def _serve(self, claim: Claim) -> None:
         address = parse_address(claim.address)
+        self._connected_fence = claim.fence
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
@@ -205,12 +207,11 @@
         parts = self._parts
         now_s = boot_s()
         self._answered.set()
-        claim = self._leadership.claim
-        if not answer["leads"]:
-            if claim is not None:
-                self._resigned_fence = claim.fence
-        else:
+        if answer["leads"]:
             self._leadership.leader_answered(now_s)
+        else:
+            # The claim may have changed since the connection was made.
+            self._resigned_fence = self._connected_fence
         self._answered_s = now_s
         self._period_s = answer["period_s"]
         self._members = max(1, answer["members"])
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -1,7 +1,7 @@
 """The leader's service that decides what engine servers hold, and orders it."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple, final
 
 from result import Err, Ok, Result
@@ -9,6 +9,7 @@
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.model_board import REPORT_LAG_S, Board, Holding
 from _pistachiopond.decisions.model_plan import (
+    ADAPTER_USE_S,
     DemandMemory,
     LoadAllowance,
     ModelDemand,
@@ -72,6 +73,34 @@
         self.board = Board(spec)
         self.memory = DemandMemory()
         self.allowance = LoadAllowance(spec.loads_per_s, now_s)
+        self._adapter_seen_s: dict[WantedModel, float] = {}
+        self._waiting_since_s: dict[WantedModel, float] = {}
+
+    def recent_adapters(
+        self, demand: Mapping[WantedModel, ModelDemand], now_s: float
+    ) -> dict[str, int]:
+        """Return how many adapters of each model were asked for lately."""
+        for wanted in demand:
+            if wanted.adapter:
+                self._adapter_seen_s[wanted] = now_s
+        counts: dict[str, int] = {}
+        for wanted, seen_s in list(self._adapter_seen_s.items()):
+            if now_s - seen_s > ADAPTER_USE_S:
+                del self._adapter_seen_s[wanted]
+            else:
+                counts[wanted.model] = counts.get(wanted.model, 0) + 1
+        return counts
+
+    def waiting_since_s(
+        self, demand: Mapping[WantedModel, ModelDemand], now_s: float
+    ) -> dict[WantedModel, float]:
+        """Return since when requests have waited for each model or adapter."""
+        self._waiting_since_s = {
+            wanted: self._waiting_since_s.get(wanted, now_s)
+            for wanted, seen in demand.items()
+            if seen.waiting > 0
+        }
+        return self._waiting_since_s
 
 
 @final
@@ -141,28 +170,30 @@
         assert self.hub is not None
         demand = self.hub.demand(service)
         self._note_use(board, demand, now_s)
+        waiting_since_s = engines.waiting_since_s(demand, now_s)
         inputs = PlanInputs(
             board=board,
-            demand=_by_model(demand),
+            demand=_by_model(demand, waiting_since_s, now_s),
             memory=engines.memory,
             server_load=self.hub.server_load(),
             doubtful=self.hub.doubtful(),
             allowance=engines.allowance,
+            adapters=engines.recent_adapters(demand, now_s),
         )
         engines.memory.update(inputs.demand, now_s)
         for order in plan_models(inputs, now_s):
             self._send(board.holdings[order.server_id], order)
-        self._plan_adapters(inputs, demand, now_s)
+        waiting = [wanted for wanted in waiting_since_s if wanted.adapter]
+        waiting.sort(key=lambda wanted: waiting_since_s[wanted])
+        self._plan_adapters(inputs, waiting, now_s)
 
     def _plan_adapters(
         self,
         inputs: PlanInputs,
-        demand: dict[WantedModel, ModelDemand],
+        waiting: list[WantedModel],
         now_s: float,
     ) -> None:
-        for wanted, seen in demand.items():
-            if not wanted.adapter or seen.waiting <= 0:
-                continue
+        for wanted in waiting:
             is_held = any(
                 wanted.adapter in holding.models.get(wanted.model, ())
                 for holding in inputs.board.holdings.values()
@@ -310,12 +341,19 @@
             self.hub.push_held(updates)
 
 
-def _by_model(demand: dict[WantedModel, ModelDemand]) -> dict[str, ModelDemand]:
+def _by_model(
+    demand: dict[WantedModel, ModelDemand],
+    since_s: dict[WantedModel, float],
+    now_s: float,
+) -> dict[str, ModelDemand]:
     by_model: dict[str, ModelDemand] = {}
     for wanted, seen in demand.items():
         known = by_model.get(wanted.model, ModelDemand(0.0, 0.0))
+        waited_s = now_s - since_s.get(wanted, now_s)
         # A request that lacks only its adapter still counts for its model.
         by_model[wanted.model] = ModelDemand(
-            known.running + seen.running, known.waiting + seen.waiting
+            known.running + seen.running,
+            known.waiting + seen.waiting,
+            max(known.waiting_s, waited_s),
         )
     return by_model
