A stopping VM takes only what it can finish

Change: late requests are refused with 'not run' and the callers sent elsewhere; at the end of the grace what is left is answered instead of cut.

--- a/src/_pistachiopond/vm/admission.py
+++ b/src/_pistachiopond/vm/admission.py
@@ -17,11 +17,14 @@
 from _pistachiopond.vm.link import LeaderLink
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal
 from _pistachiopond.vm.state import ConfigurationState
+from _pistachiopond.vm.stop import Stopping
 
 # How long a request may wait for tokens that the leader gives on demand; a few round
 # trips between VMs.
 TOKEN_WAIT_S: Final = 0.12
 TOKEN_POLL_S: Final = 0.02
+# Another VM can take the request at once.
+RETRY_ELSEWHERE_S: Final = 0.02
 
 
 class Admitted(NamedTuple):
@@ -59,8 +62,13 @@
     """The checks of one VM."""
 
     def __init__(
-        self, state: ConfigurationState, usage: UsageTaker, link: LeaderLink
+        self,
+        state: ConfigurationState,
+        usage: UsageTaker,
+        link: LeaderLink,
+        stopping: Stopping,
     ) -> None:
+        self._stopping = stopping
         self._state = state
         self._usage = usage
         self._link = link
@@ -83,6 +91,8 @@
         route = table.match(caller.host, caller.path)
         if route is None:
             return Err(self._unknown("unknown_route", 404, table))
+        if self._stopping.refuses(route):
+            return Err(Refusal(503, "stopping", RETRY_ELSEWHERE_S))
         customer: CustomerSpec | None = None
         if table.deployment.customers and not route.is_open:
             found = self._customer(table, caller)
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -31,6 +31,7 @@
 from _pistachiopond.vm.fleet import Fleet, WantedModel
 from _pistachiopond.vm.pools import ServerPools
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, answer_refusal
+from _pistachiopond.vm.stop import Stopping
 from _pistachiopond.vm.wants import Wants
 
 # Answers up to this size are taken whole before the caller gets a byte, so that one
@@ -89,6 +90,8 @@
         This VM's part of the retry budget.
     refund : callable
         Gives back the tokens of a request that has not run.
+    stopping : Stopping
+        Ends requests when the process stops.
     """
 
     fleet: Fleet
@@ -96,6 +99,7 @@
     wants: Wants
     retries: RetryShare
     refund: Callable[[Admitted], None]
+    stopping: Stopping
 
 
 async def forward(
@@ -104,8 +108,12 @@
     """Bring a request to a server and its answer to the caller, by its end."""
     run = _Run(parts, request, admitted, responder)
     try:
-        async with asyncio.timeout_at(admitted.end_s):
-            await run.go()
+        async with asyncio.timeout_at(admitted.end_s) as limit:
+            parts.stopping.running.add(limit)
+            try:
+                await run.go()
+            finally:
+                parts.stopping.running.discard(limit)
     except TimeoutError:
         await run.time_is_up()
     finally:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -49,7 +49,7 @@
 from _pistachiopond.vm.pools import ServerPools
 from _pistachiopond.vm.relay import TopicShelf, TopicView
 from _pistachiopond.vm.state import FIRST_LIMITS, ConfigurationState
-from _pistachiopond.vm.stop import drain
+from _pistachiopond.vm.stop import Stopping
 from _pistachiopond.vm.store_calls import make_store_call
 
 METRICS_PORT: Final = 9464
@@ -83,6 +83,7 @@
     front: Front
     followers: tuple[TopicFollower, ...]
     metrics: Metrics
+    stopping: Stopping
 
 
 def make_vm(settings: VmSettings, metrics: Metrics) -> Vm:
@@ -119,8 +120,11 @@
     placer.hub = hub
     for topic, shelf in shelves.items():
         shelf.on_change = partial(hub.push_records, topic)
-    admission = Admission(state, usage, link)
-    forward_parts = ForwardParts(fleet, pools, link.wants, retries, admission.refund)
+    stopping = Stopping(settings.bounds.stop_grace_s, timer.now_s)
+    admission = Admission(state, usage, link, stopping)
+    forward_parts = ForwardParts(
+        fleet, pools, link.wants, retries, admission.refund, stopping
+    )
     front = Front(admission, forward_parts, FrontMetrics.make(metrics))
     followers = tuple(
         TopicFollower(store, topic, shelves[topic.name], link.is_relayed)
@@ -139,6 +143,7 @@
         front=front,
         followers=followers,
         metrics=metrics,
+        stopping=stopping,
     )
 
 
@@ -201,8 +206,9 @@
         log_change("started", vm=settings.name, data_centre=settings.data_centre)
         await stopping.wait()
         log_change("stopping", grace_s=settings.bounds.stop_grace_s)
+        vm.stopping.begin()
         await vm.lead.resign()
-        await drain(connections, settings.bounds.stop_grace_s, timer.now_s)
+        await vm.stopping.drain(connections)
         log_change("stopped")
         lines.flush_ready()
         group.cancel_scope.cancel()
