--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -303,7 +303,9 @@
             await _read_whole(connection)
             is_here = answer_kind == "not_run"
             return Outcome("not_run" if is_here else "not_here", f"{head.status}")
-        if answer_kind == "unclear":
+        is_continued = answer_kind == "failure" and self._responder.has_begun
+        if answer_kind == "unclear" or is_continued:
+            # Nor can a failure follow the events that the caller has.
             await _read_whole(connection)
             return Outcome("unclear", f"the server answered {head.status}")
         if answer_kind == "success" and admitted.route.kind == "stream":
--- /dev/null
+++ b/testing/http1/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP/1.1 connections."""
--- /dev/null
+++ b/testing/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/testing/vm/deployment.py
@@ -0,0 +1,271 @@
+"""A VM's parts, a store and servers, all in one event loop."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple, final
+
+from _pistachiopond.http1.client import ClientConnection, connect
+from _pistachiopond.http1.messages import (
+    HttpAddress,
+    RequestHead,
+    ResponseHead,
+    encode_request,
+)
+from _pistachiopond.http1.server import (
+    Handler,
+    ServerConnection,
+    ServerLimits,
+    ServerParts,
+)
+from _pistachiopond.kernel.timer import RealTimer
+from _pistachiopond.observe.metrics import Metrics
+from _pistachiopond.schema.vm_settings import StoreTerms, VmBounds, VmSettings
+from _pistachiopond.vm.program import Vm, make_vm
+from testing.vm.fake_server import FakeServer
+from testing.vm.fake_store import FakeStore
+
+LIMITS = ServerLimits(16_384, 1_000_000, 2.0, 15.0)
+BOUNDS = VmBounds(
+    revoke_s=5.0,
+    drain_s=2.0,
+    stop_grace_s=8.0,
+    order_lease_s=3.0,
+    address_reuse_s=2.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_reserve=56.0,
+    load_window_s=5.0,
+)
+HOST = "calls.example"
+MODEL = {"name": "m1", "weightsMb": 60_000.0, "loadTimeS": 1.2, "adapters": 2}
+
+
+def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 1500,
+        "targetLatencyMs": 200,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "anonymous": False,
+        "resumable": False,
+        **more,
+    }
+
+
+def configuration(version: int, **more: Any) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "safe", "plain"),
+            route("once", "unsafe", "plain"),
+            route("resume", "stream", "plain", resumable=True, gapAimMs=150),
+            route("stream", "stream", "plain", maxAttempts=1, gapAimMs=150),
+            route("open", "safe", "plain", anonymous=True),
+            route("model", "stream", "engines", gapAimMs=150),
+        ],
+        "services": [
+            {"name": "plain", "healthCheckPath": "/health", "connectionLimit": 50},
+            {
+                "name": "engines",
+                "healthCheckPath": "/health",
+                "connectionLimit": 50,
+                "engine": {
+                    "slots": 8,
+                    "kvCapacityTokens": 10_000,
+                    "weightsMb": 130_000.0,
+                    "adapterSlots": 2,
+                    "loadsPerS": 2.0,
+                    "models": [MODEL],
+                },
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 2000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [
+            {
+                "name": "office",
+                "apiKeys": ["office-key"],
+                "unit": "tokens",
+                "plainTokens": 10,
+                "ratePerS": 1000,
+                "burst": 1000,
+            }
+        ],
+        **more,
+    }
+
+
+class Answer(NamedTuple):
+    """What a caller got."""
+
+    head: ResponseHead
+    body: bytes
+
+
+@final
+class World:
+    """One VM with its surroundings."""
+
+    def __init__(self, vm: Vm, store: FakeStore, address: HttpAddress) -> None:
+        self.vm = vm
+        self.store = store
+        self.address = address
+        self.servers: dict[str, FakeServer] = {}
+        self._count = 0
+        self._listening: list[asyncio.Server] = []
+
+    async def add_server(self, server_id: str, service: str) -> FakeServer:
+        """Start a server and register it."""
+        server = FakeServer(server_id)
+        listening, address = await listen(server.handle)
+        self._listening.append(listening)
+        self.servers[server_id] = server
+        self.describe(server_id, service, address)
+        await until(lambda: server_id in self.vm.fleet.servers)
+        return server
+
+    def describe(
+        self, server_id: str, service: str, address: HttpAddress, **more: Any
+    ) -> None:
+        """Write a server's entry."""
+        entry = {
+            "service": service,
+            "address": f"{address.ip}:{address.port}",
+            "zone": "here",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "born": 1_000,
+            "sequence": 1,
+            "models": [],
+            **more,
+        }
+        self.store.put("keyed.servers", server_id, json.dumps(entry).encode())
+
+    def configure(self, plain: dict[str, Any]) -> None:
+        """Write a configuration."""
+        self.store.put("keyed.op", "config", json.dumps(plain).encode())
+
+    async def call(self, path: str, **headers: str) -> Answer:
+        """Send a request on a connection of its own and return the whole answer."""
+        connection = await self.send(path, **headers)
+        head = await connection.read_head()
+        chunks = []
+        while chunk := await connection.read_chunk():
+            chunks.append(chunk)
+        connection.close()
+        return Answer(head, b"".join(chunks))
+
+    async def send(self, path: str, **headers: str) -> ClientConnection:
+        """Send a request and return its connection."""
+        self._count += 1
+        plain = {
+            "Host": HOST,
+            "X-Attempt-Id": f"request-{self._count}",
+            "X-Deadline-Ms": "1000",
+            "X-Key": "office-key",
+        }
+        plain |= {name.replace("_", "-"): value for name, value in headers.items()}
+        connection = await connect(self.address, 1.0)
+        head = RequestHead(
+            b"POST",
+            path.encode(),
+            [(name.encode(), value.encode()) for name, value in plain.items()],
+        )
+        connection.send(encode_request(head, b"body"), b"POST")
+        return connection
+
+    def close(self) -> None:
+        """Stop listening."""
+        for listening in self._listening:
+            listening.close()
+
+
+async def until(condition: Callable[[], bool], limit_s: float = 3.0) -> None:
+    """Wait until the condition holds."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def listen(
+    handler: Handler, connections: set[ServerConnection] | None = None
+) -> tuple[asyncio.Server, HttpAddress]:
+    """Listen on a free port of the loopback address."""
+    parts = ServerParts(
+        handler,
+        lambda: LIMITS,
+        RealTimer().now_s,
+        lambda: False,
+        set() if connections is None else connections,
+    )
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: ServerConnection(parts), "127.0.0.1", 0)
+    return server, HttpAddress(*server.sockets[0].getsockname())
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on now."""
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def make_settings(store: HttpAddress, name: str = "vm-1") -> VmSettings:
+    """Return the settings of a VM on the loopback address."""
+    unused = HttpAddress("127.0.0.1", 1)
+    return VmSettings(
+        name=name,
+        ip="127.0.0.1",
+        data_centre="here",
+        caller_address=unused,
+        ready_address=unused,
+        peer_address=HttpAddress("127.0.0.1", free_port()),
+        heartbeat_s=1.2,
+        cpu_cores=1.0,
+        memory_mb=300.0,
+        descriptors=1000,
+        link_mbps=1000.0,
+        bounds=BOUNDS,
+        store=StoreTerms(store, 400.0, 2000.0),
+    )
+
+
+@asynccontextmanager
+async def running_world() -> AsyncIterator[World]:
+    """Run a VM with a configuration in force and no servers."""
+    store = FakeStore()
+    store_server, store_address = await listen(store.handle)
+    vm = make_vm(make_settings(store_address), Metrics())
+    front, address = await listen(vm.front.handle)
+    world = World(vm, store, address)
+    world.configure(configuration(1))
+    works: list[Callable[[], Awaitable[None]]] = [f.run for f in vm.followers]
+    works += [vm.link.run, vm.lead.run, vm.placer.run]
+    tasks = [asyncio.ensure_future(work()) for work in works]
+    tasks.append(asyncio.ensure_future(vm.hub.run(*vm.settings.peer_address)))
+    try:
+        await until(lambda: vm.state.table is not None and vm.link.answer_age_s() < 1.0)
+        yield world
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        world.close()
+        front.close()
+        store_server.close()
--- /dev/null
+++ b/testing/vm/fake_server.py
@@ -0,0 +1,112 @@
+"""A stand-in of a backend server that follows a script, one step for each request."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import final
+
+from _pistachiopond.http1.messages import Request
+from _pistachiopond.http1.server import Responder
+
+Step = Callable[[Request, Responder], Awaitable[None]]
+
+
+def attempt_of(request: Request) -> bytes:
+    """Return the id of a request."""
+    return request.head.values(b"x-attempt-id")[0]
+
+
+async def answer_ok(request: Request, responder: Responder) -> None:
+    """Answer with a whole success."""
+    headers = [(b"X-Attempt-Id", attempt_of(request)), (b"X-Server-Seal", b"seal")]
+    await responder.answer(200, headers, b"done")
+
+
+async def answer_error(request: Request, responder: Responder) -> None:
+    """Answer with the server's own failure."""
+    headers = [(b"X-Attempt-Id", attempt_of(request)), (b"X-Server-Seal", b"seal")]
+    await responder.answer(500, headers, b"failed")
+
+
+async def answer_not_run(request: Request, responder: Responder) -> None:
+    """Refuse without running the request."""
+    headers = [(b"X-Attempt-Id", attempt_of(request)), (b"X-Not-Executed", b"1")]
+    await responder.answer(503, headers, b"")
+
+
+async def answer_unmarked_503(request: Request, responder: Responder) -> None:
+    """Answer 503 without saying that the request has not run."""
+    headers = [(b"X-Attempt-Id", attempt_of(request))]
+    await responder.answer(503, headers, b"")
+
+
+async def break_connection(request: Request, responder: Responder) -> None:
+    """Run the request and lose its answer."""
+    responder.abort()
+
+
+async def hang(request: Request, responder: Responder) -> None:
+    """Never answer."""
+    await asyncio.sleep(3600)
+
+
+def stream(first: int, last: int, breaks: asyncio.Event | None = None) -> Step:
+    """Return a step that sends events, and breaks off within the next when told so."""
+
+    async def step(request: Request, responder: Responder) -> None:
+        headers = [
+            (b"X-Attempt-Id", attempt_of(request)),
+            (b"X-Server-Seal", b"seal"),
+            (b"Content-Type", b"text/event-stream"),
+        ]
+        await responder.begin(200, headers, None)
+        for number in range(first, last + 1):
+            await responder.send(b"id: %d\ndata: x\n\n" % number)
+        if breaks is not None:
+            await responder.send(b"id: %d\nda" % (last + 1))
+            await breaks.wait()
+            responder.abort()
+            return
+        await responder.end()
+
+    return step
+
+
+@final
+class FakeServer:
+    """A server's requests and orders."""
+
+    def __init__(self, server_id: str) -> None:
+        self.server_id = server_id
+        self.steps: list[Step] = []
+        self.requests: list[Request] = []
+        self.orders: list[dict[str, object]] = []
+        self.models: list[dict[str, object]] = []
+        self.order_count = 0
+        self.cancelled = 0
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request by the next step, or with a success."""
+        if request.head.target == b"/report":
+            await self._report(responder)
+            return
+        if request.head.target == b"/order":
+            self.orders.append(json.loads(request.body))
+            self.order_count += 1
+            await responder.answer(202, [], b"")
+            return
+        self.requests.append(request)
+        step = self.steps.pop(0) if self.steps else answer_ok
+        try:
+            await step(request, responder)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def _report(self, responder: Responder) -> None:
+        plain = {
+            "models": self.models,
+            "busy": False,
+            "sequence": self.order_count,
+        }
+        await responder.answer(200, [], json.dumps(plain).encode())
--- /dev/null
+++ b/testing/vm/fake_store.py
@@ -0,0 +1,106 @@
+"""A stand-in of the platform's store: keyed topics with offsets, in memory."""
+
+import asyncio
+import base64
+import json
+import struct
+from collections.abc import Callable
+from typing import final
+from urllib.parse import parse_qs, urlsplit
+
+from _pistachiopond.http1.messages import Request
+from _pistachiopond.http1.server import Responder
+
+
+@final
+class FakeStore:
+    """Answers reads and conditional appends; can be told to fail."""
+
+    def __init__(self) -> None:
+        self.topics: dict[str, list[tuple[str, bytes]]] = {}
+        self.first: dict[str, int] = {}
+        self.calls: list[str] = []
+        self.refuses: Callable[[str], bool] = lambda path: False
+        self.hangs: Callable[[str], bool] = lambda path: False
+        self._changed = asyncio.Event()
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record as the platform or a server does."""
+        records = self.topics.setdefault(topic, [])
+        records.append((key, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return len(records) - 1
+
+    def forget_history(self, topic: str) -> None:
+        """Delete all records but the newest of each key."""
+        self.first[topic] = len(self.topics.get(topic, []))
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one call."""
+        parts = urlsplit(request.head.target.decode())
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        self.calls.append(parts.path)
+        if self.hangs(parts.path):
+            await asyncio.sleep(3600)
+        if self.refuses(parts.path):
+            await responder.answer(503, [], b"")
+        elif parts.path == "/log-read":
+            await self._read(query, responder)
+        elif parts.path == "/log-newest":
+            await self._newest(query, responder)
+        elif parts.path == "/log-append":
+            await self._append(query, request.body, responder)
+        else:
+            await responder.answer(404, [], b"")
+
+    async def _read(self, query: dict[str, str], responder: Responder) -> None:
+        topic, offset = query["topic"], int(query["from"])
+        deadline_s = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
+        while offset >= len(self.topics.get(topic, [])):
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(deadline_s):
+                    await changed.wait()
+            except TimeoutError:
+                break
+        first = self.first.get(topic, 0)
+        if offset < first:
+            await responder.answer(410, [], json.dumps({"first": first}).encode())
+            return
+        records = self.topics.get(topic, [])
+        body = struct.pack(">QQ", len(records), first)
+        for key, value in records[offset:]:
+            name = key.encode()
+            content = bytes([len(name)]) + name + value
+            body += struct.pack(">I", len(content)) + content
+        await responder.answer(200, [], body)
+
+    async def _newest(self, query: dict[str, str], responder: Responder) -> None:
+        records = self.topics.get(query["topic"], [])
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, value) in enumerate(records):
+            newest.pop(key, None)
+            if value:
+                newest[key] = (offset, value)
+        items = [
+            {"key": key, "offset": at, "value": base64.b64encode(value).decode()}
+            for key, (at, value) in newest.items()
+        ]
+        plain = {"items": items, "more": False, "end": len(records)}
+        await responder.answer(200, [], json.dumps(plain).encode())
+
+    async def _append(
+        self, query: dict[str, str], body: bytes, responder: Responder
+    ) -> None:
+        records = self.topics.setdefault(query["topic"], [])
+        if "at" in query and int(query["at"]) != len(records):
+            plain = json.dumps({"end": len(records)}).encode()
+            await responder.answer(412, [], plain)
+            return
+        (size,) = struct.unpack_from(">I", body)
+        content = body[4 : 4 + size]
+        key = content[1 : 1 + content[0]].decode()
+        offset = self.put(query["topic"], key, content[1 + content[0] :])
+        plain = json.dumps({"offset": offset, "end": offset + 1}).encode()
+        await responder.answer(200, [], plain)
