Placement counts the requests that an unload waits for, and hot models in requests

Ruled out: the weight store's rate (two loads were allowed all the while). Change: replicas are worth what exceeds a busy share; victims without running requests go first; callers that wait for a model are told to come back before they give up.

--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -34,13 +34,17 @@
 SPARE_PRICE: Final = 0.05
 # Of a second that a load takes, against the prices above.
 DURATION_PRICE: Final = 1.0
+# An unload waits for the requests in progress, each of which delays it by its length.
+RUN_PRICE: Final = 0.5
+MAX_RUNS: Final = 6
 # A model with this demand should survive the loss of a server.
 SECOND_LEVEL: Final = 3.0
 # While a server loads a model it takes no orders for adapters, so servers that hold
 # models with adapters in demand are the last to be chosen.
 ADAPTER_SERVER_PRICE: Final = 1.5
-# What an adapter in demand without a slot is worth against busy replicas: each of its
-# requests waits for two orders.
+# What a replica is worth for each request on it beyond the busy share, and for a whole
+# server's adapter slots that adapters in demand lack: their requests wait for orders.
+BUSY_GAIN: Final = 0.5
 ADAPTER_GAIN: Final = 2.0
 # Until demand has been seen for this long, the replicas found at the start are taken
 # for wanted ones.
@@ -145,6 +149,8 @@
         What they asked for lately.
     server_load : mapping of str to float
         Requests in progress at each server.
+    runs : mapping of (str, str) to int
+        Requests in progress by server and model.
     doubtful : set of str
         Servers that have failed lately.
     allowance : LoadAllowance
@@ -157,6 +163,7 @@
     demand: Mapping[str, ModelDemand]
     memory: DemandMemory
     server_load: Mapping[str, float]
+    runs: Mapping[tuple[str, str], int]
     doubtful: frozenset[str]
     allowance: LoadAllowance
     adapters: Mapping[str, int]
@@ -217,21 +224,22 @@
             continue
         if any(model in holding.loading for holding in replicas):
             continue
-        filled = _filled(inputs, model, len(replicas))
-        if filled > 1.0:
-            wanted.append((filled, model))
+        excess = _excess(inputs, model, len(replicas))
+        if excess > 0.0:
+            wanted.append((SECOND_GAIN + excess, model))
         elif len(replicas) == 1 and level > SECOND_LEVEL:
             wanted.append((SECOND_GAIN, model))
     wanted.sort(reverse=True)
     return wanted
 
 
-def _filled(inputs: PlanInputs, model: str, replicas: int) -> float:
-    """Return how busy each of so many replicas would be, 1 for just busy enough."""
-    level = inputs.memory.level(model) / _busy_level(inputs.board)
+def _excess(inputs: PlanInputs, model: str, replicas: int) -> float:
+    """Return what so many replicas lack: busy requests on each, and adapter slots."""
+    level = inputs.memory.level(model) / replicas
     slots = max(1, inputs.board.spec.adapter_slots)
     adapters = inputs.adapters.get(model, 0) / slots
-    return max(level, ADAPTER_GAIN * adapters) / replicas
+    busy = max(0.0, level - _busy_level(inputs.board))
+    return BUSY_GAIN * busy + ADAPTER_GAIN * max(0.0, adapters - replicas)
 
 
 def _busy_level(board: Board) -> float:
@@ -280,7 +288,8 @@
         spec = board.spec.models.get(held)
         freed_mb = spec.memory_mb if spec is not None else board.spec.memory_mb
         if free_mb + freed_mb >= need_mb:
-            prices.append((_price(inputs, held), held))
+            runs = min(MAX_RUNS, inputs.runs.get((name, held), 0))
+            prices.append((_price(inputs, held) + RUN_PRICE * runs, held))
     if not prices:
         return None
     price, victim = min(prices)
@@ -299,12 +308,9 @@
         return ONLY_PRICE + back_s + USE_PRICE * inputs.memory.use(model) + level
     if inputs.memory.is_learning():
         return LEARNING_PRICE
-    left = _filled(inputs, model, replicas - 1)
-    if left > 1.0:
-        return left
-    if replicas == 2 and level > SECOND_LEVEL:
-        return SECOND_GAIN + SPARE_PRICE
-    return SPARE_PRICE * left
+    excess = _excess(inputs, model, replicas - 1)
+    is_second = replicas == 2 and level > SECOND_LEVEL
+    return SPARE_PRICE + excess + (SECOND_GAIN if is_second else 0.0)
 
 
 def _reserved(board: Board, model: str) -> Holding | None:
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -37,7 +37,8 @@
 
     `usage` has for each customer the balance, the demand a second, what waiting
     requests lack and what is given back; `load` the requests in progress at each
-    server; `doubtful` the servers that have failed this VM lately.
+    server, `runs` those for each of its models; `doubtful` the servers that have
+    failed this VM lately.
     """
 
     member: str
@@ -45,6 +46,7 @@
     usage: dict[str, tuple[float, float, float, float]]
     load: dict[str, int]
     models: list[ModelUse]
+    runs: list[tuple[str, str, int]]
     doubtful: list[str]
 
 
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -41,8 +41,12 @@
 # after this many times the route's aim.
 SILENCE_AIMS: Final = 2.0
 MIN_SILENCE_S: Final = 0.25
-# A request whose model nobody holds waits for it up to this part of its time.
+# A request whose model nobody holds waits for it up to this part of its time, and no
+# longer than its caller waits for a first event; then the caller is told to come back.
 MODEL_WAIT_SHARE: Final = 0.6
+CALLER_PATIENCE_S: Final = 2.0
+CALLER_PATIENCE_AIMS: Final = 4.0
+PATIENCE_SHARE: Final = 0.6
 # Waits that are longer have a log line.
 LONG_WAIT_S: Final = 0.25
 
@@ -208,7 +212,11 @@
     async def _wait_for_model(self, prompt_id: str | None) -> BackendServer | None:
         loop = asyncio.get_running_loop()
         left_s = self._admitted.end_s - loop.time()
-        until_s = loop.time() + MODEL_WAIT_SHARE * left_s
+        aim_s = self._admitted.route.aim_s
+        patience_s = max(CALLER_PATIENCE_S, CALLER_PATIENCE_AIMS * aim_s)
+        until_s = loop.time() + min(
+            MODEL_WAIT_SHARE * left_s, PATIENCE_SHARE * patience_s
+        )
         fleet = self._parts.fleet
         began_s = loop.time()
         with self._parts.wants.waiting(self._wanted):
@@ -241,12 +249,12 @@
         parts = self._parts
         self._tried.add(server.server_id)
         parts.fleet.began(server.server_id)
-        parts.wants.began(self._wanted)
+        parts.wants.began(self._wanted, server.server_id)
         try:
             return await self._exchange(server)
         finally:
             parts.fleet.ended(server.server_id)
-            parts.wants.ended(self._wanted)
+            parts.wants.ended(self._wanted, server.server_id)
 
     async def _exchange(self, server: BackendServer) -> Outcome:
         pool = self._parts.pools.of(server)
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -105,6 +105,14 @@
                 total[name] = total.get(name, 0) + count
         return total
 
+    def runs(self) -> dict[tuple[str, str], int]:
+        """Return the requests in progress by server and model, over all members."""
+        total: dict[tuple[str, str], int] = {}
+        for member in self._members.values():
+            for server, model, count in member.report["runs"]:
+                total[(server, model)] = total.get((server, model), 0) + count
+        return total
+
     def demand(self, service: str) -> dict[WantedModel, ModelDemand]:
         """Return what callers ask of each model and adapter of a service."""
         demand: dict[WantedModel, ModelDemand] = {}
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -198,6 +198,10 @@
                 }
                 for wanted in wants.take_used() | set(wants.lacking)
             ],
+            "runs": [
+                (server, model, count)
+                for (server, model), count in wants.at_servers.items()
+            ],
             "doubtful": sorted(parts.fleet.doubtful()),
         }
 
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -176,6 +176,7 @@
             demand=_by_model(demand, waiting_since_s, now_s),
             memory=engines.memory,
             server_load=self.hub.server_load(),
+            runs=self.hub.runs(),
             doubtful=self.hub.doubtful(),
             allowance=engines.allowance,
             adapters=engines.recent_adapters(demand, now_s),
--- a/src/_pistachiopond/vm/wants.py
+++ b/src/_pistachiopond/vm/wants.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import final
+from typing import TypeVar, final
 
 from _pistachiopond.vm.fleet import WantedModel
 
+K = TypeVar("K")
+
 
 @final
 class Wants:
@@ -16,18 +18,22 @@
         self._on_lack = on_lack
         self.running: dict[WantedModel, int] = {}
         self.lacking: dict[WantedModel, int] = {}
+        self.at_servers: dict[tuple[str, str], int] = {}
         self.used: set[WantedModel] = set()
 
-    def began(self, wanted: WantedModel) -> None:
+    def began(self, wanted: WantedModel, server_id: str) -> None:
         """Note that a request goes to a server."""
         if wanted.model:
+            place = (server_id, wanted.model)
             self.running[wanted] = self.running.get(wanted, 0) + 1
+            self.at_servers[place] = self.at_servers.get(place, 0) + 1
             self.used.add(wanted)
 
-    def ended(self, wanted: WantedModel) -> None:
+    def ended(self, wanted: WantedModel, server_id: str) -> None:
         """Note that a request at a server has ended."""
         if wanted.model:
             _decrease(self.running, wanted)
+            _decrease(self.at_servers, (server_id, wanted.model))
 
     @contextmanager
     def waiting(self, wanted: WantedModel) -> Iterator[None]:
@@ -45,9 +51,9 @@
         return used | set(self.running)
 
 
-def _decrease(counts: dict[WantedModel, int], wanted: WantedModel) -> None:
-    left = counts[wanted] - 1
+def _decrease(counts: dict[K, int], key: K) -> None:
+    left = counts[key] - 1
     if left > 0:
-        counts[wanted] = left
+        counts[key] = left
     else:
-        del counts[wanted]
+        del counts[key]
