Tests of the VM's process, connections, limits, leadership and placement

A refusal in the middle of a body now lingers: closing with unread bytes lost it (the test failed so).

--- a/src/_pistachiopond/http1/server.py
+++ b/src/_pistachiopond/http1/server.py
@@ -21,6 +21,8 @@
 # Requests that a client has sent ahead of the answer in progress.
 MAX_PIPELINED: Final = 8
 MAX_HEADER_COUNT: Final = 200
+# After a refusal in the middle of a request.
+LINGER_S: Final = 0.5
 
 
 class ServerLimits(NamedTuple):
@@ -314,7 +316,12 @@
             return
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         self._transport.write(encode_response_head(self._refusal, headers))
-        self.close_after_answer()
+        self._is_closing = True
+        # Closing with unread bytes would reset the connection, and the client might
+        # lose the answer; what it still sends is dropped for a while.
+        self._transport.write_eof()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_S, self._transport.close)
 
     def _start_next(self) -> None:
         if self._task is not None or self._is_closing:
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -21,6 +21,10 @@
 LAPSE_SEEN_S: Final = 1.0
 # Entries lapse after three silent heartbeats, so a shorter outage makes none lapse.
 LAPSE_HEARTBEATS: Final = 3.0
+# Prompts that one VM sends to a server before the first of them is answered. A server
+# reads prompts one after the other and between the tokens of its other requests, so
+# many at once stall all of its streams.
+MAX_UNREAD_PROMPTS: Final = 2
 # A leaving server is used where there is no other, for this part of the time in
 # which the operators allow it.
 LEAVING_USE_SHARE: Final = 0.6
@@ -64,6 +68,7 @@
         self._held: dict[str, HeldModels] = {}
         self.own_load: dict[str, int] = {}
         self.peer_load: dict[str, int] = {}
+        self._unread: dict[str, int] = {}
         self.ejector = Ejector()
         self.is_loaded = False
         self.changed = anyio.Event()
@@ -155,6 +160,8 @@
             name = server.server_id
             if name in tried or not self.holds(server, wanted):
                 continue
+            if wanted.model and not self._has_room(server):
+                continue
             candidate = self._candidate(server, now_s)
             if not server.is_leaving:
                 staying.append(candidate)
@@ -171,6 +178,16 @@
     def began(self, server_id: str) -> None:
         """Note that a request goes to the server."""
         self.own_load[server_id] = self.own_load.get(server_id, 0) + 1
+        self._unread[server_id] = self._unread.get(server_id, 0) + 1
+
+    def answered(self, server_id: str) -> None:
+        """Note that the server has begun to answer a request, or has dropped it."""
+        left = self._unread.get(server_id, 0) - 1
+        if left > 0:
+            self._unread[server_id] = left
+        else:
+            self._unread.pop(server_id, None)
+        self._notify()
 
     def ended(self, server_id: str) -> None:
         """Note that a request at the server has ended."""
@@ -187,6 +204,11 @@
             name for name in self.servers if self.ejector.is_ejected(name, now_s)
         )
 
+    def _has_room(self, server: BackendServer) -> bool:
+        name = server.server_id
+        is_reading = self._unread.get(name, 0) >= MAX_UNREAD_PROMPTS
+        return not is_reading and self.load(name) < server.slots
+
     def _candidate(self, server: BackendServer, now_s: float) -> Candidate:
         name = server.server_id
         return Candidate(
@@ -261,5 +283,6 @@
         self._notify()
 
     def _notify(self) -> None:
-        self.changed.set()
-        self.changed = anyio.Event()
+        if self.changed.statistics().tasks_waiting:
+            self.changed.set()
+            self.changed = anyio.Event()
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -152,6 +152,7 @@
         self._sent_s = 0.0
         self._server = ""
         self._load_when_sent = 0
+        self._is_unread = False
 
     async def go(self) -> None:
         """Try servers until the request has its answer or no try is left."""
@@ -203,13 +204,10 @@
         tried = frozenset(self._tried)
         server = fleet.choose(self._wanted, tried, prompt_id)
         if server is not None or not self._wanted.model:
-            if server is None and tried:
-                # The last resort is a server that has refused it before.
-                return None
             return server
-        return await self._wait_for_model(prompt_id)
+        return await self._wait_for_room(prompt_id)
 
-    async def _wait_for_model(self, prompt_id: str | None) -> BackendServer | None:
+    async def _wait_for_room(self, prompt_id: str | None) -> BackendServer | None:
         loop = asyncio.get_running_loop()
         left_s = self._admitted.end_s - loop.time()
         aim_s = self._admitted.route.aim_s
@@ -249,13 +247,20 @@
         parts = self._parts
         self._tried.add(server.server_id)
         parts.fleet.began(server.server_id)
+        self._is_unread = True
         parts.wants.began(self._wanted, server.server_id)
         try:
             return await self._exchange(server)
         finally:
+            self._read_by(server.server_id)
             parts.fleet.ended(server.server_id)
             parts.wants.ended(self._wanted, server.server_id)
 
+    def _read_by(self, server_id: str) -> None:
+        if self._is_unread:
+            self._is_unread = False
+            self._parts.fleet.answered(server_id)
+
     async def _exchange(self, server: BackendServer) -> Outcome:
         pool = self._parts.pools.of(server)
         max_idle_s = self._parts.pools.max_idle_s(self._admitted.route)
@@ -303,6 +308,7 @@
         )
         self._servers_run += 1
         head = await self._read_head(connection)
+        self._read_by(server.server_id)
         if head is None:
             return Outcome("unclear", "the server is silent")
         answer_kind = classify_answer(head)
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -161,6 +161,9 @@
                 writer.write(encode_line({"answer": self._answer(decoded.ok())}))
         except (OSError, ValueError) as error:
             log_trouble("member's connection ended", reason=str(error))
+        except asyncio.CancelledError:
+            # The process ends; the streams' own callback would log it as an error.
+            return
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
--- a/testing/control/test_calls.py
+++ b/testing/control/test_calls.py
@@ -7,10 +7,10 @@
 import anyio
 from result import Err, Ok, Result
 
+from _pistachiopond.clients.log import LogFailure, LogPage, LogRecord
 from _pistachiopond.control.calls import CallDesk
 from _pistachiopond.control.ports import LogAccess
 from _pistachiopond.kernel.timer import RealTimer
-from _pistachiopond.clients.log import LogFailure, LogPage, LogRecord
 from _pistachiopond.transport.generated import pond_pb2 as pb
 
 RUN = pb.ClaimCallReply.RUN
--- a/testing/control/test_configuration.py
+++ b/testing/control/test_configuration.py
@@ -7,13 +7,13 @@
 import anyio
 from result import Err, Ok, Result
 
+from _pistachiopond.clients.log import LogClient, LogFailure, LogPage
 from _pistachiopond.control.configuration import ConfigFollower
 from _pistachiopond.control.exchange import LEAVING_HEARD_S, Exchange
 from _pistachiopond.control.log import LONGEST_BACKOFF_S, make_log_access
 from _pistachiopond.control.relay import answer_relay, best_peer, read_relay
 from _pistachiopond.decisions.member_types import Identity
 from _pistachiopond.kernel.timer import VirtualTimer
-from _pistachiopond.clients.log import LogClient, LogFailure, LogPage
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.heartbeat import DrainNotice, LogStatement, OwnerHint
 from _pistachiopond.schema.records import SnapshotRecord, WithdrawalRecord
--- a/testing/control/test_orders.py
+++ b/testing/control/test_orders.py
@@ -10,6 +10,7 @@
 import httpx
 from result import Ok, Result
 
+from _pistachiopond.clients.log import LogFailure, LogPage
 from _pistachiopond.control.demand import Demand
 from _pistachiopond.control.engines import Engines
 from _pistachiopond.control.exchange import Exchange
@@ -20,7 +21,6 @@
 from _pistachiopond.decisions.ownership import ShardTerms
 from _pistachiopond.kernel.service import Kernel, Service, run_services
 from _pistachiopond.kernel.timer import VirtualTimer
-from _pistachiopond.clients.log import LogFailure, LogPage
 from _pistachiopond.schema.revision import Revision
 from testing.control.test_server import provide
 from testing.decisions.fleet_world import FakeLog
--- a/testing/decisions/fleet_world.py
+++ b/testing/decisions/fleet_world.py
@@ -7,6 +7,7 @@
 import random
 from typing import Final, NamedTuple, final
 
+from _pistachiopond.clients.log import LogPage, LogRecord
 from _pistachiopond.decisions.intents import (
     IN_FLIGHT_LIMIT_S,
     ForeignInput,
@@ -20,7 +21,6 @@
     ShardClaimant,
     ShardTerms,
 )
-from _pistachiopond.clients.log import LogPage, LogRecord
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.engine import EngineModel, EngineOrder, EngineState
 from _pistachiopond.schema.records import Order, SettlementRecord
--- a/testing/decisions/test_config.py
+++ b/testing/decisions/test_config.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from _pistachiopond.clients.log import LogPage, LogRecord
 from _pistachiopond.decisions.config import (
     CONFIG_FOLD,
     Accepted,
@@ -23,7 +24,6 @@
     snapshot_due_in_s,
 )
 from _pistachiopond.decisions.stream_reader import StreamReader
-from _pistachiopond.clients.log import LogPage, LogRecord
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.schema.manifest import BackendServer, Manifest, Model
 from _pistachiopond.schema.records import (
--- /dev/null
+++ b/testing/decisions/test_model_plan.py
@@ -0,0 +1,323 @@
+"""Tests of what engine servers load and unload under stated loads."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from _pistachiopond.decisions.model_board import REPORT_LAG_S, Board
+from _pistachiopond.decisions.model_plan import (
+    LEARNING_S,
+    DemandMemory,
+    LoadAllowance,
+    ModelDemand,
+    PlanInputs,
+    plan_adapter,
+    plan_models,
+)
+from _pistachiopond.http1.messages import HttpAddress
+from _pistachiopond.schema.deployment import BackendServer, EngineSpec, ModelSpec
+from _pistachiopond.schema.model_orders import ModelOrder, ServerReport
+
+ADDRESS = HttpAddress("127.0.0.1", 1)
+MODEL_SETTINGS = settings(
+    derandomize=True, deadline=None, max_examples=100, stateful_step_count=30
+)
+
+
+def make_spec(models: int, memory_mb: float = 200.0) -> EngineSpec:
+    """Return an engine whose models take 60 MB each."""
+    specs = {
+        f"m{n}": ModelSpec(f"m{n}", 60.0, 1.2, 0.5, 0.4, 4, 1.0) for n in range(models)
+    }
+    return EngineSpec(16, 10_000, memory_mb, 4, 2.0, 6, specs)
+
+
+def make_server(name: str, *models: str, leaving: bool = False) -> BackendServer:
+    held = {model: () for model in models}
+    return BackendServer(
+        name, 1, "engines", ADDRESS, "here", 16, leaving, None, held, (), ()
+    )
+
+
+class Planning:
+    """A board with its servers' answers, on a clock of its own."""
+
+    def __init__(self, spec: EngineSpec, *servers: BackendServer) -> None:
+        self.board = Board(spec)
+        self.memory = DemandMemory()
+        self.allowance = LoadAllowance(100.0, -10.0)
+        self.now_s = 0.0
+        self.board.set_servers({server.server_id: server for server in servers})
+        for holding in self.board.holdings.values():
+            holding.is_known = True
+
+    def inputs(
+        self,
+        demand: dict[str, ModelDemand],
+        runs: dict[tuple[str, str], int] | None = None,
+        adapters: dict[str, int] | None = None,
+    ) -> PlanInputs:
+        self.memory.update(demand, self.now_s)
+        return PlanInputs(
+            board=self.board,
+            demand=demand,
+            memory=self.memory,
+            server_load={},
+            runs=runs or {},
+            doubtful=frozenset(),
+            allowance=self.allowance,
+            adapters=adapters or {},
+        )
+
+    def settle(self, demand: dict[str, ModelDemand]) -> None:
+        """Show the demand for long enough to be believed."""
+        self.memory.update(demand, self.now_s)
+        self.now_s += LEARNING_S + 0.1
+        self.memory.update(demand, self.now_s)
+
+    def carry_out(self, orders: list[ModelOrder]) -> None:
+        """Let the servers accept and finish all orders at once."""
+        for order in orders:
+            holding = self.board.holdings[order.server_id]
+            holding.accepted(order, self.now_s, 0.5)
+            held = {
+                model: tuple(adapters)
+                for model, adapters in holding.models.items()
+                if model not in holding.unloading
+            }
+            holding.describe(holding.server._replace(models=held))
+
+
+class PlanModelsTests(unittest.TestCase):
+    def test_a_model_that_requests_wait_for_is_loaded_where_there_is_room(self) -> None:
+        plan = Planning(make_spec(4), make_server("s1", "m0"), make_server("s2"))
+        orders = plan_models(plan.inputs({"m1": ModelDemand(0, 3)}), 0.0)
+        first = [order for order in orders if order.model == "m1"]
+        self.assertEqual([order.action for order in first], ["load"])
+
+    def test_room_is_made_by_the_replica_that_is_needed_least(self) -> None:
+        plan = Planning(
+            make_spec(4, 125.0),
+            make_server("s1", "m0", "m1"),
+            make_server("s2", "m0", "m2"),
+        )
+        demand = {"m0": ModelDemand(1, 0), "m1": ModelDemand(2, 0)}
+        plan.settle(demand)
+        demand |= {"m2": ModelDemand(2, 0), "m3": ModelDemand(0, 5)}
+        orders = plan_models(plan.inputs(demand), plan.now_s)
+        self.assertEqual([(o.action, o.model) for o in orders], [("unload", "m0")])
+
+    def test_room_is_made_on_one_server_only(self) -> None:
+        servers = [make_server(f"s{n}", "m0", "m1") for n in range(4)]
+        plan = Planning(make_spec(3, 125.0), *servers)
+        demand = {"m0": ModelDemand(1, 0), "m1": ModelDemand(1, 0)}
+        plan.settle(demand)
+        demand["m2"] = ModelDemand(0, 2)
+        for _ in range(5):
+            orders = plan_models(plan.inputs(demand), plan.now_s)
+            for order in orders:
+                plan.board.holdings[order.server_id].accepted(order, plan.now_s, 1.0)
+            plan.now_s += 0.1
+        unloaded = [h for h in plan.board.holdings.values() if h.unloading]
+        self.assertEqual(len(unloaded), 1)
+
+    def test_a_hot_model_gets_another_replica_before_a_rare_one_keeps_its_place(
+        self,
+    ) -> None:
+        plan = Planning(
+            make_spec(4, 125.0),
+            make_server("s1", "m0", "m1"),
+            make_server("s2", "m2", "m3"),
+        )
+        demand = {"m0": ModelDemand(60, 0), "m2": ModelDemand(1, 0)}
+        plan.settle(demand)
+        orders = plan_models(plan.inputs(demand), plan.now_s)
+        self.assertEqual([(o.action, o.model) for o in orders], [("unload", "m3")])
+
+    def test_a_victim_without_running_requests_goes_first(self) -> None:
+        plan = Planning(make_spec(4, 125.0), make_server("s1", "m0", "m1"))
+        plan.settle({"m0": ModelDemand(1, 0), "m1": ModelDemand(1, 0)})
+        inputs = plan.inputs({"m2": ModelDemand(0, 9)}, runs={("s1", "m0"): 4})
+        orders = plan_models(inputs, plan.now_s)
+        self.assertEqual([(o.action, o.model) for o in orders], [("unload", "m1")])
+
+    def test_replicas_found_at_the_start_stay_until_demand_is_known(self) -> None:
+        plan = Planning(
+            make_spec(3, 125.0),
+            make_server("s1", "m0", "m1"),
+            make_server("s2", "m0", "m1"),
+        )
+        self.assertEqual(plan_models(plan.inputs({}), 0.0), [])
+
+    def test_a_model_just_loaded_is_not_unloaded_for_the_next(self) -> None:
+        plan = Planning(make_spec(6, 65.0), make_server("s1", "m0"))
+        plan.settle({})
+        demand = {"m1": ModelDemand(0, 5), "m2": ModelDemand(0, 5)}
+        for _ in range(3):
+            plan.carry_out(plan_models(plan.inputs(demand), plan.now_s))
+        self.assertEqual(len(plan.board.holdings["s1"].models), 1)
+        held = set(plan.board.holdings["s1"].models)
+        plan.carry_out(plan_models(plan.inputs(demand), plan.now_s + 0.2))
+        self.assertEqual(set(plan.board.holdings["s1"].models), held)
+
+    def test_loads_from_the_store_keep_to_its_rate(self) -> None:
+        servers = [make_server(f"s{n}") for n in range(30)]
+        plan = Planning(make_spec(30), *servers)
+        plan.allowance = LoadAllowance(2.0, 0.0)
+        demand = {f"m{n}": ModelDemand(0, 1) for n in range(30)}
+        starts_s: list[float] = []
+        for _ in range(100):
+            orders = plan_models(plan.inputs(demand), plan.now_s)
+            starts_s += [plan.now_s] * len(orders)
+            plan.carry_out(orders)
+            plan.now_s += 0.1
+        for start_s in starts_s:
+            count = sum(1 for at_s in starts_s if start_s <= at_s < start_s + 5.0)
+            self.assertLessEqual(count, 2.0 * 5.0 * 1.1 + 3)
+
+    def test_a_leaving_server_gets_no_orders(self) -> None:
+        plan = Planning(make_spec(2), make_server("s1", leaving=True))
+        self.assertEqual(plan_models(plan.inputs({"m1": ModelDemand(0, 3)}), 0.0), [])
+
+
+class PlanAdapterTests(unittest.TestCase):
+    def test_an_adapter_goes_to_a_free_slot_and_then_takes_an_idle_ones(self) -> None:
+        plan = Planning(make_spec(1), make_server("s1", "m0"))
+        holding = plan.board.holdings["s1"]
+        for number in range(1, 5):
+            order = plan_adapter(plan.inputs({}), "m0", f"a{number}", plan.now_s)
+            assert order is not None
+            self.assertEqual(order.action, "load")
+            holding.accepted(order, plan.now_s, 0.0)
+            holding.adapter_used_s[("m0", f"a{number}")] = plan.now_s - number
+        order = plan_adapter(plan.inputs({}), "m0", "a9", plan.now_s)
+        assert order is not None
+        self.assertEqual((order.action, order.adapter), ("unload", "a4"))
+
+    def test_an_adapter_in_use_keeps_its_slot(self) -> None:
+        plan = Planning(make_spec(1), make_server("s1", "m0"))
+        holding = plan.board.holdings["s1"]
+        holding.models["m0"] = {"a1", "a2", "a3", "a4"}
+        for name in holding.models["m0"]:
+            holding.adapter_used_s[("m0", name)] = plan.now_s
+        self.assertIsNone(plan_adapter(plan.inputs({}), "m0", "a9", plan.now_s))
+
+
+class ReportTests(unittest.TestCase):
+    def test_a_report_from_before_the_last_order_is_ignored(self) -> None:
+        plan = Planning(make_spec(2), make_server("s1", "m0"))
+        holding = plan.board.holdings["s1"]
+        holding.accepted(ModelOrder("s1", "load", "m1", "", 0), 1.0, 1.2)
+        holding.ordered_s = 1.0
+        stale = ServerReport({"m0": ()}, False, 0)
+        holding.take_report(stale, 1.0 + REPORT_LAG_S / 2)
+        self.assertEqual(holding.order_count, 1)
+        self.assertIn("m1", holding.models)
+
+    def test_an_unload_in_progress_still_counts(self) -> None:
+        plan = Planning(make_spec(3, 125.0), make_server("s1", "m0", "m1"))
+        holding = plan.board.holdings["s1"]
+        holding.accepted(ModelOrder("s1", "unload", "m0", "", 0), 1.0, 0.0)
+        self.assertFalse(holding.serves("m0"))
+        self.assertEqual(plan_models(plan.inputs({"m2": ModelDemand(0, 3)}), 1.0), [])
+        holding.describe(make_server("s1", "m1"))
+        orders = plan_models(plan.inputs({"m2": ModelDemand(0, 3)}), 1.0)
+        self.assertEqual([(o.action, o.model) for o in orders], [("load", "m2")])
+
+
+class ServerModel:
+    """A server that carries orders out by the count that they name."""
+
+    def __init__(self) -> None:
+        self.models: set[str] = set()
+        self.count = 0
+
+    def take(self, order: ModelOrder) -> bool:
+        """Carry an order out if it is the next one."""
+        if order.order_count != self.count:
+            return False
+        self.count += 1
+        if order.action == "load":
+            self.models.add(order.model)
+        else:
+            self.models.discard(order.model)
+        return True
+
+
+class CarelessServer(ServerModel):
+    """A server that carries out each order, whatever count it names."""
+
+    def take(self, order: ModelOrder) -> bool:
+        """Carry an order out."""
+        return super().take(order._replace(order_count=self.count))
+
+
+class LateOrdersModel(RuleBasedStateMachine):
+    """Orders whose answers are lost and that are carried out late, or never."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.plan = Planning(make_spec(5, 125.0), make_server("s1"))
+        self.plan.settle({"m0": ModelDemand(1, 0)})
+        self.server = ServerModel()
+        self.late: list[ModelOrder] = []
+
+    @rule(model=st.sampled_from(["m0", "m1", "m2", "m3"]), fate=st.integers(0, 2))
+    def order(self, model: str, fate: int) -> None:
+        self.report()
+        self.plan.now_s += 3.0
+        holding = self.plan.board.holdings["s1"]
+        demand = {model: ModelDemand(0, 50)}
+        for order in plan_models(self.plan.inputs(demand), self.plan.now_s):
+            if fate == 0 and self.server.take(order):
+                self.plan.carry_out([order])
+            else:
+                self.late.append(order)
+                holding.is_known = False
+                holding.ordered_s = self.plan.now_s
+
+    @rule(index=st.integers(0, 20))
+    def carry_out_late(self, index: int) -> None:
+        if self.late:
+            self.server.take(self.late.pop(index % len(self.late)))
+
+    @rule()
+    def report(self) -> None:
+        self.plan.now_s += 1.0
+        models = {model: () for model in self.server.models}
+        report = ServerReport(models, False, self.server.count)
+        self.plan.board.holdings["s1"].take_report(report, self.plan.now_s)
+
+    @invariant()
+    def memory_holds_what_is_loaded(self) -> None:
+        assert len(self.server.models) * 60.0 <= 125.0, self.server.models
+
+
+class CarelessOrdersModel(LateOrdersModel):
+    """The same with a server that does not look at the count in an order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.server = CarelessServer()
+
+
+class LateOrdersTests(unittest.TestCase):
+    def test_model(self) -> None:
+        run_state_machine_as_test(LateOrdersModel, settings=MODEL_SETTINGS)
+
+    def test_the_model_finds_orders_that_are_carried_out_whatever_they_name(
+        self,
+    ) -> None:
+        with self.assertRaises(AssertionError):
+            run_state_machine_as_test(CarelessOrdersModel, settings=MODEL_SETTINGS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testing/decisions/test_usage.py
@@ -0,0 +1,138 @@
+"""Tests of the limits that all VMs share."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _pistachiopond.decisions.usage import (
+    ISOLATED_PERIOD_S,
+    UsageGiver,
+    UsageReport,
+    UsageTaker,
+)
+from _pistachiopond.schema.deployment import CustomerSpec
+
+CUSTOMER = CustomerSpec("office", None, True, 10.0, 1000.0, 2000.0)
+PERIOD_S = 0.2
+
+
+class Members:
+    """Several VMs and the one that leads, on a clock of their own."""
+
+    def __init__(self, count: int) -> None:
+        self.takers = {f"vm-{n}": UsageTaker() for n in range(count)}
+        self.giver = UsageGiver(0.0)
+        self.now_s = 0.0
+        self.spent: list[tuple[float, float]] = []
+
+    def ask(self, name: str, cost: float) -> bool:
+        """Ask one VM to admit a request."""
+        taker = self.takers[name]
+        taker.ask(CUSTOMER.name, cost, self.now_s)
+        if not taker.take(CUSTOMER, cost, self.now_s):
+            taker.lack(CUSTOMER.name, cost, self.now_s)
+            self.report(name)
+            taker.lack_no_more(CUSTOMER.name, cost)
+            if not taker.take(CUSTOMER, cost, self.now_s):
+                return False
+        self.spent.append((self.now_s, cost))
+        return True
+
+    def report(self, name: str) -> None:
+        """Exchange a report for tokens."""
+        taker = self.takers[name]
+        for customer, report in taker.reports(self.now_s).items():
+            given = self.giver.give(name, CUSTOMER, report, self.now_s)
+            taker.add(customer, given, self.now_s)
+
+    def report_all(self) -> None:
+        """Let all VMs report."""
+        for name in self.takers:
+            self.report(name)
+
+    def most_in(self, window_s: float) -> float:
+        """Return the most that was spent in any window of that length."""
+        most = 0.0
+        for start_s, _ in self.spent:
+            inside = [c for t, c in self.spent if start_s <= t < start_s + window_s]
+            most = max(most, sum(inside))
+        return most
+
+
+class SharedLimitTests(unittest.TestCase):
+    def play(self, seed: int, *, demand_per_s: float, seconds: float) -> Members:
+        rng = random.Random(seed)
+        members = Members(8)
+        names = list(members.takers)
+        next_report_s = 0.0
+        while members.now_s < seconds:
+            members.now_s += rng.expovariate(demand_per_s / 200.0)
+            while members.now_s >= next_report_s:
+                members.report_all()
+                next_report_s += PERIOD_S
+            members.ask(rng.choice(names), rng.uniform(50.0, 350.0))
+        return members
+
+    @settings(derandomize=True, deadline=None, max_examples=10)
+    @given(st.integers(0, 1_000))
+    def test_no_window_exceeds_rate_and_burst(self, seed: int) -> None:
+        members = self.play(seed, demand_per_s=4000.0, seconds=12.0)
+        bound = CUSTOMER.rate_per_s * 8.0 + CUSTOMER.burst
+        self.assertLessEqual(members.most_in(8.0), bound)
+
+    def test_a_customer_that_asks_for_more_gets_its_rate(self) -> None:
+        members = self.play(1, demand_per_s=4000.0, seconds=12.0)
+        spent = sum(cost for _, cost in members.spent)
+        self.assertGreater(spent, 0.9 * CUSTOMER.rate_per_s * 12.0)
+
+    def test_a_customer_within_its_rate_is_not_refused(self) -> None:
+        rng = random.Random(3)
+        members = Members(8)
+        members.now_s = 2.0
+        members.report_all()
+        refused = 0
+        for step in range(200):
+            members.now_s = 2.0 + step * 0.4
+            members.report_all()
+            refused += not members.ask(rng.choice(list(members.takers)), 200.0)
+        self.assertEqual(refused, 0)
+
+    def test_a_small_burst_is_not_lost_in_pieces(self) -> None:
+        members = Members(40)
+        members.now_s = 5.0
+        admitted = 0
+        for step in range(60):
+            members.now_s = 5.0 + step * 0.6
+            members.report_all()
+            name = f"vm-{step % 40}"
+            admitted += members.ask(name, 550.0)
+        self.assertGreaterEqual(admitted, 55)
+
+    def test_tokens_of_a_lost_member_are_not_given_again(self) -> None:
+        giver = UsageGiver(0.0)
+        first = giver.give("a", CUSTOMER, UsageReport(0.0, 1000.0, 600.0), 0.0)
+        giver.forget_member("a")
+        second = giver.give("b", CUSTOMER, UsageReport(0.0, 1000.0, 600.0), 0.0)
+        self.assertLessEqual(first + second, 0.3 * CUSTOMER.burst)
+
+    def test_a_member_without_a_leader_spends_a_small_part_once(self) -> None:
+        taker = UsageTaker()
+        taker.ask(CUSTOMER.name, 1.0, 0.0)
+        for step in range(20):
+            taker.allow_isolated({CUSTOMER.name: CUSTOMER}, 8, step * 0.1)
+        allowed = 8 * taker.balance(CUSTOMER.name)
+        window = CUSTOMER.rate_per_s * ISOLATED_PERIOD_S + CUSTOMER.burst
+        self.assertLess(allowed, 0.1 * window)
+        self.assertGreater(allowed, 0.0)
+
+    def test_balances_follow_lowered_limits(self) -> None:
+        taker = UsageTaker()
+        taker.add(CUSTOMER.name, 2000.0, 0.0)
+        taker.cap({CUSTOMER.name: CUSTOMER._replace(burst=100.0)})
+        self.assertEqual(taker.balance(CUSTOMER.name), 100.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testing/http1/test_connections.py
@@ -0,0 +1,247 @@
+"""Tests of connections: whole answers, late answers, bad input and reuse."""
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _pistachiopond.http1.client import ClientConnection, ExchangeError, connect
+from _pistachiopond.http1.messages import (
+    HttpAddress,
+    Request,
+    RequestHead,
+    ResponseHead,
+    encode_request,
+)
+from _pistachiopond.http1.pool import ConnectionPool
+from _pistachiopond.http1.server import Responder, ServerConnection
+from testing.vm.deployment import listen
+
+GET = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def answer(body: bytes, request_id: bytes = b"r1", extra: bytes = b"") -> bytes:
+    return b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: %d\r\n%b\r\n%b" % (
+        request_id,
+        len(body),
+        extra,
+        body,
+    )
+
+
+def is_mine(head: ResponseHead) -> bool:
+    return head.value(b"x-id") == b"r1"
+
+
+async def listen_raw(*replies: bytes, close: bool = False) -> tuple:
+    """Listen and answer each request with the next bytes."""
+    left = list(replies)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while left:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(left.pop(0))
+                await writer.drain()
+            if close:
+                writer.close()
+            else:
+                await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, HttpAddress(*server.sockets[0].getsockname())
+
+
+async def read_all(connection: ClientConnection) -> bytes:
+    await connection.read_head()
+    chunks = []
+    while chunk := await connection.read_chunk():
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+class ClientTests(unittest.IsolatedAsyncioTestCase):
+    async def exchange(self, *replies: bytes, close: bool = False) -> tuple:
+        server, address = await listen_raw(*replies, close=close)
+        self.addCleanup(server.close)
+        connection = await connect(address, 1.0)
+        connection.send(GET, b"GET", is_mine)
+        async with asyncio.timeout(2.0):
+            body = await read_all(connection)
+        return body, connection
+
+    async def test_an_answer_to_another_request_is_skipped(self) -> None:
+        late = answer(b"other", b"r0")
+        body, connection = await self.exchange(late + answer(b"mine"))
+        self.assertEqual(body, b"mine")
+        self.assertFalse(connection.finish(0.0))
+
+    async def test_bytes_after_an_answer_end_the_connection(self) -> None:
+        _, connection = await self.exchange(answer(b"mine") + answer(b"again"))
+        self.assertFalse(connection.finish(0.0))
+
+    async def test_an_answer_that_is_cut_short_is_an_error(self) -> None:
+        cut = answer(b"0123456789")[:-4]
+        with self.assertRaises(ExchangeError) as caught:
+            await self.exchange(cut, close=True)
+        self.assertEqual(caught.exception.kind, "truncated")
+
+    async def test_a_chunked_answer_without_its_end_is_an_error(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        with self.assertRaises(ExchangeError):
+            await self.exchange(head + b"3\r\nabc\r\n", close=True)
+
+    async def test_an_answer_may_end_with_its_connection(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n"
+        body, connection = await self.exchange(head + b"abc", close=True)
+        self.assertEqual(body, b"abc")
+        self.assertFalse(connection.finish(0.0))
+
+    async def test_what_is_no_answer_is_an_error(self) -> None:
+        with self.assertRaises(ExchangeError):
+            await self.exchange(b"garbage\r\n\r\n")
+
+    async def test_a_connection_is_used_again_unless_the_server_says_not(self) -> None:
+        for extra, is_kept in ((b"", True), (b"Connection: close\r\n", False)):
+            _, connection = await self.exchange(answer(b"mine", extra=extra))
+            self.assertEqual(connection.finish(0.0), is_kept)
+
+    async def test_a_connection_is_not_kept_beyond_the_servers_limit(self) -> None:
+        keep = b"Keep-Alive: timeout=3\r\n"
+        server, address = await listen_raw(answer(b"1", extra=keep), answer(b"2"))
+        self.addCleanup(server.close)
+        now_s = 0.0
+        pool = ConnectionPool(address, lambda: now_s, 1.0)
+        connection = await pool.acquire()
+        connection.send(GET, b"GET", is_mine)
+        await read_all(connection)
+        pool.release(connection)
+        now_s = 2.5
+        other = await pool.acquire()
+        self.assertIsNot(other, connection)
+        self.assertEqual(pool.opened_total, 2)
+        pool.discard(other)
+
+    async def test_nothing_was_sent_where_nobody_listens(self) -> None:
+        with self.assertRaises(ExchangeError) as caught:
+            await connect(HttpAddress("127.0.0.1", 1), 1.0)
+        self.assertEqual(caught.exception.kind, "connect")
+
+
+class ServerTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.requests: list[Request] = []
+        self.connections: set[ServerConnection] = set()
+
+        async def handle(request: Request, responder: Responder) -> None:
+            self.requests.append(request)
+            await responder.answer(200, [], b"n%d" % len(self.requests))
+
+        self.server, self.address = await listen(handle, self.connections)
+
+    async def asyncTearDown(self) -> None:
+        self.server.close()
+
+    async def talk(self, data: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(data)
+        received = b""
+        try:
+            async with asyncio.timeout(1.0):
+                while chunk := await reader.read(65536):
+                    received += chunk
+        except TimeoutError:
+            pass
+        writer.close()
+        return received
+
+    async def test_requests_on_one_connection_are_answered_in_order(self) -> None:
+        received = await self.talk(GET * 3)
+        self.assertEqual(len(self.requests), 3)
+        self.assertLess(received.index(b"n1"), received.index(b"n2"))
+        self.assertLess(received.index(b"n2"), received.index(b"n3"))
+
+    async def test_a_request_within_a_body_is_not_one(self) -> None:
+        body = b"POST /evil HTTP/1.1\r\nHost: a\r\n\r\n"
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body)
+        await self.talk(head + body)
+        self.assertEqual([r.head.target for r in self.requests], [b"/x"])
+        self.assertEqual(self.requests[0].body, body)
+
+    async def test_ambiguous_framing_is_refused(self) -> None:
+        for framing in (
+            b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            b"Content-Length: 5\r\nContent-Length: 6\r\n",
+            b"Content-Length: 5x\r\n",
+            b"Transfer-Encoding: x, chunked, x\r\n",
+        ):
+            self.requests.clear()
+            head = b"POST /x HTTP/1.1\r\nHost: a\r\n" + framing + b"\r\n"
+            await self.talk(head + b"0\r\n\r\nGET /evil HTTP/1.1\r\nHost: a\r\n\r\n")
+            targets = [request.head.target for request in self.requests]
+            self.assertNotIn(b"/evil", targets, framing)
+
+    async def test_heads_and_bodies_over_the_limit_are_refused(self) -> None:
+        long_head = b"GET /x HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20_000 + b"\r\n\r\n"
+        self.assertIn(b"431", await self.talk(long_head))
+        size = 2_000_000
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+        self.assertIn(b"413", await self.talk(head + b"z" * size))
+        self.assertEqual(self.requests, [])
+
+    async def test_a_slow_head_is_given_up(self) -> None:
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(b"GET /x HT")
+        await asyncio.sleep(0.05)
+        for connection in list(self.connections):
+            connection.check_time(1e12)
+        self.assertIn(b"408", await reader.read())
+        writer.close()
+
+
+class FuzzTests(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(
+        st.lists(st.binary(max_size=40) | st.sampled_from([GET, b"\r\n"]), max_size=6)
+    )
+    def test_no_bytes_of_a_server_raise(self, pieces: list[bytes]) -> None:
+        connection = ClientConnection()
+        connection._transport = _NoTransport()  # type: ignore[assignment]
+        connection.send(encode_request(_HEAD, b""), b"GET", is_mine)
+        for piece in (b"HTTP/1.1 200 OK\r\n", *pieces):
+            connection.data_received(piece)
+        connection.connection_lost(None)
+
+
+class _NoTransport:
+    """A transport that takes everything."""
+
+    def __init__(self) -> None:
+        self._is_closing = False
+
+    def write(self, data: bytes) -> None:
+        """Drop bytes."""
+
+    def abort(self) -> None:
+        """Close."""
+        self._is_closing = True
+
+    def is_closing(self) -> bool:
+        """Return whether it was closed."""
+        return self._is_closing
+
+    def pause_reading(self) -> None:
+        """Do nothing."""
+
+
+def _make_head() -> RequestHead:
+    return RequestHead(b"GET", b"/x", [(b"Host", b"a")])
+
+
+_HEAD = _make_head()
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testing/platform_adapter/test_decoding.py
@@ -0,0 +1,219 @@
+"""Tests of what the adapter makes of the platform's messages."""
+
+import json
+import struct
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _pistachiopond.http1.messages import Request, RequestHead, ResponseHead
+from _pistachiopond.platform.configuration import decode_deployment
+from _pistachiopond.platform.requests import (
+    classify_answer,
+    decode_request,
+    encode_forwarded,
+    is_answer_to,
+)
+from _pistachiopond.platform.servers import decode_report, decode_server, encode_order
+from _pistachiopond.platform.settings import read_vm_settings
+from _pistachiopond.platform.store import decode_tail, encode_record
+from _pistachiopond.schema.caller_request import ForwardTerms
+from _pistachiopond.schema.model_orders import ModelOrder
+from testing.vm.deployment import configuration
+
+ENTRY = {
+    "service": "engines",
+    "address": "10.0.0.1:80",
+    "zone": "here",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 7,
+    "born": 1_700_000_000_000,
+    "models": [{"name": "m1", "version": 1, "adapters": ["a1"]}],
+    "atHand": {"inMemory": ["m1"], "onDisk": ["m1", "m2"]},
+}
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(sorted(ENTRY)), inner, max_size=6)
+    ),
+    max_leaves=12,
+)
+
+
+def make_head(**headers: str) -> RequestHead:
+    plain = {"Host": "A.example", "X-Attempt-Id": "r1"} | {
+        name.replace("_", "-"): value for name, value in headers.items()
+    }
+    return RequestHead(
+        b"POST", b"/a/b?q=1", [(n.encode(), v.encode()) for n, v in plain.items()]
+    )
+
+
+class ServerEntryTests(unittest.TestCase):
+    def test_an_entry_is_decoded(self) -> None:
+        server = decode_server("s1", json.dumps(ENTRY).encode()).ok()
+        self.assertEqual(server.models, {"m1": ("a1",)})
+        self.assertEqual(server.models_on_disk, ("m1", "m2"))
+        self.assertFalse(server.is_leaving)
+
+    def test_entries_of_other_writers_name_no_server(self) -> None:
+        for change in (
+            {"state": "asleep"},
+            {"address": "nowhere"},
+            {"slots": "4"},
+            {"service": None},
+            {"models": 3},
+        ):
+            value = json.dumps(ENTRY | change).encode()
+            self.assertTrue(decode_server("s1", value).is_err(), change)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=60) | JSON_VALUES.map(lambda v: json.dumps(v).encode()))
+    def test_no_bytes_raise(self, value: bytes) -> None:
+        decode_server("s1", value)
+        decode_report(value)
+        decode_deployment(value)
+
+    def test_the_count_of_orders_comes_from_reports_only(self) -> None:
+        report = decode_report(
+            b'{"models":[],"busy":false,"sequence":3,"running":1}'
+        ).ok()
+        self.assertEqual(report.order_count, 3)
+        self.assertNotIn(
+            "order_count", decode_server("s1", json.dumps(ENTRY).encode()).ok()._fields
+        )
+
+
+class StoreRecordTests(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(st.tuples(st.text(max_size=20), st.binary(max_size=50)), max_size=5),
+        st.integers(0, 1_000),
+    )
+    def test_records_come_back_as_they_were_written(
+        self, records: list[tuple[str, bytes]], offset: int
+    ) -> None:
+        body = struct.pack(">QQ", offset + len(records), 0)
+        body += b"".join(encode_record(key, value) for key, value in records)
+        page = decode_tail(body, offset).ok()
+        self.assertEqual([(r.key, r.value) for r in page.records], records)
+        self.assertEqual(page.next_offset, offset + len(records))
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=80))
+    def test_no_bytes_raise(self, body: bytes) -> None:
+        decode_tail(body, 0)
+
+    def test_a_read_that_is_cut_short_is_malformed(self) -> None:
+        body = struct.pack(">QQ", 1, 0) + encode_record("key", b"value")[:-1]
+        self.assertEqual(decode_tail(body, 0).err().kind, "malformed")
+
+
+class RequestTests(unittest.TestCase):
+    def test_headers_are_decoded(self) -> None:
+        head = make_head(
+            X_Model="m1/a3", X_Token_Counts="1460,80", X_Prompt_Prefix="5c:800,91:410"
+        )
+        caller = decode_request(head).ok()
+        self.assertEqual((caller.host, caller.path), ("a.example", "/a/b"))
+        self.assertEqual((caller.model, caller.adapter), ("m1", "a3"))
+        self.assertEqual((caller.prompt_tokens, caller.max_output_tokens), (1460, 80))
+        self.assertEqual([part.tokens for part in caller.prompt], [800, 410])
+
+    def test_headers_that_stand_twice_are_refused(self) -> None:
+        head = make_head()
+        head.headers.append((b"x-attempt-id", b"r2"))
+        self.assertTrue(decode_request(head).is_err())
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.text(max_size=20), st.text(max_size=20), st.text(max_size=20))
+    def test_no_values_raise(self, counts: str, prefix: str, deadline: str) -> None:
+        values = [
+            (b"X-Attempt-Id", b"r1"),
+            (b"X-Token-Counts", counts.encode("utf-8", "replace")),
+            (b"X-Prompt-Prefix", prefix.encode("utf-8", "replace")),
+            (b"X-Deadline-Ms", deadline.encode("utf-8", "replace")),
+        ]
+        decode_request(RequestHead(b"GET", b"/", values))
+
+    def test_callers_cannot_set_what_is_the_systems(self) -> None:
+        head = make_head(
+            X_Tenant="other",
+            X_Key="secret",
+            X_Hold="h",
+            X_Pin_Ms="9",
+            X_Kv_Backup="1.2.3.4:5",
+            Kv_From="1.2.3.4:5/h",
+            Connection="x-extra",
+            X_Extra="hop",
+        )
+        terms = ForwardTerms("s1", "office", 0.75, 12, None)
+        sent = encode_forwarded(Request(head, b"body"), terms).head
+        names = [name.lower() for name, _ in sent.headers]
+        for name in (b"x-key", b"x-hold", b"x-pin-ms", b"x-kv-backup", b"kv-from"):
+            self.assertNotIn(name, names)
+        self.assertNotIn(b"x-extra", names)
+        self.assertEqual(sent.values(b"x-tenant"), [b"office"])
+        self.assertEqual(sent.values(b"x-deadline-ms"), [b"750"])
+        self.assertEqual(sent.values(b"x-request-priority"), [b"9"])
+
+    def test_only_marked_answers_say_that_a_request_has_not_run(self) -> None:
+        marked = ResponseHead(503, [(b"X-Not-Executed", b"1")])
+        self.assertEqual(classify_answer(marked), "not_run")
+        for status in (408, 429, 503):
+            self.assertEqual(classify_answer(ResponseHead(status, [])), "unclear")
+        self.assertEqual(classify_answer(ResponseHead(421, [])), "not_here")
+        self.assertEqual(classify_answer(ResponseHead(500, [])), "failure")
+
+    def test_an_answer_without_the_id_belongs_to_nobody(self) -> None:
+        self.assertFalse(is_answer_to("r1", ResponseHead(200, [])))
+        self.assertTrue(
+            is_answer_to("r1", ResponseHead(200, [(b"X-Attempt-Id", b"r1")]))
+        )
+
+
+class OrderTests(unittest.TestCase):
+    def test_an_order_names_its_place_in_the_sequence_and_its_fence(self) -> None:
+        order = ModelOrder("s1", "load", "m1", "a2", 4)
+        request = encode_order(order, "vm-1", 41)
+        self.assertEqual(
+            json.loads(request.body),
+            {
+                "operation": "load",
+                "model": "m1",
+                "adapter": "a2",
+                "expected": 4,
+                "holder": "vm-1",
+                "fence": 41,
+            },
+        )
+        self.assertEqual(request.head.values(b"x-expect-instance"), [b"s1"])
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_a_configuration_is_decoded(self) -> None:
+        plain = configuration(3)
+        deployment = decode_deployment(json.dumps(plain).encode()).ok()
+        self.assertEqual(deployment.customer_of_key, {"office-key": "office"})
+        engine = deployment.services["engines"].engine
+        assert engine is not None
+        self.assertEqual(engine.models["m1"].load_s, 1.2)
+        self.assertEqual(deployment.routes[0].timeout_s, 1.5)
+
+
+class SettingsTests(unittest.TestCase):
+    def test_a_missing_field_is_named(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text('nodeName = "vm"\n', encoding="utf-8")
+            self.assertIn("listen", read_vm_settings(path).err())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testing/platform_adapter/test_names.py
@@ -0,0 +1,39 @@
+"""The platform's names stay in the adapter's folder."""
+
+import re
+import unittest
+from pathlib import Path
+
+SOURCE = Path(__file__).parents[2] / "src"
+ADAPTER = SOURCE / "_pistachiopond" / "platform"
+MAX_LINES = 2_000
+# Headers, paths, topics and fields that only the platform uses.
+PLATFORM_WORDS = re.compile(
+    r"X-Attempt-Id|X-Server-Seal|X-Token-Counts|X-Prompt-Prefix|X-Expect-Instance"
+    r"|X-Not-Executed|X-Request-Priority|X-Length-Hint|X-Deadline-Ms|X-Tenant|X-Key"
+    r"|Kv-From|Kv-Fetch|X-Kv-Backup|X-Pin-Ms|X-Hold|log-append|log-read|log-newest"
+    r"|log-join|kv-move|kv-events|hold-take|keyed\.(op|servers|status|pond)"
+    r"|weightsMb|adapterSlots|kvCapacityTokens|pathPrefix|apiKeys|targetLatencyMs"
+    r"|configPropagationMs|revokeMs|drainMs|leaseMs|PISTACHIOPOND_NODE_FILE",
+    re.IGNORECASE,
+)
+
+
+class NamesTests(unittest.TestCase):
+    def test_no_other_folder_knows_the_platforms_names(self) -> None:
+        found = [
+            f"{path.relative_to(SOURCE)}: {match.group()}"
+            for path in sorted(SOURCE.rglob("*.py"))
+            if ADAPTER not in path.parents
+            for match in PLATFORM_WORDS.finditer(path.read_text(encoding="utf-8"))
+        ]
+        self.assertEqual(found, [])
+
+    def test_the_adapter_is_small_and_has_the_names(self) -> None:
+        texts = [path.read_text(encoding="utf-8") for path in ADAPTER.glob("*.py")]
+        self.assertLess(sum(text.count("\n") for text in texts), MAX_LINES)
+        self.assertTrue(any(PLATFORM_WORDS.search(text) for text in texts))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/testing/standin/test_platform.py
+++ b/testing/standin/test_platform.py
@@ -5,7 +5,6 @@
 import anyio
 import httpx
 
-from _pistachiopond.kernel.timer import RealTimer, VirtualTimer
 from _pistachiopond.clients.log import make_log_client
 from _pistachiopond.clients.vmlist import ListedVm, make_vm_list
 from _pistachiopond.clients.weightstore import (
@@ -13,6 +12,7 @@
     WeightLoad,
     make_weight_store,
 )
+from _pistachiopond.kernel.timer import RealTimer, VirtualTimer
 from _pistachiopond.schema.codec import to_json
 from _pistachiopond.standin.host import Part
 from _pistachiopond.standin.log import LogOptions, StandinLog, Stream
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -79,9 +79,7 @@
             breaks.set()
             answer = await caller
             self.assertEqual(answer.body.count(b"data: x\n\n"), 7)
-            self.assertEqual(
-                second.requests[0].head.values(b"last-event-id"), [b"3"]
-            )
+            self.assertEqual(second.requests[0].head.values(b"last-event-id"), [b"3"])
 
     async def test_a_resumed_stream_that_fails_does_not_look_complete(self) -> None:
         async with running_world() as world:
