--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -39,9 +39,9 @@
 MAX_RUNS: Final = 6
 # A model with this demand should survive the loss of a server.
 SECOND_LEVEL: Final = 3.0
-# While a server loads a model it takes no orders for adapters, so servers that hold
-# models with adapters in demand are the last to be chosen.
-ADAPTER_SERVER_PRICE: Final = 1.5
+# While a server loads a model it takes no orders for adapters, so each second of it
+# costs this much more on servers that hold models with adapters in demand.
+ADAPTER_SERVER_PRICE: Final = 1.2
 # What a replica is worth for each request on it beyond the busy share, and for a whole
 # server's adapter slots that adapters in demand lack: their requests wait for orders.
 BUSY_GAIN: Final = 0.5
@@ -276,7 +276,7 @@
     delay = DURATION_PRICE * board.load_duration_s(holding, model)
     extra = delay
     if any(inputs.adapters.get(held) for held in holding.models):
-        extra += ADAPTER_SERVER_PRICE
+        extra += ADAPTER_SERVER_PRICE * delay
     need_mb = board.spec.models[model].memory_mb
     free_mb = holding.free_mb(board.spec)
     if free_mb >= need_mb:
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -21,10 +21,6 @@
 LAPSE_SEEN_S: Final = 1.0
 # Entries lapse after three silent heartbeats, so a shorter outage makes none lapse.
 LAPSE_HEARTBEATS: Final = 3.0
-# Prompts that one VM sends to a server before the first of them is answered. A server
-# reads prompts one after the other and between the tokens of its other requests, so
-# many at once stall all of its streams.
-MAX_UNREAD_PROMPTS: Final = 2
 # A leaving server is used where there is no other, for this part of the time in
 # which the operators allow it.
 LEAVING_USE_SHARE: Final = 0.6
@@ -68,7 +64,6 @@
         self._held: dict[str, HeldModels] = {}
         self.own_load: dict[str, int] = {}
         self.peer_load: dict[str, int] = {}
-        self._unread: dict[str, int] = {}
         self.ejector = Ejector()
         self.is_loaded = False
         self.changed = anyio.Event()
@@ -160,8 +155,6 @@
             name = server.server_id
             if name in tried or not self.holds(server, wanted):
                 continue
-            if wanted.model and not self._has_room(server):
-                continue
             candidate = self._candidate(server, now_s)
             if not server.is_leaving:
                 staying.append(candidate)
@@ -170,6 +163,13 @@
         chosen = choose_candidate(staying or leaving, prompt_id, self._rng)
         return None if chosen is None else self.servers[chosen]
 
+    def has_holder(self, wanted: WantedModel) -> bool:
+        """Return whether a server that stays holds the model and adapter."""
+        return any(
+            not server.is_leaving and self.holds(server, wanted)
+            for server in self.of_service(wanted.service)
+        )
+
     def load(self, server_id: str) -> int:
         """Return the requests that a server has, as far as is known."""
         own = self.own_load.get(server_id, 0)
@@ -178,16 +178,6 @@
     def began(self, server_id: str) -> None:
         """Note that a request goes to the server."""
         self.own_load[server_id] = self.own_load.get(server_id, 0) + 1
-        self._unread[server_id] = self._unread.get(server_id, 0) + 1
-
-    def answered(self, server_id: str) -> None:
-        """Note that the server has begun to answer a request, or has dropped it."""
-        left = self._unread.get(server_id, 0) - 1
-        if left > 0:
-            self._unread[server_id] = left
-        else:
-            self._unread.pop(server_id, None)
-        self._notify()
 
     def ended(self, server_id: str) -> None:
         """Note that a request at the server has ended."""
@@ -204,11 +194,6 @@
             name for name in self.servers if self.ejector.is_ejected(name, now_s)
         )
 
-    def _has_room(self, server: BackendServer) -> bool:
-        name = server.server_id
-        is_reading = self._unread.get(name, 0) >= MAX_UNREAD_PROMPTS
-        return not is_reading and self.load(name) < server.slots
-
     def _candidate(self, server: BackendServer, now_s: float) -> Candidate:
         name = server.server_id
         return Candidate(
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -47,6 +47,8 @@
 CALLER_PATIENCE_S: Final = 2.0
 CALLER_PATIENCE_AIMS: Final = 4.0
 PATIENCE_SHARE: Final = 0.6
+# Callers do not come back later than a third of the time they have left.
+MAX_RETURN_S: Final = 3.0
 # Waits that are longer have a log line.
 LONG_WAIT_S: Final = 0.25
 
@@ -96,6 +98,8 @@
         Gives back the tokens of a request that has not run.
     stopping : Stopping
         Ends requests when the process stops.
+    load_s : callable
+        Returns how long the load of a model takes.
     """
 
     fleet: Fleet
@@ -104,6 +108,7 @@
     retries: RetryShare
     refund: Callable[[Admitted], None]
     stopping: Stopping
+    load_s: Callable[[WantedModel], float]
 
 
 async def forward(
@@ -152,7 +157,6 @@
         self._sent_s = 0.0
         self._server = ""
         self._load_when_sent = 0
-        self._is_unread = False
 
     async def go(self) -> None:
         """Try servers until the request has its answer or no try is left."""
@@ -205,9 +209,9 @@
         server = fleet.choose(self._wanted, tried, prompt_id)
         if server is not None or not self._wanted.model:
             return server
-        return await self._wait_for_room(prompt_id)
+        return await self._wait_for_model(prompt_id)
 
-    async def _wait_for_room(self, prompt_id: str | None) -> BackendServer | None:
+    async def _wait_for_model(self, prompt_id: str | None) -> BackendServer | None:
         loop = asyncio.get_running_loop()
         left_s = self._admitted.end_s - loop.time()
         aim_s = self._admitted.route.aim_s
@@ -247,20 +251,13 @@
         parts = self._parts
         self._tried.add(server.server_id)
         parts.fleet.began(server.server_id)
-        self._is_unread = True
         parts.wants.began(self._wanted, server.server_id)
         try:
             return await self._exchange(server)
         finally:
-            self._read_by(server.server_id)
             parts.fleet.ended(server.server_id)
             parts.wants.ended(self._wanted, server.server_id)
 
-    def _read_by(self, server_id: str) -> None:
-        if self._is_unread:
-            self._is_unread = False
-            self._parts.fleet.answered(server_id)
-
     async def _exchange(self, server: BackendServer) -> Outcome:
         pool = self._parts.pools.of(server)
         max_idle_s = self._parts.pools.max_idle_s(self._admitted.route)
@@ -308,7 +305,6 @@
         )
         self._servers_run += 1
         head = await self._read_head(connection)
-        self._read_by(server.server_id)
         if head is None:
             return Outcome("unclear", "the server is silent")
         answer_kind = classify_answer(head)
@@ -460,10 +456,19 @@
         elif step == "give_answer" and outcome.answer is not None:
             await self._give(outcome.answer)
         elif step == "refuse":
-            await self._refuse(Refusal(503, kind, RETRY_SOON_S, facts))
+            await self._refuse(Refusal(503, kind, self._return_s(), facts))
         else:
             await self._refuse(Refusal(502, kind, None, facts))
 
+    def _return_s(self) -> float:
+        """Return when a server is likely to have the model that was waited for."""
+        if not self._wanted.model or self._parts.fleet.has_holder(self._wanted):
+            return RETRY_SOON_S
+        loop = asyncio.get_running_loop()
+        waited_s = loop.time() - self._arrival_s
+        load_s = self._parts.load_s(self._wanted)
+        return min(MAX_RETURN_S, max(RETRY_SOON_S, load_s + RETRY_SOON_S - waited_s))
+
     async def _give(self, answer: WholeAnswer) -> None:
         await self._responder.answer(
             answer.head.status, answer_headers(answer.head), answer.body
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -38,7 +38,7 @@
 from _pistachiopond.schema.deployment import CustomerSpec, Deployment
 from _pistachiopond.schema.vm_settings import VmSettings
 from _pistachiopond.vm.admission import Admission
-from _pistachiopond.vm.fleet import Fleet
+from _pistachiopond.vm.fleet import Fleet, WantedModel
 from _pistachiopond.vm.follow import FollowedTopic, TopicFollower
 from _pistachiopond.vm.forward import ForwardParts
 from _pistachiopond.vm.front import Front, FrontMetrics
@@ -107,6 +107,14 @@
         OPERATOR_TOPIC: TopicShelf(TopicView(state.apply, state.reached)),
         SERVERS_TOPIC: TopicShelf(TopicView(fleet.apply, fleet.reached)),
     }
+
+    def load_s(wanted: WantedModel) -> float:
+        known = deployment()
+        service = None if known is None else known.services.get(wanted.service)
+        engine = None if service is None else service.engine
+        model = None if engine is None else engine.models.get(wanted.model)
+        return 0.0 if model is None or wanted.adapter else model.load_s
+
     link = LeaderLink(
         LinkParts(settings.name, fleet, usage, retries, customers, shelves),
         leadership,
@@ -131,7 +139,7 @@
     stopping = Stopping(settings.bounds.stop_grace_s, timer.now_s)
     admission = Admission(state, usage, link, stopping)
     forward_parts = ForwardParts(
-        fleet, pools, link.wants, retries, admission.refund, stopping
+        fleet, pools, link.wants, retries, admission.refund, stopping, load_s
     )
     front = Front(admission, forward_parts, FrontMetrics.make(metrics))
     followers = tuple(
--- /dev/null
+++ b/testing/decisions/test_forwarding.py
@@ -0,0 +1,170 @@
+"""Tests of routes, repeats, events and the choice of a server."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from _pistachiopond.decisions.attempt_policy import (
+    AttemptState,
+    final_step,
+    may_try_again,
+)
+from _pistachiopond.decisions.event_stream import BrokenStreamError, EventCutter
+from _pistachiopond.decisions.retry_share import RetryShare
+from _pistachiopond.decisions.route_table import choose_service, make_route_table
+from _pistachiopond.decisions.server_choice import Candidate, choose_candidate
+from _pistachiopond.schema.deployment import (
+    CallerLimits,
+    Deployment,
+    Route,
+    WeightedService,
+)
+
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/a/",
+    kind="unsafe",
+    is_resumable=False,
+    is_open=False,
+    services=(WeightedService("s", 1.0),),
+    max_servers=2,
+    timeout_s=1.0,
+    aim_s=0.1,
+    gap_aim_s=0.0,
+    urgency_rank=1,
+)
+KINDS = st.sampled_from(
+    ["connect", "not_run", "not_here", "failure", "unclear", "broken"]
+)
+
+
+def make_table(*routes: Route) -> object:
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    return make_route_table(Deployment(1, routes, {}, {}, {}, limits))
+
+
+class RouteTableTests(unittest.TestCase):
+    def test_the_longest_prefix_of_the_host_decides(self) -> None:
+        short = ROUTE._replace(name="short")
+        long = ROUTE._replace(name="long", path_prefix="/a/b/")
+        table = make_table(short, long)
+        self.assertEqual(table.match("h", "/a/b/c").name, "long")
+        self.assertEqual(table.match("h", "/a/bc").name, "short")
+        self.assertIsNone(table.match("h", "/b/a/"))
+        self.assertIsNone(table.match("other", "/a/b/c"))
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.sampled_from("ab/"), max_size=12).map("".join))
+    def test_every_match_begins_the_path(self, path: str) -> None:
+        prefixes = ["/", "/a/", "/a/b/", "/b//"]
+        routes = [ROUTE._replace(path_prefix=prefix) for prefix in prefixes]
+        found = make_table(*routes).match("h", "/" + path)
+        fitting = [p for p in prefixes if ("/" + path).startswith(p)]
+        self.assertEqual(found.path_prefix, max(fitting, key=len))
+
+    def test_requests_are_split_by_weight(self) -> None:
+        parts = (WeightedService("x", 90.0), WeightedService("y", 10.0))
+        route = ROUTE._replace(services=parts)
+        chosen = [choose_service(route, f"request-{n}") for n in range(2000)]
+        self.assertAlmostEqual(chosen.count("y") / 2000, 0.1, delta=0.03)
+
+
+class AttemptPolicyTests(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(KINDS, min_size=1, max_size=8))
+    def test_an_unsafe_request_runs_once_at_most(self, kinds: list[str]) -> None:
+        ran = not_run = 0
+        for kind in kinds:
+            if kind in ("connect", "not_run", "not_here"):
+                not_run += 1
+            else:
+                ran += 1
+            state = AttemptState(kind, ran, not_run, 1.0)
+            if not may_try_again(ROUTE, state):
+                break
+        self.assertLessEqual(ran, 1)
+
+    @settings(derandomize=True, deadline=None)
+    @given(KINDS, st.integers(0, 3), st.integers(0, 3))
+    def test_not_run_is_said_only_when_no_server_may_have_run_it(
+        self, kind: str, servers_run: int, not_run: int
+    ) -> None:
+        step = final_step(AttemptState(kind, servers_run, not_run, 0.0))
+        if servers_run:
+            self.assertNotEqual(step, "refuse")
+
+    def test_no_attempt_begins_at_the_end(self) -> None:
+        route = ROUTE._replace(kind="safe")
+        self.assertFalse(may_try_again(route, AttemptState("connect", 0, 1, 0.01)))
+
+
+class RetryShareTests(unittest.TestCase):
+    def test_all_vms_together_keep_to_the_bound(self) -> None:
+        ratio, reserve, vms, requests = 0.2, 56.0, 8, 50
+        shares = [RetryShare(ratio, reserve) for _ in range(vms)]
+        retries = 0
+        for share in shares:
+            share.set_members(vms)
+            for _ in range(requests):
+                share.request("s")
+                retries += share.spend("s") + share.spend("s")
+        self.assertLessEqual(retries, ratio * vms * requests + reserve)
+        self.assertGreater(retries, 0)
+
+    def test_one_services_retries_do_not_use_anothers(self) -> None:
+        share = RetryShare(0.2, 10.0)
+        while share.spend("a"):
+            pass
+        self.assertTrue(share.spend("b"))
+
+
+class EventCutterTests(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(1, 9), max_size=30))
+    def test_cuts_anywhere_give_the_same_whole_events(self, cuts: list[int]) -> None:
+        data = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(6))
+        cutter, out, place = EventCutter(), b"", 0
+        for size in cuts:
+            out += cutter.feed(data[place : place + size])
+            place += size
+        out += cutter.feed(data[place:])
+        self.assertEqual(out, data)
+        self.assertFalse(cutter.has_rest())
+
+    def test_an_event_that_comes_twice_breaks_the_stream(self) -> None:
+        cutter = EventCutter()
+        cutter.feed(b"id: 4\ndata: x\n\n")
+        with self.assertRaises(BrokenStreamError):
+            cutter.feed(b"id: 4\ndata: x\n\n")
+
+
+class ServerChoiceTests(unittest.TestCase):
+    def choose(self, *candidates: Candidate, prompt: str | None = None) -> str | None:
+        return choose_candidate(candidates, prompt, random.Random(1))
+
+    def test_the_emptier_server_is_taken_and_a_doubtful_one_last(self) -> None:
+        full = Candidate("full", 9.0, 10, True, False)
+        empty = Candidate("empty", 1.0, 10, False, False)
+        doubtful = Candidate("doubtful", 0.0, 10, True, True)
+        self.assertEqual(self.choose(full, empty, doubtful), "empty")
+        self.assertEqual(self.choose(doubtful), "doubtful")
+        self.assertIsNone(self.choose())
+
+    def test_prompts_that_begin_alike_meet_unless_the_server_is_fuller(self) -> None:
+        names = ["a", "b", "c", "d"]
+        even = [Candidate(name, 1.0, 10, True, False) for name in names]
+        homes = {self.choose(*even, prompt="p") for _ in range(5)}
+        self.assertEqual(len(homes), 1)
+        home = homes.pop()
+        loaded = [
+            Candidate(name, 6.0 if name == home else 1.0, 10, True, False)
+            for name in names
+        ]
+        self.assertNotEqual(self.choose(*loaded, prompt="p"), home)
+
+
+if __name__ == "__main__":
+    unittest.main()
