After a lost answer the next order names the same count at once

Change: no report after a lost answer; the server refuses the next order if it has carried the lost one out.

--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -36,7 +36,8 @@
 
 TICK_S: Final = 0.1
 PLAN_PAUSE_S: Final = 0.004
-ORDER_LIMIT_S: Final = 1.0
+# Orders are answered within some milliseconds, or not at all.
+ORDER_LIMIT_S: Final = 0.3
 REPORT_LIMIT_S: Final = 1.0
 # An accepted adapter takes up to this long until requests may use it.
 ADAPTER_LOAD_S: Final = 0.012
@@ -280,8 +281,10 @@
             await self._accepted(holding, order, outcome)
         elif outcome == "fenced":
             self._parts.leadership.resign()
-        else:
+        elif outcome != "unanswered":
             holding.is_known = False
+        # After a lost answer the next order names the same count: the server refuses
+        # it if it has carried the lost one out, and never carries out both.
         holding.ordered_s = boot_s()
         holding.is_ordering = False
         self.wake()
