--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -49,10 +49,6 @@
         Called when a report shows requests that wait.
     shelves : dict of str to TopicShelf
         What this VM knows of the store's topics.
-    members : callable
-        Returns how many VMs the leader before counted.
-    isolation_s : float
-        A VM that is cut off refuses all keys after this time.
     """
 
     leadership: Leadership
@@ -60,8 +56,6 @@
     held: Callable[[], list[HeldUpdate]]
     on_demand: Callable[[], None]
     shelves: dict[str, TopicShelf]
-    members: Callable[[], int]
-    isolation_s: float
 
 
 class Totals(NamedTuple):
@@ -105,8 +99,6 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._giver: UsageGiver | None = None
         self._giver_fence = -1
-        self._giver_since_s = float("-inf")
-        self._members_before = 1
         self._totals = Totals({}, {})
         self._totals_s = float("-inf")
 
@@ -237,8 +229,6 @@
         if self._giver is None or self._giver_fence != leadership.claim.fence:
             self._giver = UsageGiver(now_s)
             self._giver_fence = leadership.claim.fence
-            self._giver_since_s = now_s
-            self._members_before = self._parts.members()
         share = self._share(now_s)
         customers = self._parts.customers()
         given: dict[str, float] = {}
@@ -262,12 +252,10 @@
     def _share(self, now_s: float) -> float:
         """Return the part of the limits that this VM may give out.
 
-        Members that do not report here may still spend what another leader gives
-        them, until they have been without the store for so long that they refuse all
-        keys. Until then each leader gives out the part of its own members.
+        Without authority another leader may have been chosen by the members that do
+        not report here any more, so nothing is given unless all of them still do.
         """
-        is_settled = now_s - self._giver_since_s > self._parts.isolation_s
-        if is_settled and self._parts.leadership.may_act(now_s):
+        if self._parts.leadership.may_act(now_s):
             return 1.0
-        recent = sum(1 for m in self._members.values() if now_s - m.at_s < RECENT_S)
-        return recent / max(len(self._members), self._members_before, 1)
+        is_split = any(now_s - m.at_s >= RECENT_S for m in self._members.values())
+        return 0.0 if is_split else 1.0
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -136,8 +136,6 @@
             placer.held,
             placer.wake,
             shelves,
-            link.members,
-            settings.bounds.revoke_s,
         )
     )
     placer.hub = hub
--- a/testing/vm/test_hub.py
+++ b/testing/vm/test_hub.py
@@ -29,7 +29,7 @@
 class Leader:
     """One VM's hub on a clock of its own."""
 
-    def __init__(self, name: str, members_before: int) -> None:
+    def __init__(self, name: str) -> None:
         self.leadership = Leadership(name, 0.0)
         self.name = name
         self.hub = Hub(
@@ -39,8 +39,6 @@
                 list,
                 lambda: None,
                 {},
-                lambda: members_before,
-                ISOLATION_S,
             )
         )
 
@@ -60,8 +58,18 @@
 
 
 class SplitLimitTests(unittest.TestCase):
+    def test_limits_go_on_while_the_store_is_away_for_all(self) -> None:
+        leader = Leader("vm-0")
+        leader.claim(0, 0.0)
+        given = 0.0
+        for step in range(100):
+            has_store = step < 40
+            for member in VMS:
+                given += leader.give(member, step * 0.1, has_store=has_store)
+        self.assertGreater(given, 0.9 * CUSTOMER.rate_per_s * 10.0)
+
     def test_two_leaders_on_two_sides_of_a_cut_keep_to_the_limit(self) -> None:
-        old, new = Leader("vm-0", 6), Leader("vm-5", 6)
+        old, new = Leader("vm-0"), Leader("vm-5")
         old.claim(0, 0.0)
         given: list[tuple[float, float]] = []
         for step in range(200):
