A server that is busy with an order is tried again after it

Change: a pause of 0.12 s before the same server is tried again. Test: a server busy for 0.25 s; it failed before.

--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -49,6 +49,8 @@
 PATIENCE_SHARE: Final = 0.6
 # Callers do not come back later than a third of the time they have left.
 MAX_RETURN_S: Final = 3.0
+# An order for a model that is loaded or unloaded takes some hundred milliseconds.
+ORDER_PAUSE_S: Final = 0.12
 # Waits that are longer have a log line.
 LONG_WAIT_S: Final = 0.25
 
@@ -221,6 +223,9 @@
         )
         fleet = self._parts.fleet
         began_s = loop.time()
+        if self._not_run_count:
+            # Its only servers are busy with an order for the model.
+            await asyncio.sleep(min(ORDER_PAUSE_S, until_s - began_s))
         with self._parts.wants.waiting(self._wanted):
             while loop.time() < until_s:
                 changed = fleet.changed
--- a/testing/vm/test_state.py
+++ b/testing/vm/test_state.py
@@ -5,8 +5,11 @@
 import unittest
 from unittest.mock import patch
 
+from _pistachiopond.http1.messages import Request
+from _pistachiopond.http1.server import Responder
 from _pistachiopond.vm import state as state_module
 from testing.vm.deployment import configuration, route, running_world, until
+from testing.vm.fake_server import answer_not_run, answer_ok
 
 
 class ConfigurationTests(unittest.IsolatedAsyncioTestCase):
@@ -133,6 +136,25 @@
             world.describe("e1", "engines", address, models=models)
             self.assertEqual((await caller).head.status, 200)
 
+    async def test_a_server_that_is_busy_with_an_order_is_tried_again_later(
+        self,
+    ) -> None:
+        async with running_world() as world:
+            server = await world.add_server("e1", "engines")
+            server.models = [{"name": "m1", "version": 1, "adapters": []}]
+            address = world.vm.fleet.servers["e1"].address
+            world.describe("e1", "engines", address, models=server.models)
+            await until(lambda: "m1" in world.vm.fleet.servers["e1"].models)
+            until_s = asyncio.get_running_loop().time() + 0.25
+
+            async def busy(request: Request, responder: Responder) -> None:
+                is_busy = asyncio.get_running_loop().time() < until_s
+                await (answer_not_run if is_busy else answer_ok)(request, responder)
+
+            server.steps = [busy] * 9
+            answer = await world.call("/model/x", X_Model="m1", X_Deadline_Ms="3000")
+            self.assertEqual(answer.head.status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
