The leader plans models at most ten times a second, with one look at the replicas

Change: wishes for adapters are planned at once, models each 0.1 s; demand is added up with the other sums.

--- a/src/_pistachiopond/decisions/model_board.py
+++ b/src/_pistachiopond/decisions/model_board.py
@@ -186,15 +186,16 @@
             elif holding.server is not server:
                 holding.describe(server)
 
-    def replicas(self, model: str) -> list[Holding]:
-        """Return the servers that hold the model or load it, but the leaving ones."""
-        return [
-            holding
-            for holding in self.holdings.values()
-            if model in holding.models
-            and model not in holding.unloading
-            and not holding.server.is_leaving
-        ]
+    def replicas(self) -> dict[str, list[Holding]]:
+        """Return the servers that hold or load each model, but the leaving ones."""
+        found: dict[str, list[Holding]] = {}
+        for holding in self.holdings.values():
+            if holding.server.is_leaving:
+                continue
+            for model in holding.models:
+                if model not in holding.unloading:
+                    found.setdefault(model, []).append(holding)
+        return found
 
     def load_duration_s(self, holding: Holding, model: str) -> float:
         """Return how long the server will take to load the model."""
--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -143,6 +143,8 @@
     ----------
     board : Board
         What the servers hold.
+    replicas : mapping of str to list of Holding
+        The board's replicas of each model.
     demand : mapping of str to ModelDemand
         What callers ask for.
     memory : DemandMemory
@@ -160,6 +162,7 @@
     """
 
     board: Board
+    replicas: Mapping[str, list[Holding]]
     demand: Mapping[str, ModelDemand]
     memory: DemandMemory
     server_load: Mapping[str, float]
@@ -212,7 +215,7 @@
     board = inputs.board
     wanted: list[tuple[float, str]] = []
     for model in board.spec.models:
-        replicas = board.replicas(model)
+        replicas = inputs.replicas.get(model, [])
         seen = inputs.demand.get(model, ModelDemand(0.0, 0.0))
         level = inputs.memory.level(model)
         if not replicas:
@@ -298,7 +301,7 @@
 
 def _price(inputs: PlanInputs, model: str) -> float:
     """Return what the loss of one replica of the model costs."""
-    replicas = len(inputs.board.replicas(model))
+    replicas = len(inputs.replicas.get(model, []))
     level = inputs.memory.level(model)
     if model not in inputs.board.spec.models:
         return 0.0
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -28,6 +28,8 @@
 REPORTS_PER_S: Final = 250.0
 # Sums over all members are made anew after this time at most.
 TOTALS_AGE_S: Final = 0.04
+# With no more members than this, each report is counted at once.
+PROMPT_MEMBERS: Final = 16
 # Members that have reported within this time are there.
 RECENT_S: Final = 1.0
 MIN_PERIOD_S: Final = 0.2
@@ -67,10 +69,13 @@
         At each server.
     runs : dict of (str, str) to int
         By server and model.
+    demand : dict of str to dict
+        By service: what callers ask of each model and adapter.
     """
 
     load: dict[str, int]
     runs: dict[tuple[str, str], int]
+    demand: dict[str, dict[WantedModel, ModelDemand]]
 
 
 class _Member(NamedTuple):
@@ -81,12 +86,20 @@
 def _add_up(reports: list[MemberReport]) -> Totals:
     load: dict[str, int] = {}
     runs: dict[tuple[str, str], int] = {}
+    demand: dict[str, dict[WantedModel, ModelDemand]] = {}
     for report in reports:
         for name, count in report["load"].items():
             load[name] = load.get(name, 0) + count
         for server, model, count in report["runs"]:
             runs[(server, model)] = runs.get((server, model), 0) + count
-    return Totals(load, runs)
+        for use in report["models"]:
+            wanted = WantedModel(use["service"], use["model"], use["adapter"])
+            of_service = demand.setdefault(wanted.service, {})
+            seen = of_service.get(wanted, ModelDemand(0.0, 0.0))
+            of_service[wanted] = ModelDemand(
+                seen.running + use["running"], seen.waiting + use["waiting"]
+            )
+    return Totals(load, runs, demand)
 
 
 @final
@@ -99,7 +112,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._giver: UsageGiver | None = None
         self._giver_fence = -1
-        self._totals = Totals({}, {})
+        self._totals = Totals({}, {}, {})
         self._totals_s = float("-inf")
 
     async def run(self, ip: str, port: int) -> None:
@@ -134,20 +147,6 @@
             self._totals = _add_up([m.report for m in self._members.values()])
         return self._totals
 
-    def demand(self, service: str) -> dict[WantedModel, ModelDemand]:
-        """Return what callers ask of each model and adapter of a service."""
-        demand: dict[WantedModel, ModelDemand] = {}
-        for member in self._members.values():
-            for use in member.report["models"]:
-                if use["service"] != service:
-                    continue
-                wanted = WantedModel(service, use["model"], use["adapter"])
-                seen = demand.get(wanted, ModelDemand(0.0, 0.0))
-                demand[wanted] = ModelDemand(
-                    seen.running + use["running"], seen.waiting + use["waiting"]
-                )
-        return demand
-
     def doubtful(self) -> frozenset[str]:
         """Return the servers that half of the members or more doubt."""
         counts: dict[str, int] = {}
@@ -204,6 +203,8 @@
         if report["member"] not in self._members:
             log_change("member seen", member=report["member"])
         self._members[report["member"]] = _Member(report, now_s)
+        if len(self._members) <= PROMPT_MEMBERS:
+            self._totals_s = float("-inf")
         leads = leadership.leads(now_s)
         if any(use["waiting"] for use in report["models"]):
             self._parts.on_demand()
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -31,7 +31,7 @@
 # Reports that are hurried are at least this far apart.
 MIN_PERIOD_S: Final = 0.01
 # Over all VMs, as far as they hurry at the same time.
-HURRIES_PER_S: Final = 2_000.0
+HURRIES_PER_S: Final = 600.0
 # Without a proof for this many reports, the store is read.
 RELAY_PERIODS: Final = 2.5
 MAX_LINE_BYTES: Final = 16 * 1024 * 1024
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -75,6 +75,7 @@
         self.board = Board(spec)
         self.memory = DemandMemory()
         self.allowance = LoadAllowance(spec.loads_per_s, now_s)
+        self.planned_s = float("-inf")
         self._adapter_seen_s: dict[WantedModel, float] = {}
         self._waiting_since_s: dict[WantedModel, float] = {}
 
@@ -137,7 +138,7 @@
             # Wishes that come together are planned together.
             await asyncio.sleep(PLAN_PAUSE_S)
             try:
-                async with asyncio.timeout(TICK_S):
+                async with asyncio.timeout(TICK_S - PLAN_PAUSE_S):
                     await self._wake.wait()
             except TimeoutError:
                 continue
@@ -172,12 +173,13 @@
         for holding in board.holdings.values():
             self._ask_if_unsure(holding, now_s)
         assert self.hub is not None
-        demand = self.hub.demand(service)
-        self._note_use(board, demand, now_s)
         totals = self.hub.totals()
+        demand = totals.demand.get(service, {})
+        self._note_use(board, demand, now_s)
         waiting_since_s = engines.waiting_since_s(demand, now_s)
         inputs = PlanInputs(
             board=board,
+            replicas=board.replicas(),
             demand=_by_model(demand, waiting_since_s, now_s),
             memory=engines.memory,
             server_load=totals.load,
@@ -187,8 +189,10 @@
             adapters=engines.recent_adapters(demand, now_s),
         )
         engines.memory.update(inputs.demand, now_s)
-        for order in plan_models(inputs, now_s):
-            self._send(board.holdings[order.server_id], order)
+        if now_s - engines.planned_s >= TICK_S:
+            engines.planned_s = now_s
+            for order in plan_models(inputs, now_s):
+                self._send(board.holdings[order.server_id], order)
         waiting = [wanted for wanted in waiting_since_s if wanted.adapter]
         waiting.sort(key=lambda wanted: waiting_since_s[wanted])
         self._plan_adapters(inputs, waiting, now_s)
--- a/testing/decisions/test_model_plan.py
+++ b/testing/decisions/test_model_plan.py
@@ -67,6 +67,7 @@
         self.memory.update(demand, self.now_s)
         return PlanInputs(
             board=self.board,
+            replicas=self.board.replicas(),
             demand=demand,
             memory=self.memory,
             server_load={},
