--- a/src/_pistachiopond/entry/headers.py
+++ b/src/_pistachiopond/entry/headers.py
@@ -12,10 +12,9 @@
 from result import Err, Ok, Result
 
 from _pistachiopond.entry.problems import bad_request
+from _pistachiopond.http1.messages import CONNECTION_HEADERS, RawHeaders
 from _pistachiopond.schema.verdict import Failure
 
-RawHeaders = list[tuple[bytes, bytes]]
-
 SINGLE_HEADERS: Final = frozenset(
     {
         b"authorization",
@@ -33,21 +32,7 @@
     {b"authorization", b"proxy-authorization", b"x-api-key", b"api-key", b"cookie"}
 )
 KEY_PARAMETERS: Final = frozenset({"api_key", "apikey", "api-key", "access_token"})
-HOP_HEADERS: Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"host",
-        b"content-length",
-    }
-)
+HOP_HEADERS: Final = CONNECTION_HEADERS | {b"host", b"content-length"}
 OWN_HEADERS: Final = frozenset(
     {
         b"x-request-id",
--- a/src/_pistachiopond/http1/pool.py
+++ b/src/_pistachiopond/http1/pool.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final, final
 
-from _pistachiopond.http1.client import ClientConnection, connect
+from _pistachiopond.http1.client import ClientConnection, ExchangeError, connect
 from _pistachiopond.http1.messages import HttpAddress
 
 # Servers close idle connections; ours are given up this much earlier.
@@ -23,6 +23,7 @@
         self._connect_limit_s = connect_limit_s
         self._idle: list[ClientConnection] = []
         self.open_count = 0
+        self.max_open: int | None = None
         self.opened_total = 0
 
     async def acquire(self, max_idle_s: float | None = None) -> ClientConnection:
@@ -53,6 +54,8 @@
         self._idle[:0] = reversed(kept)
         if found is not None:
             return found
+        if self.max_open is not None and self.open_count >= self.max_open:
+            raise ExchangeError("connect", f"{self.open_count} connections are in use")
         self.open_count += 1
         self.opened_total += 1
         try:
--- a/src/_pistachiopond/platform/configuration.py
+++ b/src/_pistachiopond/platform/configuration.py
@@ -72,7 +72,6 @@
     engine = plain.get("engine")
     return ServiceSpec(
         name=str(plain["name"]),
-        health_path=str(plain.get("healthCheckPath", "/")),
         max_connections=int(plain.get("connectionLimit", 0)),
         engine=_engine(engine) if engine else None,
     )
@@ -81,12 +80,9 @@
 def _engine(plain: dict[str, Any]) -> EngineSpec:
     return EngineSpec(
         slots=int(plain["slots"]),
-        kv_tokens=int(plain["kvCapacityTokens"]),
         memory_mb=float(plain["weightsMb"]),
         adapter_slots=int(plain.get("adapterSlots", 0)),
         loads_per_s=float(plain.get("loadsPerS", 0.0)),
-        # The store says how many output tokens lie between two events.
-        tokens_per_event=int(plain.get("stride", 1)),
         models={item["name"]: _model(item) for item in plain["models"]},
     )
 
--- a/src/_pistachiopond/platform/requests.py
+++ b/src/_pistachiopond/platform/requests.py
@@ -73,7 +73,6 @@
     tokens = [int(part) for part in counts.split(",")] if counts else None
     if tokens is not None and (len(tokens) != 2 or min(tokens) < 0):
         raise ValueError(f"{counts!r} is not a pair of token counts")
-    hints = head.values(b"x-length-hint")
     deadline_ms = single.get(b"x-deadline-ms")
     return CallerRequest(
         attempt_id=single[ATTEMPT_ID],
@@ -85,7 +84,6 @@
         adapter=adapter,
         prompt_tokens=tokens[0] if tokens else None,
         max_output_tokens=tokens[1] if tokens else None,
-        likely_output_tokens=int(hints[0]) if hints and hints[0].isdigit() else None,
         prompt=_prompt(single.get(b"x-prompt-prefix", "")),
     )
 
--- a/src/_pistachiopond/platform/servers.py
+++ b/src/_pistachiopond/platform/servers.py
@@ -6,7 +6,6 @@
 from result import Err, Ok, Result
 
 from _pistachiopond.http1.messages import Request, RequestHead, parse_address
-from _pistachiopond.platform.settings import MS_PER_S
 from _pistachiopond.schema.deployment import BackendServer
 from _pistachiopond.schema.model_orders import ModelOrder, ServerReport
 
@@ -33,7 +32,6 @@
     for name in ("slots", "sequence"):
         if not isinstance(plain[name], int) or isinstance(plain[name], bool):
             raise TypeError(f"the field {name!r} is not an integer")
-    leaves_ms = plain.get("remainingMs")
     kept = plain.get("atHand") or {}
     return BackendServer(
         server_id=server_id,
@@ -43,7 +41,6 @@
         data_centre=plain["zone"],
         slots=plain["slots"],
         is_leaving=_STATES[plain["state"]],
-        leaves_in_s=None if leaves_ms is None else float(leaves_ms) / MS_PER_S,
         models=_models(plain.get("models") or []),
         models_in_memory=_names(kept.get("inMemory")),
         models_on_disk=_names(kept.get("onDisk")),
--- a/src/_pistachiopond/platform/settings.py
+++ b/src/_pistachiopond/platform/settings.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from _pistachiopond.http1.messages import HttpAddress, parse_address
-from _pistachiopond.schema.vm_settings import StoreTerms, VmBounds, VmSettings
+from _pistachiopond.schema.vm_settings import VmBounds, VmSettings
 
 PATH_VARIABLE = "PISTACHIOPOND_NODE_FILE"
 MS_PER_S = 1000.0
@@ -45,11 +45,9 @@
         peer_address=HttpAddress(str(plain["ip"]), int(ports[0])),
         heartbeat_s=float(plain["heartbeatMs"]) / MS_PER_S,
         cpu_cores=float(limits["cpuShare"]) * float(limits["cpuCores"]),
-        memory_mb=float(limits["memoryMb"]),
-        descriptors=int(limits["fileDescriptors"]),
         link_mbps=float(limits["linkMbps"]),
         bounds=_decode_bounds(plain["bounds"]),
-        store=_decode_store(plain["platform"]),
+        store_address=parse_address(plain["platform"]["address"]),
     )
 
 
@@ -58,18 +56,6 @@
         revoke_s=float(plain["revokeMs"]) / MS_PER_S,
         drain_s=float(plain["drainMs"]) / MS_PER_S,
         stop_grace_s=float(plain["graceS"]),
-        order_lease_s=float(plain["leaseMs"]) / MS_PER_S,
-        address_reuse_s=float(plain["reuseAfterS"]),
         retry_ratio=float(plain["budgetRatio"]),
-        retry_window_s=float(plain["budgetWindowS"]),
         retry_reserve=float(plain["budgetSlack"]),
-        load_window_s=float(plain["ceilingWindowS"]),
-    )
-
-
-def _decode_store(plain: dict[str, Any]) -> StoreTerms:
-    return StoreTerms(
-        address=parse_address(plain["address"]),
-        writes_per_s=float(plain["writesPerS"]),
-        reads_per_s=float(plain["readsPerS"]),
     )
--- a/src/_pistachiopond/schema/caller_request.py
+++ b/src/_pistachiopond/schema/caller_request.py
@@ -35,8 +35,6 @@
         Empty where the request names none.
     prompt_tokens, max_output_tokens : int or None
         None where the request does not count tokens.
-    likely_output_tokens : int or None
-        The caller's own estimate, right at the median only.
     prompt : tuple of PromptPart
         The parts in their order; the last belongs to a session.
     """
@@ -50,7 +48,6 @@
     adapter: str
     prompt_tokens: int | None
     max_output_tokens: int | None
-    likely_output_tokens: int | None
     prompt: tuple[PromptPart, ...]
 
 
--- a/src/_pistachiopond/schema/deployment.py
+++ b/src/_pistachiopond/schema/deployment.py
@@ -88,26 +88,20 @@
     ----------
     slots : int
         Requests in one batch.
-    kv_tokens : int
-        Memory for prompts and outputs, in tokens.
     memory_mb : float
         For weights and adapters.
     adapter_slots : int
         Adapters at a time.
     loads_per_s : float
         Loads from the weight store over all servers.
-    tokens_per_event : int
-        Output tokens that one event of a stream holds.
     models : dict of str to ModelSpec
         By name.
     """
 
     slots: int
-    kv_tokens: int
     memory_mb: float
     adapter_slots: int
     loads_per_s: float
-    tokens_per_event: int
     models: dict[str, ModelSpec]
 
 
@@ -118,8 +112,6 @@
     ----------
     name : str
         As routes and servers name it.
-    health_path : str
-        Of its health check.
     max_connections : int
         That one server accepts from all VMs together.
     engine : EngineSpec or None
@@ -127,7 +119,6 @@
     """
 
     name: str
-    health_path: str
     max_connections: int
     engine: EngineSpec | None
 
@@ -212,8 +203,6 @@
         Requests that it runs at a time.
     is_leaving : bool
         Whether it takes no new work.
-    leaves_in_s : float or None
-        When it will be gone, if it said so.
     models : dict of str to tuple of str
         The adapters of each model that it holds.
     models_in_memory, models_on_disk : tuple of str
@@ -227,7 +216,6 @@
     data_centre: str
     slots: int
     is_leaving: bool
-    leaves_in_s: float | None
     models: dict[str, tuple[str, ...]]
     models_in_memory: tuple[str, ...]
     models_on_disk: tuple[str, ...]
--- a/src/_pistachiopond/schema/vm_settings.py
+++ b/src/_pistachiopond/schema/vm_settings.py
@@ -16,42 +16,16 @@
         From a backend server's notice that it leaves to the last request sent.
     stop_grace_s : float
         From SIGTERM to SIGKILL.
-    order_lease_s : float
-        Two VMs must not give orders to one server by turns within this time.
-    address_reuse_s : float
-        After which the address of a server that is gone may be another's.
-    retry_ratio, retry_window_s, retry_reserve : float
-        In each window, all VMs together may send a service `retry_ratio` retries
-        for each request, and `retry_reserve` more.
-    load_window_s : float
-        The window in which starts of loads are counted.
+    retry_ratio, retry_reserve : float
+        In each of the operators' windows, all VMs together may send a service
+        `retry_ratio` retries for each request, and `retry_reserve` more.
     """
 
     revoke_s: float
     drain_s: float
     stop_grace_s: float
-    order_lease_s: float
-    address_reuse_s: float
     retry_ratio: float
-    retry_window_s: float
     retry_reserve: float
-    load_window_s: float
-
-
-class StoreTerms(NamedTuple):
-    """The platform's store.
-
-    Attributes
-    ----------
-    address : HttpAddress
-        Where it answers.
-    writes_per_s, reads_per_s : float
-        What all VMs together may call.
-    """
-
-    address: HttpAddress
-    writes_per_s: float
-    reads_per_s: float
 
 
 class VmSettings(NamedTuple):
@@ -69,14 +43,12 @@
         Where it listens for callers, for the balancer and for other VMs.
     heartbeat_s : float
         The period of the backend servers' heartbeats.
-    cpu_cores, memory_mb, link_mbps : float
+    cpu_cores, link_mbps : float
         What the VM has.
-    descriptors : int
-        File descriptors of the process.
     bounds : VmBounds
         What the operators hold the system to.
-    store : StoreTerms
-        The platform's store.
+    store_address : HttpAddress
+        Where the platform's store answers.
     """
 
     name: str
@@ -87,8 +59,6 @@
     peer_address: HttpAddress
     heartbeat_s: float
     cpu_cores: float
-    memory_mb: float
-    descriptors: int
     link_mbps: float
     bounds: VmBounds
-    store: StoreTerms
+    store_address: HttpAddress
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -88,6 +88,10 @@
         """Report at once."""
         self._hurry.set()
 
+    def members(self) -> int:
+        """Return how many VMs the leader last counted."""
+        return self._members
+
     def answer_age_s(self) -> float:
         """Return how long ago the leader answered."""
         return boot_s() - self._answered_s
--- a/src/_pistachiopond/vm/pools.py
+++ b/src/_pistachiopond/vm/pools.py
@@ -5,7 +5,7 @@
 
 from _pistachiopond.decisions.attempt_policy import is_repeatable
 from _pistachiopond.http1.pool import ConnectionPool
-from _pistachiopond.schema.deployment import BackendServer, Route
+from _pistachiopond.schema.deployment import BackendServer, Route, ServiceSpec
 
 # A server in reach answers within a few milliseconds; a lost opening packet is sent
 # again after a second.
@@ -13,6 +13,10 @@
 # The longer a connection has been idle, the likelier its server is about to close it;
 # a request that must not run twice is not sent into that.
 MAX_IDLE_ONCE_S: Final = 2.5
+# Of a server's connections; callers' load is uneven over VMs, and a server accepts
+# fewer while its queue is long.
+CONNECTION_SHARE: Final = 1.5
+MIN_CONNECTIONS: Final = 4
 
 
 @final
@@ -36,11 +40,30 @@
         """Return how long a connection for the route may have been idle."""
         return None if is_repeatable(route) else MAX_IDLE_ONCE_S
 
-    def tidy(self, servers: dict[str, BackendServer]) -> None:
-        """Close idle connections, and the pools of servers that are gone."""
-        kept = {server.incarnation() for server in servers.values()}
+    def tidy(
+        self,
+        servers: dict[str, BackendServer],
+        services: dict[str, ServiceSpec],
+        members: int,
+    ) -> None:
+        """Close idle connections, and the pools of servers that are gone.
+
+        Parameters
+        ----------
+        servers : dict of str to BackendServer
+            Those that run.
+        services : dict of str to ServiceSpec
+            With how many connections a server accepts from all VMs together.
+        members : int
+            How many VMs there are.
+        """
+        kept = {server.incarnation(): server for server in servers.values()}
         for key, pool in list(self._pools.items()):
             pool.close_old()
+            service = services.get(kept[key].service) if key in kept else None
+            if service is not None and service.max_connections:
+                share = service.max_connections * CONNECTION_SHARE / max(1, members)
+                pool.max_open = max(MIN_CONNECTIONS, int(share))
             if key not in kept:
                 pool.close()
                 if pool.open_count == 0:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -119,7 +119,7 @@
         LinkParts(settings.name, fleet, usage, retries, customers, shelves),
         leadership,
     )
-    store = make_store_client(make_store_call(settings.store.address, timer.now_s))
+    store = make_store_client(make_store_call(settings.store_address, timer.now_s))
     lead = LeadService(
         store,
         leadership,
@@ -195,7 +195,9 @@
     async def tidy(now_s: float) -> None:
         for connection in list(connections):
             connection.check_time(now_s)
-        vm.pools.tidy(vm.fleet.servers)
+        table = vm.state.table
+        services = {} if table is None else table.deployment.services
+        vm.pools.tidy(vm.fleet.servers, services, vm.link.members())
         vm.fleet.drop_lapsed()
         vm.hub.drop_silent()
         vm.usage.cap(_customers(vm))
--- a/testing/decisions/test_model_plan.py
+++ b/testing/decisions/test_model_plan.py
@@ -36,14 +36,12 @@
     specs = {
         f"m{n}": ModelSpec(f"m{n}", 60.0, 1.2, 0.5, 0.4, 4, 1.0) for n in range(models)
     }
-    return EngineSpec(16, 10_000, memory_mb, 4, 2.0, 6, specs)
+    return EngineSpec(16, memory_mb, 4, 2.0, specs)
 
 
 def make_server(name: str, *models: str, leaving: bool = False) -> BackendServer:
     held = {model: () for model in models}
-    return BackendServer(
-        name, 1, "engines", ADDRESS, "here", 16, leaving, None, held, (), ()
-    )
+    return BackendServer(name, 1, "engines", ADDRESS, "here", 16, leaving, held, (), ())
 
 
 class Planning:
--- a/testing/vm/deployment.py
+++ b/testing/vm/deployment.py
@@ -21,7 +21,7 @@
 )
 from _pistachiopond.kernel.timer import RealTimer
 from _pistachiopond.observe.metrics import Metrics
-from _pistachiopond.schema.vm_settings import StoreTerms, VmBounds, VmSettings
+from _pistachiopond.schema.vm_settings import VmBounds, VmSettings
 from _pistachiopond.vm.program import Vm, make_vm
 from testing.vm.fake_server import FakeServer
 from testing.vm.fake_store import FakeStore
@@ -31,12 +31,8 @@
     revoke_s=5.0,
     drain_s=2.0,
     stop_grace_s=8.0,
-    order_lease_s=3.0,
-    address_reuse_s=2.0,
     retry_ratio=0.2,
-    retry_window_s=10.0,
     retry_reserve=56.0,
-    load_window_s=5.0,
 )
 HOST = "calls.example"
 MODEL = {"name": "m1", "weightsMb": 60_000.0, "loadTimeS": 1.2, "adapters": 2}
@@ -238,11 +234,9 @@
         peer_address=HttpAddress("127.0.0.1", free_port()),
         heartbeat_s=1.2,
         cpu_cores=1.0,
-        memory_mb=300.0,
-        descriptors=1000,
         link_mbps=1000.0,
         bounds=BOUNDS,
-        store=StoreTerms(store, 400.0, 2000.0),
+        store_address=store,
     )
 
 
