Several replicas of a very hot model come at the same time

Change: replicas on their way, also those that room is being made for, count as there; another is begun while those do not suffice.

--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -172,6 +172,12 @@
     adapters: Mapping[str, int]
 
 
+class _Wish(NamedTuple):
+    gain: float
+    model: str
+    needs_more: bool
+
+
 class _Option(NamedTuple):
     price: float
     load: float
@@ -184,11 +190,12 @@
     """Return orders for models, at most one for each server."""
     orders: list[ModelOrder] = []
     busy: set[str] = set()
-    wanted = _wanted(inputs)
-    _drop_reservations(inputs.board, {model for _, model in wanted})
-    for gain, model in wanted:
-        option = _best_option(inputs, model, busy, now_s)
-        if option is None or option.price >= gain:
+    wishes = _wishes(inputs)
+    _drop_reservations(inputs.board, {wish.model for wish in wishes})
+    for wish in wishes:
+        model = wish.model
+        option = _best_option(inputs, wish, busy, now_s)
+        if option is None or option.price >= wish.gain:
             continue
         holding = option.holding
         if not _may_start(inputs, holding, model, now_s):
@@ -210,30 +217,34 @@
     return is_free or inputs.allowance.may_load(now_s)
 
 
-def _wanted(inputs: PlanInputs) -> list[tuple[float, str]]:
+def _wishes(inputs: PlanInputs) -> list[_Wish]:
     """Return the models that need a replica, with what it would be worth."""
-    board = inputs.board
-    wanted: list[tuple[float, str]] = []
-    for model in board.spec.models:
-        replicas = inputs.replicas.get(model, [])
+    coming = _reservations(inputs.board)
+    wishes: list[_Wish] = []
+    for model in inputs.board.spec.models:
+        on_its_way = coming.get(model, 0)
+        replicas = len(inputs.replicas.get(model, [])) + on_its_way
+        gain = _gain(inputs, model, replicas)
+        if gain > 0.0:
+            wishes.append(_Wish(gain, model, True))
+        elif on_its_way:
+            wishes.append(_Wish(SECOND_GAIN, model, False))
+    wishes.sort(reverse=True)
+    return wishes
+
+
+def _gain(inputs: PlanInputs, model: str, replicas: int) -> float:
+    """Return what a replica would be worth beside those there and on their way."""
+    if replicas == 0:
         seen = inputs.demand.get(model, ModelDemand(0.0, 0.0))
-        level = inputs.memory.level(model)
-        if not replicas:
-            if seen.waiting > 0:
-                waited = WAITING_GAIN_PER_S * seen.waiting_s
-                wanted.append((WAITING_GAIN + seen.waiting + waited, model))
-            else:
-                wanted.append((MISSING_GAIN + inputs.memory.use(model), model))
-            continue
-        if any(model in holding.loading for holding in replicas):
-            continue
-        excess = _excess(inputs, model, len(replicas))
-        if excess > 0.0:
-            wanted.append((SECOND_GAIN + excess, model))
-        elif len(replicas) == 1 and level > SECOND_LEVEL:
-            wanted.append((SECOND_GAIN, model))
-    wanted.sort(reverse=True)
-    return wanted
+        if seen.waiting <= 0:
+            return MISSING_GAIN + inputs.memory.use(model)
+        return WAITING_GAIN + seen.waiting + WAITING_GAIN_PER_S * seen.waiting_s
+    excess = _excess(inputs, model, replicas)
+    if excess > 0.0:
+        return SECOND_GAIN + excess
+    is_alone = replicas == 1 and inputs.memory.level(model) > SECOND_LEVEL
+    return SECOND_GAIN if is_alone else 0.0
 
 
 def _excess(inputs: PlanInputs, model: str, replicas: int) -> float:
@@ -250,22 +261,23 @@
 
 
 def _best_option(
-    inputs: PlanInputs, model: str, busy: set[str], now_s: float
+    inputs: PlanInputs, wish: _Wish, busy: set[str], now_s: float
 ) -> _Option | None:
-    reserved = _reserved(inputs.board, model)
-    if reserved is not None and _is_sound(reserved, inputs.doubtful):
-        candidates = [reserved]
-    else:
-        candidates = list(inputs.board.holdings.values())
+    model = wish.model
     options = []
-    for holding in candidates:
+    for holding in inputs.board.holdings.values():
         name = holding.server.server_id
         if name in busy or not _takes_orders(holding, inputs.doubtful):
             continue
         if model in holding.models or holding.reserved_for not in ("", model):
             continue
         option = _option(inputs, holding, model, now_s)
-        if option is not None:
+        if option is None:
+            continue
+        if holding.reserved_for == model:
+            # Room has been made here, at a price that was paid before.
+            return option._replace(price=float("-inf"))
+        if wish.needs_more:
             options.append(option)
     return min(options, default=None, key=lambda option: option[:3])
 
@@ -316,12 +328,14 @@
     return SPARE_PRICE + excess + (SECOND_GAIN if is_second else 0.0)
 
 
-def _reserved(board: Board, model: str) -> Holding | None:
-    """Return the server on which room is being made for the model."""
+def _reservations(board: Board) -> dict[str, int]:
+    """Return on how many servers room is being made for each model."""
+    counts: dict[str, int] = {}
     for holding in board.holdings.values():
-        if holding.reserved_for == model and model not in holding.models:
-            return holding
-    return None
+        model = holding.reserved_for
+        if model and model not in holding.models and not holding.server.is_leaving:
+            counts[model] = counts.get(model, 0) + 1
+    return counts
 
 
 def _drop_reservations(board: Board, wanted: set[str]) -> None:
