--- /dev/null
+++ b/src/_pistachiopond/vm/attempt.py
@@ -0,0 +1,289 @@
+"""One attempt at one backend server: the request goes out, the answer comes back."""
+
+import asyncio
+from typing import Final, NamedTuple, final
+
+from _pistachiopond.decisions.attempt_policy import AttemptKind
+from _pistachiopond.decisions.event_stream import BrokenStreamError, EventCutter
+from _pistachiopond.http1.client import ClientConnection, ExchangeError
+from _pistachiopond.http1.messages import Request, ResponseHead, encode_request
+from _pistachiopond.http1.server import Responder
+from _pistachiopond.observe.logs import log_change
+from _pistachiopond.platform.requests import (
+    answer_headers,
+    classify_answer,
+    encode_forwarded,
+    is_answer_to,
+)
+from _pistachiopond.schema.caller_request import ForwardTerms
+from _pistachiopond.schema.deployment import BackendServer
+from _pistachiopond.vm.admission import Admitted
+from _pistachiopond.vm.pools import ServerPools
+
+# Answers up to this size are taken whole before the caller gets a byte, so that one
+# that breaks off can be tried again or told apart.
+WHOLE_ANSWER_BYTES: Final = 512 * 1024
+# A server that is silent on a request that may run twice is given up for another
+# after this many times the route's aim.
+SILENCE_AIMS: Final = 2.0
+MIN_SILENCE_S: Final = 0.25
+
+
+class WholeAnswer(NamedTuple):
+    """An answer that has been received to its end."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class Outcome(NamedTuple):
+    """How an attempt ended.
+
+    Attributes
+    ----------
+    kind : str or None
+        None when the caller has the whole answer.
+    detail : str
+        For the log.
+    answer : WholeAnswer or None
+        The server's, where it is a failure.
+    """
+
+    kind: AttemptKind | None
+    detail: str = ""
+    answer: WholeAnswer | None = None
+
+
+DELIVERED: Final = Outcome(None)
+
+
+class Exchange(NamedTuple):
+    """A caller's request and where its answer goes.
+
+    Attributes
+    ----------
+    request : Request
+        As the caller sent it.
+    admitted : Admitted
+        Its route, customer and end.
+    responder : Responder
+        Writes to the caller.
+    cutter : EventCutter or None
+        Of streams that may go on at another server.
+    arrival_s : float
+        On the event loop's clock.
+    """
+
+    request: Request
+    admitted: Admitted
+    responder: Responder
+    cutter: EventCutter | None
+    arrival_s: float
+
+
+@final
+class Attempt:
+    """A request at one server.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        Whether the server has it and has not said that it did not run it.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        pools: ServerPools,
+        server: BackendServer,
+        *,
+        load: int,
+        is_last: bool,
+    ) -> None:
+        """Prepare an attempt.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        pools : ServerPools
+            Connections to servers.
+        server : BackendServer
+            Where it goes.
+        load : int
+            Requests that the server has, for the log.
+        is_last : bool
+            Whether no other server may get it after this one.
+        """
+        self._request = exchange.request
+        self._admitted = exchange.admitted
+        self._responder = exchange.responder
+        self._cutter = exchange.cutter
+        self._arrival_s = exchange.arrival_s
+        self._pools = pools
+        self._server = server
+        self._load_when_sent = load
+        self._is_last = is_last
+        self._sent_s = 0.0
+        self._first_event_s = 0.0
+        self.may_have_run = False
+
+    async def run(self) -> Outcome:
+        """Send the request and pass the answer on; return how that ended."""
+        server = self._server
+        pool = self._pools.of(server)
+        max_idle_s = self._pools.max_idle_s(self._admitted.route)
+        try:
+            connection = await pool.acquire(max_idle_s)
+        except ExchangeError as error:
+            return Outcome("connect", str(error))
+        try:
+            return await self._talk(connection)
+        except ExchangeError as error:
+            if error.kind == "connect":
+                return Outcome("connect", str(error))
+            kind: AttemptKind = "broken" if self._responder.has_begun else "unclear"
+            return Outcome(kind, str(error))
+        except BrokenStreamError as error:
+            connection.close()
+            kind = "broken" if self._responder.has_begun else "unclear"
+            return Outcome(kind, str(error))
+        finally:
+            # An exchange that has not ended whole closes its connection here, which
+            # makes the server drop the request.
+            pool.release(connection)
+
+    async def _talk(self, connection: ClientConnection) -> Outcome:
+        admitted = self._admitted
+        loop = asyncio.get_running_loop()
+        terms = ForwardTerms(
+            server_id=self._server.server_id,
+            customer=admitted.customer.name if admitted.customer else None,
+            deadline_s=admitted.end_s - loop.time(),
+            urgency_rank=admitted.rank,
+            resume_after=self._resume_after(),
+        )
+        self._sent_s = loop.time()
+        encoded = encode_forwarded(self._request, terms)
+        attempt_id = admitted.caller.attempt_id
+        connection.send(
+            encode_request(encoded.head, encoded.body),
+            encoded.head.method,
+            lambda head: is_answer_to(attempt_id, head),
+        )
+        self.may_have_run = True
+        head = await self._read_head(connection)
+        if head is None:
+            return Outcome("unclear", "the server is silent")
+        answer_kind = classify_answer(head)
+        if answer_kind in ("not_run", "not_here"):
+            self.may_have_run = False
+            await _read_whole(connection)
+            is_here = answer_kind == "not_run"
+            return Outcome("not_run" if is_here else "not_here", f"{head.status}")
+        is_continued = answer_kind == "failure" and self._responder.has_begun
+        if answer_kind == "unclear" or is_continued:
+            # Nor can a failure follow the events that the caller has.
+            await _read_whole(connection)
+            return Outcome("unclear", f"the server answered {head.status}")
+        if answer_kind == "success" and admitted.route.kind == "stream":
+            return await self._pass_stream(head, connection)
+        return await self._pass_whole(head, connection)
+
+    async def _read_head(self, connection: ClientConnection) -> ResponseHead | None:
+        route = self._admitted.route
+        if route.kind != "safe" or self._is_last:
+            return await connection.read_head()
+        try:
+            async with asyncio.timeout(max(MIN_SILENCE_S, SILENCE_AIMS * route.aim_s)):
+                return await connection.read_head()
+        except TimeoutError:
+            return None
+
+    async def _pass_whole(
+        self, head: ResponseHead, connection: ClientConnection
+    ) -> Outcome:
+        chunks: list[bytes] = []
+        size = 0
+        while chunk := await connection.read_chunk():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > WHOLE_ANSWER_BYTES and not self._responder.has_begun:
+                length = head.value(b"content-length")
+                await self._responder.begin(
+                    head.status, answer_headers(head), int(length) if length else None
+                )
+            if self._responder.has_begun:
+                await self._responder.send(b"".join(chunks))
+                chunks.clear()
+        if self._responder.has_begun:
+            await self._responder.end()
+            return DELIVERED
+        answer = WholeAnswer(head, b"".join(chunks))
+        if not 200 <= head.status < 300:
+            return Outcome("failure", f"the server answered {head.status}", answer)
+        await give_answer(self._responder, answer)
+        return DELIVERED
+
+    async def _pass_stream(
+        self, head: ResponseHead, connection: ClientConnection
+    ) -> Outcome:
+        responder = self._responder
+        loop = asyncio.get_running_loop()
+        sent_s = last_s = loop.time()
+        longest_s = 0.0
+        while chunk := await connection.read_chunk():
+            now_s = loop.time()
+            if responder.has_begun:
+                longest_s = max(longest_s, now_s - last_s)
+            last_s = now_s
+            if self._cutter is not None:
+                chunk = self._cutter.feed(chunk)
+                if not chunk:
+                    continue
+            if not responder.has_begun:
+                self._first_event_s = now_s - self._arrival_s
+                await responder.begin(head.status, answer_headers(head), None)
+            await responder.send(chunk)
+        if self._cutter is not None and self._cutter.has_rest():
+            raise BrokenStreamError("the stream ended within an event")
+        if not responder.has_begun:
+            await responder.begin(head.status, answer_headers(head), None)
+        await responder.end()
+        self._log_if_late(longest_s, sent_s)
+        return DELIVERED
+
+    def _log_if_late(self, longest_pause_s: float, head_s: float) -> None:
+        route = self._admitted.route
+        is_late = self._first_event_s > route.aim_s
+        if not is_late and longest_pause_s <= route.gap_aim_s:
+            return
+        log_change(
+            "answer late",
+            request=self._admitted.caller.attempt_id,
+            server=self._server.server_id,
+            model=self._admitted.caller.model,
+            adapter=self._admitted.caller.adapter,
+            first_event_s=round(self._first_event_s, 3),
+            head_s=round(head_s - self._arrival_s, 3),
+            sent_s=round(self._sent_s - self._arrival_s, 3),
+            longest_pause_s=round(longest_pause_s, 3),
+            load_when_sent=self._load_when_sent,
+        )
+
+    def _resume_after(self) -> str | None:
+        if self._cutter is None or self._cutter.last_id is None:
+            return None
+        self._cutter.restart()
+        return str(self._cutter.last_id)
+
+
+async def give_answer(responder: Responder, answer: WholeAnswer) -> None:
+    """Write a server's whole answer to the caller."""
+    headers = answer_headers(answer.head)
+    await responder.answer(answer.head.status, headers, answer.body)
+
+
+async def _read_whole(connection: ClientConnection) -> None:
+    while await connection.read_chunk():
+        pass
