A large answer that broke off is never begun again

Cause: found by reading: a safe request whose answer is passed on while it comes (over 512 KiB) was tried again after a break, and the second answer went on behind the part of the first; the caller's answer looked whole. Change: an attempt of which the caller has a part ends the request, unless events can be continued. Test: two servers that break off; the caller's answer was complete before.

--- a/src/_pistachiopond/decisions/attempt_policy.py
+++ b/src/_pistachiopond/decisions/attempt_policy.py
@@ -45,7 +45,7 @@
 
 def may_try_again(route: Route, state: AttemptState) -> bool:
     """Return whether another attempt is allowed and worth it, budgets aside."""
-    if state.time_left_s < MIN_TIME_LEFT_S:
+    if state.time_left_s < MIN_TIME_LEFT_S or state.kind == "broken":
         return False
     if state.kind in ("connect", "not_run", "not_here"):
         if state.servers_run and not is_repeatable(route):
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -4,11 +4,14 @@
 import unittest
 
 from _pistachiopond.http1.client import ExchangeError
+from _pistachiopond.http1.messages import Request
+from _pistachiopond.http1.server import Responder
 from testing.vm.deployment import running_world, until
 from testing.vm.fake_server import (
     answer_error,
     answer_not_run,
     answer_unmarked_503,
+    attempt_of,
     break_connection,
     hang,
     stream,
@@ -96,6 +99,23 @@
                 while await connection.read_chunk():
                     pass
 
+    async def test_a_large_answer_that_breaks_off_is_not_begun_again(self) -> None:
+        async def break_after_a_part(request: Request, responder: Responder) -> None:
+            headers = [(b"X-Attempt-Id", attempt_of(request))]
+            await responder.begin(200, headers, 3_000_000)
+            for _ in range(20):
+                await responder.send(b"x" * 100_000)
+            responder.abort()
+
+        async with running_world() as world:
+            for name in ("s1", "s2"):
+                server = await world.add_server(name, "plain")
+                server.steps = [break_after_a_part]
+            with self.assertRaises(ExchangeError):
+                await world.call("/safe/x")
+            ran = sum(len(server.requests) for server in world.servers.values())
+            self.assertEqual(ran, 1)
+
     async def test_a_stream_that_may_not_be_resumed_is_broken_off(self) -> None:
         async with running_world() as world:
             breaks = asyncio.Event()
