A refused connection is no proof that the leader has ended

Cause: found by reading: a cut that refuses connections would have let a successor give orders at once, beside a leader that still proves its lead. Change: such a lead is claimed at once and acted on after the usual wait.

--- a/src/_pistachiopond/vm/lead.py
+++ b/src/_pistachiopond/vm/lead.py
@@ -33,6 +33,7 @@
         settings: VmSettings,
         incarnation: str,
         has_resigned: Callable[[], bool],
+        is_refused: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._store = store
@@ -40,6 +41,7 @@
         self._settings = settings
         self._incarnation = incarnation
         self._has_resigned = has_resigned
+        self._is_refused = is_refused
         self._on_change = on_change
         self.is_stopping = False
 
@@ -109,9 +111,10 @@
         leadership = self._leadership
         now_s = boot_s()
         has_resigned = self._has_resigned()
-        if self.is_stopping or not leadership.may_claim(
-            now_s, has_resigned=has_resigned
-        ):
+        # A refused connection is no proof that the leader has ended, since a broken
+        # network may refuse too: its lead is claimed, but not acted on at once.
+        is_free = has_resigned or self._is_refused()
+        if self.is_stopping or not leadership.may_claim(now_s, has_resigned=is_free):
             return
         offset = leadership.end_offset
         assert offset is not None
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -79,6 +79,7 @@
         self._sent_s = 0.0
         self._serving: asyncio.Timeout | None = None
         self._resigned_fence = -1
+        self._refused_fence = -1
         self._connected_fence = -1
         self._period_s = FIRST_PERIOD_S
         self._members = 1
@@ -101,6 +102,11 @@
         claim = self._leadership.claim
         return claim is not None and claim.fence == self._resigned_fence
 
+    def is_refused(self) -> bool:
+        """Return whether nobody seems to listen where the known leader did."""
+        claim = self._leadership.claim
+        return claim is not None and claim.fence == self._refused_fence
+
     async def run(self) -> None:
         """Keep a connection to the leader until cancelled."""
         while True:
@@ -144,8 +150,7 @@
                 group.create_task(self._report(writer, claim, reading))
         except (OSError, TimeoutError) as error:
             if isinstance(error, ConnectionRefusedError):
-                # Nobody listens there, so the process that claimed has ended.
-                self._resigned_fence = claim.fence
+                self._refused_fence = claim.fence
             self._log_lost(claim, error)
         except ExceptionGroup as errors:
             _, rest = errors.split((OSError, TimeoutError, ValueError))
