--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -321,11 +321,10 @@
         # The server keeps a copy on its disk, so it comes back in this time.
         back_s = inputs.board.spec.models[model].disk_load_s
         return ONLY_PRICE + back_s + USE_PRICE * inputs.memory.use(model) + level
-    if inputs.memory.is_learning():
-        return LEARNING_PRICE
     excess = _excess(inputs, model, replicas - 1)
     is_second = replicas == 2 and level > SECOND_LEVEL
-    return SPARE_PRICE + excess + (SECOND_GAIN if is_second else 0.0)
+    price = SPARE_PRICE + excess + (SECOND_GAIN if is_second else 0.0)
+    return max(price, LEARNING_PRICE) if inputs.memory.is_learning() else price
 
 
 def _reservations(board: Board) -> dict[str, int]:
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -36,6 +36,8 @@
 
 TICK_S: Final = 0.1
 PLAN_PAUSE_S: Final = 0.004
+# Members turn to a new leader and report within this time.
+FIRST_PLAN_S: Final = 0.5
 # Orders are answered within some milliseconds, or not at all.
 ORDER_LIMIT_S: Final = 0.3
 REPORT_LIMIT_S: Final = 1.0
@@ -75,7 +77,8 @@
         self.board = Board(spec)
         self.memory = DemandMemory()
         self.allowance = LoadAllowance(spec.loads_per_s, now_s)
-        self.planned_s = float("-inf")
+        # A new leader plans once all members have reported.
+        self.planned_s = now_s + FIRST_PLAN_S - TICK_S
         self._adapter_seen_s: dict[WantedModel, float] = {}
         self._waiting_since_s: dict[WantedModel, float] = {}
 
--- a/testing/decisions/test_model_plan.py
+++ b/testing/decisions/test_model_plan.py
@@ -181,6 +181,16 @@
         )
         self.assertEqual(plan_models(plan.inputs({}), 0.0), [])
 
+    def test_a_new_leader_does_not_take_a_hot_models_replica(self) -> None:
+        plan = Planning(
+            make_spec(4, 125.0),
+            make_server("s1", "m0", "m1"),
+            make_server("s2", "m0", "m2"),
+        )
+        demand = {"m0": ModelDemand(40, 0), "m3": ModelDemand(0, 3, 1.0)}
+        orders = plan_models(plan.inputs(demand), 0.1)
+        self.assertNotIn("m0", [order.model for order in orders])
+
     def test_a_model_just_loaded_is_not_unloaded_for_the_next(self) -> None:
         plan = Planning(make_spec(6, 65.0), make_server("s1", "m0"))
         plan.settle({})
