A store that returns is seen within a second

Ruled out: the rolled VMs (their successors were ready within a second). Change: a store that did not answer is asked without a wait, for 0.7 s at most.

--- a/src/_pistachiopond/vm/follow.py
+++ b/src/_pistachiopond/vm/follow.py
@@ -19,6 +19,7 @@
 # that nothing has changed and shows sooner that a connection has gone silent.
 TAIL_WAIT_S: Final = 1.6
 READ_SLACK_S: Final = 1.0
+PROBE_LIMIT_S: Final = 0.7
 SNAPSHOT_LIMIT_S: Final = 4.0
 RETRY_S: Final = 0.15
 MAX_RETRY_S: Final = 0.6
@@ -85,8 +86,11 @@
 
     async def _read_tail(self, offset: int) -> None:
         sent_s = boot_s()
+        # A store that did not answer is asked without a wait, so that its return shows.
+        wait_s = 0.0 if self._is_failing else TAIL_WAIT_S
+        slack_s = PROBE_LIMIT_S if self._is_failing else READ_SLACK_S
         answer = await self._store.read_tail(
-            self._topic, offset, TAIL_WAIT_S, TAIL_WAIT_S + READ_SLACK_S
+            self._topic, offset, wait_s, wait_s + slack_s
         )
         if answer.is_err():
             failure = answer.err()
@@ -110,8 +114,8 @@
             return
         self._shelf.next_offset = max(page.next_offset, offset)
         # An empty page after the whole wait was made at its end, not before.
-        is_waited = not page.records and boot_s() - sent_s >= TAIL_WAIT_S
-        self._shelf.reached(sent_s + TAIL_WAIT_S if is_waited else sent_s)
+        is_waited = not page.records and boot_s() - sent_s >= wait_s
+        self._shelf.reached(sent_s + wait_s if is_waited else sent_s)
         if page.records:
             await anyio.sleep(self._pause_s)
 
--- a/testing/vm/test_state.py
+++ b/testing/vm/test_state.py
@@ -49,6 +49,16 @@
             await until(lambda: world.vm.state.table.deployment.version == 9, 5.0)
             self.assertIn("s1", world.vm.fleet.servers)
 
+    async def test_the_store_is_seen_again_soon_after_its_return(self) -> None:
+        async with running_world() as world:
+            world.store.hangs = lambda path: True
+            await asyncio.sleep(3.2)
+            world.store.hangs = lambda path: False
+            returned_s = asyncio.get_running_loop().time()
+            await until(lambda: world.vm.state.age_s() < 0.8, 5.0)
+            waited_s = asyncio.get_running_loop().time() - returned_s
+            self.assertLess(waited_s, 2.0)
+
     async def test_keys_are_refused_when_a_withdrawal_could_be_unknown(self) -> None:
         async with running_world() as world:
             await world.add_server("s1", "plain")
