A request that crashes its servers is refused after three crashes, on all VMs

A request that crashes each server that runs it comes again at any VM, so no VM sees enough of it by itself. Change: VMs tell the leader which requests lost their server's connection, by a digest of path, caller and body; a crash counts once that incarnation is gone from the fleet, so broken connections to servers that live accuse nobody. After the third crash the leader's list refuses the request everywhere; a run to the end clears it. Also: changed bounds are taken over while the process runs, SIGHUP looks at once, the other changes are named; changes of readiness are logged.

--- a/src/_pistachiopond/decisions/retry_share.py
+++ b/src/_pistachiopond/decisions/retry_share.py
@@ -11,10 +11,14 @@
     """A token bucket for each service: requests earn, retries spend."""
 
     def __init__(self, ratio: float, reserve: float) -> None:
-        self._ratio = ratio * USED_SHARE
-        self._reserve = reserve * USED_SHARE
         self._members = 1
         self._left: dict[str, float] = {}
+        self.set_bounds(ratio, reserve)
+
+    def set_bounds(self, ratio: float, reserve: float) -> None:
+        """Keep to other bounds from now on."""
+        self._ratio = ratio * USED_SHARE
+        self._reserve = reserve * USED_SHARE
 
     def set_members(self, members: int) -> None:
         """Note how many VMs share the bound."""
--- a/src/_pistachiopond/decisions/suspects.py
+++ b/src/_pistachiopond/decisions/suspects.py
@@ -33,7 +33,15 @@
 class SuspectBook:
     """The standing of every suspect, by the records so far."""
 
-    def __init__(self) -> None:
+    def __init__(self, crashes_to_refuse: int = CRASHES_TO_REFUSE) -> None:
+        """Start empty.
+
+        Parameters
+        ----------
+        crashes_to_refuse : int
+            Confirmed crashes after which a request is refused that did not run alone.
+        """
+        self._crashes_to_refuse = crashes_to_refuse
         self._standings: dict[str, _Standing] = {}
 
     def apply(self, record: CrashRecord, at_s: float) -> None:
@@ -55,7 +63,7 @@
                 new = _suspect(known, at_s)
             else:
                 alone = fingerprint in record.probation_fingerprints
-                new = _confirm(known, record.crash_id, alone, at_s)
+                new = self._confirm(known, record.crash_id, alone, at_s)
             self._standings[fingerprint] = new
         self._bound()
 
@@ -86,6 +94,16 @@
             )
         )
 
+    def _confirm(
+        self, known: _Standing, crash_id: str, alone: bool, at_s: float
+    ) -> _Standing:
+        is_forgotten = known.until_s() <= at_s
+        crash_ids = (frozenset() if is_forgotten else known.crash_ids) | {crash_id}
+        refused_until_s = known.refused_until_s
+        if alone or len(crash_ids) >= self._crashes_to_refuse:
+            refused_until_s = max(refused_until_s, at_s + REFUSAL_S)
+        return _Standing(crash_ids, at_s + PROBATION_S, refused_until_s)
+
     def _clear(self, record: CrashRecord, at_s: float) -> None:
         for fingerprint in record.fingerprints:
             if not self.is_refused(fingerprint, at_s):
@@ -122,12 +140,3 @@
 def _suspect(known: _Standing, at_s: float) -> _Standing:
     until_s = max(known.probation_until_s, at_s + SUSPECTED_S)
     return known._replace(probation_until_s=until_s)
-
-
-def _confirm(known: _Standing, crash_id: str, alone: bool, at_s: float) -> _Standing:
-    is_forgotten = known.until_s() <= at_s
-    crash_ids = (frozenset() if is_forgotten else known.crash_ids) | {crash_id}
-    refused_until_s = known.refused_until_s
-    if alone or len(crash_ids) >= CRASHES_TO_REFUSE:
-        refused_until_s = max(refused_until_s, at_s + REFUSAL_S)
-    return _Standing(crash_ids, at_s + PROBATION_S, refused_until_s)
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -38,7 +38,8 @@
     `usage` has for each customer the balance, the demand a second, what waiting
     requests lack and what is given back; `load` the requests in progress at each
     server, `runs` those for each of its models; `doubtful` the servers that have
-    failed this VM lately.
+    failed this VM lately; `cut_off` the requests whose server ended the connection,
+    each with the server and its incarnation; `cleared` suspected ones that ran well.
     """
 
     member: str
@@ -48,6 +49,8 @@
     models: list[ModelUse]
     runs: list[tuple[str, str, int]]
     doubtful: list[str]
+    cut_off: list[tuple[str, str, int]]
+    cleared: list[str]
 
 
 class LeaderAnswer(TypedDict):
@@ -76,12 +79,25 @@
     models: dict[str, list[str]]
 
 
+class SuspectList(TypedDict):
+    """Requests that were running in crashes of servers, by their fingerprints.
+
+    `refused` says for how many seconds each must not run; `cleared` those that the
+    last reports have cleared.
+    """
+
+    watched: list[str]
+    refused: dict[str, float]
+    cleared: list[str]
+
+
 class LeaderMessage(TypedDict, total=False):
     """One line from the leader: an answer, or updates since the last line."""
 
     answer: LeaderAnswer
     held: list[HeldUpdate]
     records: list[RelayedRecord]
+    suspects: SuspectList
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -45,11 +45,14 @@
         For the log.
     answer : WholeResponse or None
         The server's, where it is a failure.
+    is_cut_off : bool
+        Whether the server's connection ended before a whole answer.
     """
 
     kind: AttemptKind | None
     detail: str = ""
     answer: WholeResponse | None = None
+    is_cut_off: bool = False
 
 
 DELIVERED: Final = Outcome(None)
@@ -141,11 +144,12 @@
             if error.kind == "connect":
                 return Outcome("connect", str(error))
             kind: AttemptKind = "broken" if self._responder.has_begun else "unclear"
-            return Outcome(kind, str(error))
+            is_cut_off = error.kind in ("closed", "reset", "truncated")
+            return Outcome(kind, str(error), is_cut_off=is_cut_off)
         except BrokenStreamError as error:
             connection.close()
             kind = "broken" if self._responder.has_begun else "unclear"
-            return Outcome(kind, str(error))
+            return Outcome(kind, str(error), is_cut_off=True)
         finally:
             # An exchange that has not ended whole closes its connection here, which
             # makes the server drop the request.
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -72,6 +72,10 @@
         self._reached_s = boot_s()
         self._returned_s = float("-inf")
 
+    def set_drain_s(self, drain_s: float) -> None:
+        """Note for how long the operators let leaving servers be used."""
+        self._drain_s = drain_s
+
     # What the follower of the servers' topic tells.
 
     def apply(self, record: KeyedRecord) -> None:
@@ -161,6 +165,10 @@
         chosen = choose_candidate(staying or leaving, prompt_id, self._rng)
         return None if chosen is None else self.servers[chosen]
 
+    def incarnations(self) -> dict[str, int]:
+        """Return when each server was started, in milliseconds."""
+        return {name: server.started_ms for name, server in self.servers.items()}
+
     def has_holder(self, wanted: WantedModel) -> bool:
         """Return whether a server that stays holds the model and adapter."""
         return any(
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -23,6 +23,7 @@
 from _pistachiopond.vm.pools import ServerPools
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, answer_refusal
 from _pistachiopond.vm.stop import Stopping
+from _pistachiopond.vm.suspects import Suspects, make_fingerprint
 from _pistachiopond.vm.wants import Wants
 
 # A request whose model nobody holds waits for it up to this part of its time, and no
@@ -58,6 +59,8 @@
         Ends requests when the process stops.
     load_s : callable
         Returns how long the load of a model takes.
+    suspects : Suspects
+        Requests that may have crashed their servers.
     """
 
     fleet: Fleet
@@ -67,6 +70,7 @@
     refund: Callable[[Admitted], None]
     stopping: Stopping
     load_s: Callable[[WantedModel], float]
+    suspects: Suspects
 
 
 async def forward(
@@ -117,6 +121,11 @@
     async def go(self) -> None:
         """Try servers until the request has its answer or no try is left."""
         parts = self._parts
+        refused_for_s = self._refused_for_s()
+        if refused_for_s > 0.0:
+            facts = {"service": self._admitted.service}
+            await self._refuse(Refusal(503, "crashes_servers", refused_for_s, facts))
+            return
         parts.retries.request(self._admitted.service)
         while True:
             server = await self._find_server()
@@ -126,6 +135,8 @@
             outcome = await self._try(server)
             if outcome.kind is None:
                 parts.fleet.ejector.succeeded(server.server_id)
+                if not parts.suspects.is_empty():
+                    parts.suspects.succeeded(self._fingerprint())
                 return
             state = self._note(server, outcome)
             if not may_try_again(self._admitted.route, state):
@@ -135,6 +146,15 @@
                 await self._end(outcome._replace(detail="no retries are left"))
                 return
 
+    def _refused_for_s(self) -> float:
+        suspects = self._parts.suspects
+        if not suspects.has_refused():
+            return 0.0
+        return suspects.refused_for_s(self._fingerprint())
+
+    def _fingerprint(self) -> str:
+        return make_fingerprint(self._exchange.request, self._admitted.caller)
+
     async def time_is_up(self) -> None:
         """Answer a request whose time has passed."""
         facts = {"server_tries": len(self._tried), "service": self._admitted.service}
@@ -247,6 +267,8 @@
             load=self._parts.fleet.load(server.server_id),
             left_s=round(left_s, 3),
         )
+        if outcome.is_cut_off:
+            self._parts.suspects.cut_off(self._fingerprint(), server)
         points: FailureKind = _FAILURE_KINDS[outcome.kind or "unclear"]
         if self._parts.fleet.ejector.failed(server.server_id, points, boot_s()):
             log_change("server ejected", server=server.server_id, last=points)
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple, final
 
+from _pistachiopond.decisions.crash_counts import CrashCounts, Cutoff
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.model_plan import ModelDemand
 from _pistachiopond.decisions.usage import UsageGiver, UsageReport
@@ -15,6 +16,7 @@
     LeaderAnswer,
     LeaderMessage,
     MemberReport,
+    SuspectList,
     decode_line,
     encode_line,
 )
@@ -50,6 +52,8 @@
         Called when a report shows requests that wait.
     shelves : dict of str to TopicShelf
         What this VM knows of the store's topics.
+    incarnations : callable
+        Returns when each server was started.
     """
 
     leadership: Leadership
@@ -57,6 +61,7 @@
     held: Callable[[], list[HeldUpdate]]
     on_demand: Callable[[], None]
     shelves: dict[str, TopicShelf]
+    incarnations: Callable[[], dict[str, int]]
 
 
 class Totals(NamedTuple):
@@ -113,6 +118,7 @@
         self._giver_fence = -1
         self._totals = Totals({}, {}, {})
         self._totals_s = float("-inf")
+        self._crashes = CrashCounts()
 
     async def run(self, ip: str, port: int) -> None:
         """Listen until cancelled."""
@@ -165,6 +171,32 @@
                     self._giver.forget_member(name)
                 log_change("member silent", member=name, members=len(self._members))
 
+    def settle_crashes(self) -> None:
+        """Count the servers' crashes that have become certain."""
+        now_s = boot_s()
+        if self._crashes.settle(self._parts.incarnations(), now_s):
+            self._push({"suspects": self._suspects([])})
+
+    def _suspects(self, cleared: list[str]) -> SuspectList:
+        suspects = self._crashes.view(boot_s()).suspects
+        return {
+            "watched": [suspect.fingerprint for suspect in suspects],
+            "refused": {
+                suspect.fingerprint: round(suspect.expires_in_s, 1)
+                for suspect in suspects
+                if suspect.standing == "refused"
+            },
+            "cleared": cleared,
+        }
+
+    def _take_crashes(self, report: MemberReport, now_s: float) -> None:
+        for plain in report["cut_off"]:
+            self._crashes.cut_off(Cutoff(*plain), now_s)
+        for fingerprint in report["cleared"]:
+            self._crashes.cleared(fingerprint, now_s)
+        if report["cleared"]:
+            self._push({"suspects": self._suspects(report["cleared"])})
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -193,7 +225,11 @@
             for topic, shelf in self._parts.shelves.items()
             for record in shelf.records()
         ]
-        return {"held": self._parts.held(), "records": records}
+        return {
+            "held": self._parts.held(),
+            "records": records,
+            "suspects": self._suspects([]),
+        }
 
     def _answer(self, plain: dict[str, Any]) -> LeaderAnswer:
         report: MemberReport = plain  # type: ignore[assignment]
@@ -202,6 +238,7 @@
         if report["member"] not in self._members:
             log_change("member seen", member=report["member"])
         self._members[report["member"]] = _Member(report, now_s)
+        self._take_crashes(report, now_s)
         leads = leadership.leads(now_s)
         if any(use["waiting"] for use in report["models"]):
             self._parts.on_demand()
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -21,6 +21,7 @@
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet, HeldModels
 from _pistachiopond.vm.relay import RELAY_AGE_S, TopicShelf, from_relayed
+from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.wants import Wants
 
 CONNECT_LIMIT_S: Final = 0.5
@@ -54,6 +55,8 @@
         Returns the customers of the configuration in force.
     shelves : dict of str to TopicShelf
         What this VM knows of the store's topics.
+    suspects : Suspects
+        Requests that may have crashed their servers.
     """
 
     name: str
@@ -62,6 +65,7 @@
     retries: RetryShare
     customers: Callable[[], dict[str, CustomerSpec]]
     shelves: dict[str, TopicShelf]
+    suspects: Suspects
 
 
 @final
@@ -139,6 +143,7 @@
     async def _serve(self, claim: Claim) -> None:
         address = parse_address(claim.address)
         self._connected_fence = claim.fence
+        self._parts.suspects.leader_changed()
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
@@ -200,6 +205,8 @@
                 self._take_record(plain)
             for update in message.get("held", ()):
                 self._take_held(update)
+            if "suspects" in message:
+                self._parts.suspects.take_list(message["suspects"])
             if "answer" in message:
                 self._take_answer(message["answer"])
         raise ConnectionResetError("the leader closed the connection")
@@ -207,6 +214,7 @@
     def _make_report(self) -> MemberReport:
         parts = self._parts
         wants = self.wants
+        cutoffs, cleared = parts.suspects.take_news()
         return {
             "member": parts.name,
             "number": self._number,
@@ -230,6 +238,8 @@
                 for (server, model), count in wants.at_servers.items()
             ],
             "doubtful": sorted(parts.fleet.doubtful()),
+            "cut_off": [tuple(cutoff) for cutoff in cutoffs],
+            "cleared": cleared,
         }
 
     def _take_answer(self, answer: LeaderAnswer) -> None:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -3,7 +3,6 @@
 import asyncio
 import gc
 import secrets
-import signal
 import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -27,7 +26,7 @@
 )
 from _pistachiopond.kernel.timer import RealTimer, every
 from _pistachiopond.observe.bounded import BoundedLines, set_up_bounded_logs
-from _pistachiopond.observe.logs import log_change, log_trouble
+from _pistachiopond.observe.logs import log_change
 from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.platform.settings import read_vm_settings, settings_path
 from _pistachiopond.platform.store import (
@@ -35,7 +34,7 @@
     SERVERS_TOPIC,
     make_store_client,
 )
-from _pistachiopond.schema.vm_settings import VmSettings
+from _pistachiopond.schema.vm_settings import VmBounds, VmSettings
 from _pistachiopond.vm.admission import Admission
 from _pistachiopond.vm.fleet import Fleet, WantedModel
 from _pistachiopond.vm.follow import FollowedTopic, TopicFollower
@@ -47,14 +46,15 @@
 from _pistachiopond.vm.placer import Placer, PlacerParts
 from _pistachiopond.vm.pools import ServerPools
 from _pistachiopond.vm.relay import TopicShelf, TopicView
+from _pistachiopond.vm.settings_watch import SettingsWatch, watch_signals
 from _pistachiopond.vm.state import FIRST_LIMITS, ConfigurationState
 from _pistachiopond.vm.stop import Stopping
 from _pistachiopond.vm.store_calls import make_store_call
+from _pistachiopond.vm.suspects import Suspects
 
 METRICS_PORT: Final = 9464
 LOG_FLUSH_S: Final = 0.1
 TIDY_S: Final = 0.25
-SETTINGS_LOOK_S: Final = 1.0
 LISTEN_BACKLOG: Final = 512
 # Every heartbeat of a server is a record, so reading each at once would cost a call
 # for each of them.
@@ -75,10 +75,12 @@
     fleet: Fleet
     pools: ServerPools
     usage: UsageTaker
+    retries: RetryShare
     link: LeaderLink
     lead: LeadService
     hub: Hub
     placer: Placer
+    suspects: Suspects
     front: Front
     followers: tuple[TopicFollower, ...]
     metrics: Metrics
@@ -93,6 +95,7 @@
     fleet = Fleet(settings.data_centre, settings.heartbeat_s, settings.bounds.drain_s)
     pools = ServerPools(timer.now_s)
     usage = UsageTaker()
+    suspects = Suspects()
     retries = RetryShare(settings.bounds.retry_ratio, settings.bounds.retry_reserve)
     leadership = Leadership(incarnation, _preference(settings))
 
@@ -109,7 +112,9 @@
         return 0.0 if model is None or wanted.adapter else model.load_s
 
     link = LeaderLink(
-        LinkParts(settings.name, fleet, usage, retries, state.customers, shelves),
+        LinkParts(
+            settings.name, fleet, usage, retries, state.customers, shelves, suspects
+        ),
         leadership,
     )
     store = make_store_client(make_store_call(settings.store_address, timer.now_s))
@@ -132,6 +137,7 @@
             placer.held,
             placer.wake,
             shelves,
+            fleet.incarnations,
         )
     )
     placer.hub = hub
@@ -140,7 +146,7 @@
     stopping = Stopping(settings.bounds.stop_grace_s, timer.now_s)
     admission = Admission(state, usage, link, stopping)
     forward_parts = ForwardParts(
-        fleet, pools, link.wants, retries, admission.refund, stopping, load_s
+        fleet, pools, link.wants, retries, admission.refund, stopping, load_s, suspects
     )
     front = Front(admission, forward_parts, FrontMetrics.make(metrics))
     followers = tuple(
@@ -153,10 +159,12 @@
         fleet=fleet,
         pools=pools,
         usage=usage,
+        retries=retries,
         link=link,
         lead=lead,
         hub=hub,
         placer=placer,
+        suspects=suspects,
         front=front,
         followers=followers,
         metrics=metrics,
@@ -185,6 +193,8 @@
     metrics.gauge("pond_open_connections", "Of callers.", lambda: len(connections))
     metrics.gauge("pond_configuration_age_s", "Proof's age.", vm.state.age_s)
 
+    watch = SettingsWatch(path, settings, partial(take_bounds, vm))
+
     async def flush(_: float) -> None:
         lines.flush_ready()
 
@@ -196,13 +206,14 @@
         vm.pools.tidy(vm.fleet.servers, services, vm.link.members())
         vm.fleet.drop_lapsed()
         vm.hub.drop_silent()
+        vm.hub.settle_crashes()
         vm.usage.cap(vm.state.customers())
 
     async with anyio.create_task_group() as group:
-        group.start_soon(_watch_signals, stopping, path)
+        group.start_soon(watch_signals, stopping, watch.ask)
+        group.start_soon(watch.run)
         group.start_soon(every, timer, LOG_FLUSH_S, flush)
         group.start_soon(every, timer, TIDY_S, tidy)
-        group.start_soon(_watch_settings, path, settings)
         for work in (*[f.run for f in vm.followers], vm.link.run, vm.lead.run):
             group.start_soon(work)
         group.start_soon(vm.placer.run)
@@ -233,6 +244,14 @@
         group.cancel_scope.cancel()
 
 
+def take_bounds(vm: Vm, bounds: VmBounds) -> None:
+    """Keep to other bounds from now on."""
+    vm.state.set_revoke_s(bounds.revoke_s)
+    vm.fleet.set_drain_s(bounds.drain_s)
+    vm.stopping.set_grace_s(bounds.stop_grace_s)
+    vm.retries.set_bounds(bounds.retry_ratio, bounds.retry_reserve)
+
+
 def _preference(settings: VmSettings) -> float:
     is_strong = (
         settings.cpu_cores >= STRONG_CORES and settings.link_mbps >= STRONG_LINK_MBPS
@@ -259,8 +278,21 @@
 
 
 def _ready_handler(vm: Vm, stopping: anyio.Event) -> Handler:
+    was_ready = False
+
     async def handle(request: Request, responder: Responder) -> None:
-        is_ready = not stopping.is_set() and vm.state.is_fresh() and vm.fleet.is_loaded
+        nonlocal was_ready
+        is_fresh, is_loaded = vm.state.is_fresh(), vm.fleet.is_loaded
+        is_ready = not stopping.is_set() and is_fresh and is_loaded
+        if is_ready != was_ready:
+            was_ready = is_ready
+            log_change(
+                "readiness changed",
+                is_ready=is_ready,
+                configuration_age_s=round(vm.state.age_s(), 2),
+                is_stopping=stopping.is_set(),
+                knows_servers=is_loaded,
+            )
         await responder.answer(200 if is_ready else 503, [], b"")
 
     return handle
@@ -274,29 +306,6 @@
     return handle
 
 
-async def _watch_signals(stopping: anyio.Event, path: Path) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as received:
-        async for number in received:
-            if number == signal.SIGHUP:
-                log_change("asked to read the settings again", path=str(path))
-            else:
-                stopping.set()
-
-
-async def _watch_settings(path: Path, settings: VmSettings) -> None:
-    known = settings
-    while True:
-        await anyio.sleep(SETTINGS_LOOK_S)
-        answer = read_vm_settings(path)
-        if answer.is_err():
-            log_trouble("settings cannot be read", reason=answer.err())
-        elif answer.ok() != known:
-            known = answer.ok()
-            log_change("settings changed; they take effect at the next start")
-
-
 def main(run: Callable[..., Awaitable[None]] = run_vm) -> None:
     """Read the settings and run the process."""
     path = settings_path()
--- a/src/_pistachiopond/vm/state.py
+++ b/src/_pistachiopond/vm/state.py
@@ -28,6 +28,10 @@
         self._limits = FIRST_LIMITS
         self._known_s = float("-inf")
 
+    def set_revoke_s(self, revoke_s: float) -> None:
+        """Honour keys for no longer than this without a newer proof."""
+        self._revoke_s = revoke_s
+
     def apply(self, record: KeyedRecord) -> None:
         """Take one record; a version never goes back."""
         if record.key != CONFIG_KEY or not record.value:
--- a/src/_pistachiopond/vm/stop.py
+++ b/src/_pistachiopond/vm/stop.py
@@ -41,6 +41,10 @@
         self._began_s: float | None = None
         self.running: set[asyncio.Timeout] = set()
 
+    def set_grace_s(self, grace_s: float) -> None:
+        """Note how long the process has from SIGTERM to SIGKILL."""
+        self._grace_s = grace_s
+
     def begin(self) -> None:
         """Note that SIGTERM has come."""
         self._began_s = self._now_s()
--- a/testing/vm/deployment.py
+++ b/testing/vm/deployment.py
@@ -240,6 +240,12 @@
     )
 
 
+async def _settle_crashes(vm: Vm) -> None:
+    while True:
+        vm.hub.settle_crashes()
+        await asyncio.sleep(0.05)
+
+
 @asynccontextmanager
 async def running_world() -> AsyncIterator[World]:
     """Run a VM with a configuration in force and no servers."""
@@ -251,6 +257,7 @@
     world.configure(configuration(1))
     works: list[Callable[[], Awaitable[None]]] = [f.run for f in vm.followers]
     works += [vm.link.run, vm.lead.run, vm.placer.run]
+    works.append(lambda: _settle_crashes(vm))
     tasks = [asyncio.ensure_future(work()) for work in works]
     tasks.append(asyncio.ensure_future(vm.hub.run(*vm.settings.peer_address)))
     try:
--- a/testing/vm/test_hub.py
+++ b/testing/vm/test_hub.py
@@ -23,6 +23,8 @@
         "models": [],
         "runs": [],
         "doubtful": [],
+        "cut_off": [],
+        "cleared": [],
     }
 
 
@@ -39,6 +41,7 @@
                 list,
                 lambda: None,
                 {},
+                dict,
             )
         )
 
