Prompts are paced, so that a server's streams do not pause while it reads them

A server reads some 38 tokens a ms in pieces of 2,048, and a stream's event needs six steps. Change: the leader keeps how long each server will be reading and says where and when a prompt may be sent; VMs learn from first events how fast servers read.

--- a/src/_pistachiopond/decisions/server_choice.py
+++ b/src/_pistachiopond/decisions/server_choice.py
@@ -10,6 +10,9 @@
 # request's prompt before, may be fuller.
 OTHER_DATA_CENTRE_LOAD: Final = 0.08
 PROMPT_HOME_GAIN: Final = 0.10
+# A server fuller by this part of its slots does for a request as well as the best.
+EQUAL_LOAD: Final = 0.25
+MOST_RANKED: Final = 3
 # Load beyond the slots waits; it counts for more than load that runs.
 WAITING_WEIGHT: Final = 3.0
 
@@ -38,10 +41,10 @@
     is_doubtful: bool
 
 
-def choose_candidate(
+def rank_candidates(
     candidates: Sequence[Candidate], prompt_id: str | None, rng: random.Random
-) -> str | None:
-    """Return the server with the least load, or None where there is none.
+) -> list[str]:
+    """Return the servers with about the least load, the best first.
 
     Parameters
     ----------
@@ -55,7 +58,7 @@
     """
     sound = [item for item in candidates if not item.is_doubtful] or list(candidates)
     if not sound:
-        return None
+        return []
     home = None
     if prompt_id is not None:
         home = max(sound, key=lambda item: score(prompt_id, item.server_id)).server_id
@@ -67,4 +70,7 @@
         gain = PROMPT_HOME_GAIN if item.server_id == home else 0.0
         return (filled + WAITING_WEIGHT * waiting + near - gain, rng.random())
 
-    return min(sound, key=cost).server_id
+    ranked = sorted((cost(item), item.server_id) for item in sound)
+    (least, _), _ = ranked[0]
+    near_best = [name for (load, _), name in ranked if load - least <= EQUAL_LOAD]
+    return near_best[:MOST_RANKED]
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -79,6 +79,27 @@
     models: dict[str, list[str]]
 
 
+class PaceQuestion(TypedDict):
+    """The question where and when a prompt may be sent.
+
+    `places` has the servers that may get it and how long each reads it, the preferred
+    first; `most_s` is how long it may be held back.
+    """
+
+    number: int
+    places: list[tuple[str, float]]
+    gap_aim_s: float
+    most_s: float
+
+
+class PaceAnswer(TypedDict):
+    """To which of the places a prompt is to be sent, and how soon."""
+
+    number: int
+    place: int
+    wait_s: float
+
+
 class SuspectList(TypedDict):
     """Requests that were running in crashes of servers, by their fingerprints.
 
@@ -98,6 +119,7 @@
     held: list[HeldUpdate]
     records: list[RelayedRecord]
     suspects: SuspectList
+    paced: PaceAnswer
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -1,6 +1,7 @@
 """One attempt at one backend server: the request goes out, the answer comes back."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.attempt_policy import AttemptKind
@@ -98,6 +99,7 @@
         pools: ServerPools,
         server: BackendServer,
         *,
+        on_read: Callable[[BackendServer, int, float], None],
         load: int,
         is_last: bool,
     ) -> None:
@@ -111,6 +113,8 @@
             Connections to servers.
         server : BackendServer
             Where it goes.
+        on_read : callable
+            Receives how long the server took from a prompt to the first event.
         load : int
             Requests that the server has, for the log.
         is_last : bool
@@ -123,9 +127,11 @@
         self._arrival_s = exchange.arrival_s
         self._pools = pools
         self._server = server
+        self._on_read = on_read
         self._load_when_sent = load
         self._is_last = is_last
         self._sent_s = 0.0
+        self._first_chunk_s = 0.0
         self._first_event_s = 0.0
         self.may_have_run = False
 
@@ -233,8 +239,13 @@
         loop = asyncio.get_running_loop()
         sent_s = last_s = loop.time()
         longest_s = 0.0
+        tokens = self._admitted.caller.prompt_tokens
         while chunk := await connection.read_chunk():
             now_s = loop.time()
+            if self._first_chunk_s == 0.0:
+                self._first_chunk_s = now_s
+                if tokens:
+                    self._on_read(self._server, tokens, now_s - self._sent_s)
             if responder.has_begun:
                 longest_s = max(longest_s, now_s - last_s)
             last_s = now_s
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -7,7 +7,7 @@
 import anyio
 
 from _pistachiopond.decisions.ejection import Ejector
-from _pistachiopond.decisions.server_choice import Candidate, choose_candidate
+from _pistachiopond.decisions.server_choice import Candidate, rank_candidates
 from _pistachiopond.observe.logs import log_change, log_trouble
 from _pistachiopond.platform.servers import decode_server
 from _pistachiopond.platform.store import KeyedRecord
@@ -136,10 +136,10 @@
             return False
         return not wanted.adapter or wanted.adapter in adapters
 
-    def choose(
+    def rank(
         self, wanted: WantedModel, tried: frozenset[str], prompt_id: str | None
-    ) -> BackendServer | None:
-        """Return the server for a request, or None where none can take it.
+    ) -> list[BackendServer]:
+        """Return the best servers for a request; none where none can take it.
 
         Parameters
         ----------
@@ -162,8 +162,8 @@
                 staying.append(candidate)
             elif self._may_use_leaving(name, now_s):
                 leaving.append(candidate)
-        chosen = choose_candidate(staying or leaving, prompt_id, self._rng)
-        return None if chosen is None else self.servers[chosen]
+        ranked = rank_candidates(staying or leaving, prompt_id, self._rng)
+        return [self.servers[name] for name in ranked]
 
     def incarnations(self) -> dict[str, int]:
         """Return when each server was started, in milliseconds."""
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -20,6 +20,7 @@
 from _pistachiopond.vm.attempt import Attempt, Exchange, Outcome, give_answer
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet, WantedModel
+from _pistachiopond.vm.pacing import PromptPacing
 from _pistachiopond.vm.pools import ServerPools
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, answer_refusal
 from _pistachiopond.vm.stop import Stopping
@@ -61,6 +62,8 @@
         Returns how long the load of a model takes.
     suspects : Suspects
         Requests that may have crashed their servers.
+    pacing : PromptPacing
+        Spreads prompts over time.
     """
 
     fleet: Fleet
@@ -71,6 +74,7 @@
     stopping: Stopping
     load_s: Callable[[WantedModel], float]
     suspects: Suspects
+    pacing: PromptPacing
 
 
 async def forward(
@@ -186,12 +190,19 @@
         prompt = self._admitted.caller.prompt
         prompt_id = prompt[0].part_id if prompt else None
         tried = frozenset(self._tried)
-        server = fleet.choose(self._wanted, tried, prompt_id)
-        if server is not None or not self._wanted.model:
-            return server
-        return await self._wait_for_model(prompt_id)
+        ranked = fleet.rank(self._wanted, tried, prompt_id)
+        if not self._wanted.model:
+            return ranked[0] if ranked else None
+        if not ranked:
+            ranked = await self._wait_for_model(prompt_id)
+        if not ranked:
+            return None
+        admitted = self._admitted
+        return await self._parts.pacing.place(
+            ranked, admitted.caller, admitted.route, self._arrival_s
+        )
 
-    async def _wait_for_model(self, prompt_id: str | None) -> BackendServer | None:
+    async def _wait_for_model(self, prompt_id: str | None) -> list[BackendServer]:
         loop = asyncio.get_running_loop()
         left_s = self._admitted.end_s - loop.time()
         aim_s = self._admitted.route.aim_s
@@ -207,18 +218,18 @@
         with self._parts.wants.waiting(self._wanted):
             while loop.time() < until_s:
                 changed = fleet.changed
-                server = fleet.choose(self._wanted, frozenset(), prompt_id)
-                if server is not None:
+                ranked = fleet.rank(self._wanted, frozenset(), prompt_id)
+                if ranked:
                     self._log_wait(loop.time() - began_s)
                     self._tried.clear()
-                    return server
+                    return ranked
                 try:
                     async with asyncio.timeout_at(until_s):
                         await changed.wait()
                 except TimeoutError:
                     if loop.time() < until_s:
                         raise
-        return None
+        return []
 
     def _log_wait(self, waited_s: float) -> None:
         if waited_s > LONG_WAIT_S:
@@ -238,7 +249,12 @@
         is_last = self._servers_before + 1 >= self._admitted.route.max_servers
         load = parts.fleet.load(name)
         self._attempt = Attempt(
-            self._exchange, parts.pools, server, load=load, is_last=is_last
+            self._exchange,
+            parts.pools,
+            server,
+            on_read=parts.pacing.was_read,
+            load=load,
+            is_last=is_last,
         )
         parts.fleet.began(name)
         parts.wants.began(self._wanted, name)
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -7,6 +7,7 @@
 from _pistachiopond.decisions.crash_counts import CrashCounts, Cutoff
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.model_plan import ModelDemand
+from _pistachiopond.decisions.prompt_pacing import PromptPace, PromptPlace
 from _pistachiopond.decisions.usage import UsageGiver, UsageReport
 from _pistachiopond.observe.logs import log_change, log_trouble
 from _pistachiopond.platform.store import KeyedRecord
@@ -16,6 +17,8 @@
     LeaderAnswer,
     LeaderMessage,
     MemberReport,
+    PaceAnswer,
+    PaceQuestion,
     SuspectList,
     decode_line,
     encode_line,
@@ -119,6 +122,7 @@
         self._totals = Totals({}, {}, {})
         self._totals_s = float("-inf")
         self._crashes = CrashCounts()
+        self._pace = PromptPace()
 
     async def run(self, ip: str, port: int) -> None:
         """Listen until cancelled."""
@@ -164,6 +168,7 @@
     def drop_silent(self) -> None:
         """Forget the members that have been silent for long."""
         now_s = boot_s()
+        self._pace.forget_old(now_s)
         for name, member in list(self._members.items()):
             if now_s - member.at_s > MEMBER_KEPT_S:
                 del self._members[name]
@@ -209,7 +214,7 @@
                 if decoded.is_err():
                     log_trouble("report cannot be read", reason=decoded.err())
                     break
-                writer.write(encode_line({"answer": self._answer(decoded.ok())}))
+                writer.write(encode_line(self._take(decoded.ok())))
         except (OSError, ValueError) as error:
             log_trouble("member's connection ended", reason=str(error))
         except asyncio.CancelledError:
@@ -219,6 +224,22 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    def _take(self, plain: dict[str, Any]) -> LeaderMessage:
+        if "pace" in plain:
+            return {"paced": self._pace_prompt(plain["pace"])}
+        return {"answer": self._answer(plain)}
+
+    def _pace_prompt(self, question: PaceQuestion) -> PaceAnswer:
+        places = [PromptPlace(*place) for place in question["places"]]
+        paced = self._pace.book(
+            places, question["gap_aim_s"], question["most_s"], boot_s()
+        )
+        return {
+            "number": question["number"],
+            "place": paced.place,
+            "wait_s": round(paced.wait_s, 3),
+        }
+
     def _first_message(self) -> LeaderMessage:
         records = [
             to_relayed(topic, record)
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -14,12 +14,14 @@
     HeldUpdate,
     LeaderAnswer,
     MemberReport,
+    PaceQuestion,
     RelayedRecord,
     decode_line,
     encode_line,
 )
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet, HeldModels
+from _pistachiopond.vm.pacing import PromptPacing
 from _pistachiopond.vm.relay import RELAY_AGE_S, TopicShelf, from_relayed
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.wants import Wants
@@ -87,12 +89,20 @@
         self._connected_fence = -1
         self._period_s = FIRST_PERIOD_S
         self._members = 1
+        self._writer: asyncio.StreamWriter | None = None
         self.wants = Wants(self.hurry)
+        self.pacing = PromptPacing(parts.fleet, self._ask_pace)
 
     def hurry(self) -> None:
         """Report at once."""
         self._hurry.set()
 
+    def _ask_pace(self, question: PaceQuestion) -> bool:
+        if self._writer is None or self._leadership.is_leader_lost():
+            return False
+        self._writer.write(encode_line({"pace": question}))
+        return True
+
     def members(self) -> int:
         """Return how many VMs the leader last counted."""
         return self._members
@@ -150,6 +160,7 @@
                 reader, writer = await asyncio.open_connection(
                     *address, limit=MAX_LINE_BYTES
                 )
+            self._writer = writer
             async with asyncio.TaskGroup() as group:
                 reading = group.create_task(self._read(reader))
                 group.create_task(self._report(writer, claim, reading))
@@ -163,6 +174,7 @@
                 raise
             self._log_lost(claim, errors.exceptions[0])
         finally:
+            self._writer = None
             if writer is not None:
                 writer.transport.abort()
 
@@ -205,6 +217,8 @@
                 self._take_record(plain)
             for update in message.get("held", ()):
                 self._take_held(update)
+            if "paced" in message:
+                self.pacing.answered(message["paced"])
             if "suspects" in message:
                 self._parts.suspects.take_list(message["suspects"])
             if "answer" in message:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -146,7 +146,15 @@
     stopping = Stopping(settings.bounds.stop_grace_s, timer.now_s)
     admission = Admission(state, usage, link, stopping)
     forward_parts = ForwardParts(
-        fleet, pools, link.wants, retries, admission.refund, stopping, load_s, suspects
+        fleet,
+        pools,
+        link.wants,
+        retries,
+        admission.refund,
+        stopping,
+        load_s,
+        suspects,
+        link.pacing,
     )
     front = Front(admission, forward_parts, FrontMetrics.make(metrics))
     followers = tuple(
--- a/testing/decisions/test_forwarding.py
+++ b/testing/decisions/test_forwarding.py
@@ -14,7 +14,7 @@
 from _pistachiopond.decisions.event_stream import BrokenStreamError, EventCutter
 from _pistachiopond.decisions.retry_share import RetryShare
 from _pistachiopond.decisions.route_table import choose_service, make_route_table
-from _pistachiopond.decisions.server_choice import Candidate, choose_candidate
+from _pistachiopond.decisions.server_choice import Candidate, rank_candidates
 from _pistachiopond.schema.deployment import (
     CallerLimits,
     Deployment,
@@ -143,7 +143,8 @@
 
 class ServerChoiceTests(unittest.TestCase):
     def choose(self, *candidates: Candidate, prompt: str | None = None) -> str | None:
-        return choose_candidate(candidates, prompt, random.Random(1))
+        ranked = rank_candidates(candidates, prompt, random.Random(1))
+        return ranked[0] if ranked else None
 
     def test_the_emptier_server_is_taken_and_a_doubtful_one_last(self) -> None:
         full = Candidate("full", 9.0, 10, True, False)
--- /dev/null
+++ b/testing/vm/test_pacing.py
@@ -0,0 +1,66 @@
+"""Tests of prompts that are sent when and where the leader says."""
+
+import asyncio
+import unittest
+
+from _pistachiopond.schema.caller_request import CallerRequest
+from _pistachiopond.schema.peer_messages import PaceQuestion
+from _pistachiopond.vm.pacing import ANSWER_LIMIT_S, PromptPacing
+from testing.decisions.test_forwarding import ROUTE
+from testing.vm.deployment import running_world
+
+STREAM = ROUTE._replace(kind="stream", aim_s=0.3, gap_aim_s=0.15)
+CALLER = CallerRequest(
+    attempt_id="r",
+    host="h",
+    path="/",
+    key=None,
+    deadline_s=None,
+    model="m1",
+    adapter="",
+    prompt_tokens=1_000,
+    max_output_tokens=10,
+    prompt=(),
+)
+
+
+class PacingTests(unittest.IsolatedAsyncioTestCase):
+    async def test_the_leader_spreads_prompts_over_time(self) -> None:
+        async with running_world() as world:
+            await world.add_server("s1", "plain")
+            pacing = world.vm.link.pacing
+            server = world.vm.fleet.servers["s1"]
+            for _ in range(20):
+                pacing.was_read(server, 1_000, 0.04)
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            places = [pacing.place([server], CALLER, STREAM, began_s) for _ in range(4)]
+            await asyncio.gather(*places)
+            elapsed_s = loop.time() - began_s
+            self.assertGreater(elapsed_s, 0.05)
+            self.assertLess(elapsed_s, STREAM.aim_s)
+
+    async def test_without_an_answer_a_prompt_goes_out_soon(self) -> None:
+        async with running_world() as world:
+            await world.add_server("s1", "plain")
+            server = world.vm.fleet.servers["s1"]
+            asked: list[PaceQuestion] = []
+
+            def ask(question: PaceQuestion) -> bool:
+                asked.append(question)
+                return len(asked) > 1
+
+            pacing = PromptPacing(world.vm.fleet, ask)
+            for _ in range(20):
+                pacing.was_read(server, 1_000, 0.04)
+            loop = asyncio.get_running_loop()
+            for _ in range(2):
+                began_s = loop.time()
+                chosen = await pacing.place([server], CALLER, STREAM, began_s)
+                self.assertIs(chosen, server)
+                self.assertLess(loop.time() - began_s, 3 * ANSWER_LIMIT_S)
+            self.assertEqual(len(asked), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
