Tries that reach no server use up no retries; fewer lines on servers' adapters

The operators bound the requests that reach a server again; a refused connection reaches none. Change: a try that sent nothing is not charged; a change of models has a line, one of adapters alone has none (orders have one each at the leader). Test: a service with a dead server and no retries left; it failed before.

--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -223,7 +223,7 @@
                 started_ms=server.started_ms,
                 is_leaving=server.is_leaving,
             )
-        elif known.models != server.models:
+        elif known.models.keys() != server.models.keys():
             log_change(
                 "server holds other models",
                 server=server.server_id,
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -131,6 +131,7 @@
             await self._refuse(Refusal(503, "crashes_servers", refused_for_s, facts))
             return
         parts.retries.request(self._admitted.service)
+        has_arrived = False
         while True:
             server = await self._find_server()
             if server is None:
@@ -146,7 +147,9 @@
             if not may_try_again(self._admitted.route, state):
                 await self._end(outcome)
                 return
-            if not parts.retries.spend(self._admitted.service):
+            # The operators' bound is on requests that reach servers again.
+            has_arrived = has_arrived or outcome.kind != "connect"
+            if has_arrived and not parts.retries.spend(self._admitted.service):
                 await self._end(outcome._replace(detail="no retries are left"))
                 return
 
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -4,9 +4,9 @@
 import unittest
 
 from _pistachiopond.http1.client import ExchangeError
-from _pistachiopond.http1.messages import Request
+from _pistachiopond.http1.messages import HttpAddress, Request
 from _pistachiopond.http1.server import Responder
-from testing.vm.deployment import running_world, until
+from testing.vm.deployment import free_port, running_world, until
 from testing.vm.fake_server import (
     answer_error,
     answer_not_run,
@@ -137,6 +137,19 @@
             connection.close()
             await until(lambda: server.cancelled == 1, 0.5)
 
+    async def test_tries_that_reach_no_server_use_up_no_retries(self) -> None:
+        async with running_world() as world:
+            world.vm.retries.set_bounds(0.0, 0.0)
+            while world.vm.retries.spend("plain"):
+                pass
+            await world.add_server("s1", "plain")
+            closed = HttpAddress("127.0.0.1", free_port())
+            world.describe("s2", "plain", closed)
+            await until(lambda: "s2" in world.vm.fleet.servers)
+            for _ in range(6):
+                answer = await world.call("/once/x")
+                self.assertEqual(answer.head.status, 200)
+
     async def test_a_silent_server_is_given_up_at_the_end_of_the_request(self) -> None:
         async with running_world() as world:
             server = await world.add_server("s1", "plain")
