The leader sees what cannot wait at once, and places prompts on what it knows

Change: lacks of models and of tokens have lines of their own beside the reports, which come at their period only. The leader, which is asked for a prompt's time anyway, also picks the server: reported load, what was sent since, and what is left to read. The planner looks at all servers each 0.1 s and at the fleet's changes, no longer at each report; what members are told is made anew only after a change. Tests: VMs that ask at once, the adapter just loaded.

--- a/src/_pistachiopond/decisions/model_board.py
+++ b/src/_pistachiopond/decisions/model_board.py
@@ -12,9 +12,6 @@
 
 # A model stays for this long after its load, so that what waited for it is served.
 KEPT_S: Final = 1.5
-# An adapter that a request was sent for is not unloaded for this long: members report
-# about five times a second, so one without a report for longer is not in use.
-ADAPTER_KEPT_S: Final = 0.35
 # Reports show the state of some hundred milliseconds before, so one that was asked
 # for sooner than this after the last order says nothing about it.
 REPORT_LAG_S: Final = 0.6
@@ -115,6 +112,8 @@
         end_s = now_s + duration_s + OVERDUE_S
         if order.action == "load" and order.adapter:
             self.models.setdefault(order.model, set()).add(order.adapter)
+            # The request that it was loaded for has not been reported there yet.
+            self.adapter_used_s[(order.model, order.adapter)] = now_s
         elif order.action == "load":
             self.models.setdefault(order.model, set())
             self.loading[order.model] = end_s
--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple, final
 
-from _pistachiopond.decisions.model_board import ADAPTER_KEPT_S, Board, Holding
+from _pistachiopond.decisions.model_board import Board, Holding
 from _pistachiopond.schema.model_orders import ModelOrder
 
 # Requests at a time that a replica takes with short first-event times, as a part of a
@@ -159,6 +159,8 @@
         For loads from the weight store.
     adapters : mapping of str to int
         How many adapters of each model were asked for lately.
+    adapter_kept_s : float
+        One that no VM has reported in use for longer may be unloaded.
     """
 
     board: Board
@@ -170,6 +172,7 @@
     doubtful: frozenset[str]
     allowance: LoadAllowance
     adapters: Mapping[str, int]
+    adapter_kept_s: float
 
 
 class _Wish(NamedTuple):
@@ -391,7 +394,7 @@
         if holding.adapter_count() < board.spec.adapter_slots:
             options.append((filled, name, holding, None))
             continue
-        victim = _idle_adapter(holding, now_s)
+        victim = _idle_adapter(holding, inputs.adapter_kept_s, now_s)
         if victim is not None:
             options.append((filled + 1.0, name, holding, victim))
     if not options:
@@ -402,14 +405,16 @@
     return _order(holding, "unload", *victim)
 
 
-def _idle_adapter(holding: Holding, now_s: float) -> tuple[str, str] | None:
+def _idle_adapter(
+    holding: Holding, kept_s: float, now_s: float
+) -> tuple[str, str] | None:
     """Return the adapter that has not been used for the longest time."""
     idle = [
         (holding.adapter_used_s.get((model, name), float("-inf")), model, name)
         for model, names in holding.models.items()
         for name in names
     ]
-    idle = [item for item in idle if now_s - item[0] > ADAPTER_KEPT_S]
+    idle = [item for item in idle if now_s - item[0] > kept_s]
     if not idle:
         return None
     _, model, name = min(idle)
--- a/src/_pistachiopond/decisions/prompt_pacing.py
+++ b/src/_pistachiopond/decisions/prompt_pacing.py
@@ -7,15 +7,23 @@
 of a model, such as requests that have waited for a load and are released together.
 """
 
-from collections.abc import Sequence
+from collections import deque
+from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple, final
 
+from _pistachiopond.decisions.server_choice import load_cost
+
 # Of its time a server may read prompts; the rest is for the tokens of its streams,
 # which take over three times as long then.
 READING_SHARE: Final = 0.65
 # Of the longest pause that a route allows: a server may have this much to read. The
 # rest is for the tokens of one event at the pace above.
 AHEAD_SHARE: Final = 0.2
+# A server on which a prompt is held back for a second is taken only where the others
+# are fuller by this part of their slots.
+WAIT_COST_PER_S: Final = 3.0
+# Longer than the period of reports with the most VMs.
+FORGOTTEN_S: Final = 5.0
 # Prompts are read slower than a server can, when others wait before them, and faster,
 # where it has kept a part of them; this part of the prompts is read slower.
 RATE_QUANTILE: Final = 0.5
@@ -67,10 +75,39 @@
 
 
 class PromptPlace(NamedTuple):
-    """A server that may get a prompt, and how long it will read it."""
+    """A server that may get a prompt.
+
+    Attributes
+    ----------
+    server_id : str
+        Its name.
+    read_s : float
+        How long it will read the prompt; 0 where that is not known.
+    slots : int
+        Requests that it runs at a time.
+    bias : float
+        What its load is seen as more for this request, as a part of its slots.
+    """
 
     server_id: str
     read_s: float
+    slots: int
+    bias: float
+
+
+class PromptTerms(NamedTuple):
+    """What a prompt's route allows.
+
+    Attributes
+    ----------
+    gap_aim_s : float
+        The longest pause between events.
+    most_s : float
+        How long the prompt may be held back.
+    """
+
+    gap_aim_s: float
+    most_s: float
 
 
 class Paced(NamedTuple):
@@ -82,16 +119,18 @@
 
 @final
 class PromptPace:
-    """Until when each server will be reading."""
+    """What each server has got of late, and until when it will be reading."""
 
     def __init__(self) -> None:
         self._read_until_s: dict[str, float] = {}
+        self._sent_s: dict[str, deque[float]] = {}
 
     def book(
         self,
         places: Sequence[PromptPlace],
-        gap_aim_s: float,
-        most_s: float,
+        terms: PromptTerms,
+        load: Mapping[str, float],
+        period_s: float,
         now_s: float,
     ) -> Paced:
         """Return where and when to send a prompt.
@@ -100,31 +139,53 @@
         ----------
         places : sequence of PromptPlace
             Servers that may get it, the preferred first; at least one.
-        gap_aim_s : float
-            The longest pause that its route allows.
-        most_s : float
-            How long it may be held back.
+        terms : PromptTerms
+            What its route allows.
+        load : mapping of str to float
+            Requests at each server, as VMs have reported them.
+        period_s : float
+            Between two reports of a VM.
         now_s : float
             The time in seconds.
         """
-        ahead_s = gap_aim_s * AHEAD_SHARE
-        waits = [
-            max(0.0, self._read_until_s.get(place.server_id, now_s) - now_s - ahead_s)
-            for place in places
-        ]
-        number = min(range(len(waits)), key=waits.__getitem__)
-        chosen, wait_s = places[number], min(waits[number], most_s)
-        until_s = max(self._read_until_s.get(chosen.server_id, now_s), now_s)
+        ahead_s = terms.gap_aim_s * AHEAD_SHARE
+        waits = [self._left_s(place.server_id, now_s) - ahead_s for place in places]
+        waits = [min(max(0.0, wait_s), terms.most_s) for wait_s in waits]
+
+        def cost(number: int) -> float:
+            place = places[number]
+            at_server = load.get(place.server_id, 0.0)
+            at_server += self._unreported(place.server_id, period_s, now_s)
+            filled = (at_server + 1.0) / max(1, place.slots)
+            return load_cost(filled) + place.bias + WAIT_COST_PER_S * waits[number]
+
+        number = min(range(len(places)), key=cost)
+        chosen = places[number]
         # More than what can be held back is not booked, so that nobody waits for it.
+        until_s = now_s + self._left_s(chosen.server_id, now_s)
         self._read_until_s[chosen.server_id] = min(
-            until_s + chosen.read_s / READING_SHARE, now_s + ahead_s + most_s
+            until_s + chosen.read_s / READING_SHARE, now_s + ahead_s + terms.most_s
         )
-        return Paced(number, wait_s)
+        self._sent_s.setdefault(chosen.server_id, deque()).append(now_s)
+        return Paced(number, waits[number])
 
     def forget_old(self, now_s: float) -> None:
-        """Forget the servers that have nothing left to read."""
-        self._read_until_s = {
-            name: until_s
-            for name, until_s in self._read_until_s.items()
-            if until_s > now_s
-        }
+        """Forget the servers that have got nothing of late."""
+        for name, until_s in list(self._read_until_s.items()):
+            sent = self._sent_s.get(name)
+            if until_s <= now_s and (not sent or now_s - sent[-1] > FORGOTTEN_S):
+                del self._read_until_s[name]
+                self._sent_s.pop(name, None)
+
+    def _left_s(self, server_id: str, now_s: float) -> float:
+        return max(0.0, self._read_until_s.get(server_id, now_s) - now_s)
+
+    def _unreported(self, server_id: str, period_s: float, now_s: float) -> float:
+        """Return about how many prompts were sent that no report has shown yet."""
+        sent = self._sent_s.get(server_id)
+        if not sent:
+            return 0.0
+        while sent and now_s - sent[0] >= period_s:
+            sent.popleft()
+        # Reports come at any moment of a period, so the older half is in most of them.
+        return sum(1.0 - (now_s - at_s) / period_s for at_s in sent)
--- a/src/_pistachiopond/decisions/server_choice.py
+++ b/src/_pistachiopond/decisions/server_choice.py
@@ -11,8 +11,8 @@
 OTHER_DATA_CENTRE_LOAD: Final = 0.08
 PROMPT_HOME_GAIN: Final = 0.10
 # A server fuller by this part of its slots does for a request as well as the best.
-EQUAL_LOAD: Final = 0.25
-MOST_RANKED: Final = 3
+EQUAL_LOAD: Final = 0.4
+MOST_RANKED: Final = 6
 # Load beyond the slots waits; it counts for more than load that runs.
 WAITING_WEIGHT: Final = 3.0
 
@@ -41,9 +41,35 @@
     is_doubtful: bool
 
 
+class Ranked(NamedTuple):
+    """A server that does for a request.
+
+    Attributes
+    ----------
+    server_id : str
+        Its name.
+    bias : float
+        What its load is seen as more for this request, as a part of its slots.
+    """
+
+    server_id: str
+    bias: float
+
+
+def load_cost(filled: float) -> float:
+    """Return what the load of a server costs a request that comes to it.
+
+    Parameters
+    ----------
+    filled : float
+        The load as a part of the slots, over 1 where requests wait.
+    """
+    return filled + WAITING_WEIGHT * max(0.0, filled - 1.0)
+
+
 def rank_candidates(
     candidates: Sequence[Candidate], prompt_id: str | None, rng: random.Random
-) -> list[str]:
+) -> list[Ranked]:
     """Return the servers with about the least load, the best first.
 
     Parameters
@@ -63,14 +89,18 @@
     if prompt_id is not None:
         home = max(sound, key=lambda item: score(prompt_id, item.server_id)).server_id
 
-    def cost(item: Candidate) -> tuple[float, float]:
-        filled = item.load / max(1, item.slots)
-        waiting = max(0.0, filled - 1.0)
+    def bias(item: Candidate) -> float:
         near = 0.0 if item.is_near else OTHER_DATA_CENTRE_LOAD
-        gain = PROMPT_HOME_GAIN if item.server_id == home else 0.0
-        return (filled + WAITING_WEIGHT * waiting + near - gain, rng.random())
+        return near - (PROMPT_HOME_GAIN if item.server_id == home else 0.0)
 
-    ranked = sorted((cost(item), item.server_id) for item in sound)
-    (least, _), _ = ranked[0]
-    near_best = [name for (load, _), name in ranked if load - least <= EQUAL_LOAD]
+    ranked = sorted(
+        (
+            load_cost(item.load / max(1, item.slots)) + bias(item),
+            rng.random(),
+            Ranked(item.server_id, bias(item)),
+        )
+        for item in sound
+    )
+    least = ranked[0][0]
+    near_best = [item for cost, _, item in ranked if cost - least <= EQUAL_LOAD]
     return near_best[:MOST_RANKED]
--- a/src/_pistachiopond/decisions/usage.py
+++ b/src/_pistachiopond/decisions/usage.py
@@ -211,6 +211,11 @@
             )
         return reports
 
+    def report_of(self, customer: str, now_s: float) -> UsageReport:
+        """Return what to tell the leader of one customer, between the reports."""
+        balance = self._balance(customer, now_s)
+        return UsageReport(balance.amount, balance.demand_per_s, balance.missing)
+
     def allow_isolated(
         self, customers: Mapping[str, CustomerSpec], members: int, now_s: float
     ) -> None:
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -79,19 +79,45 @@
     models: dict[str, list[str]]
 
 
+class Lack(TypedDict):
+    """A model or adapter for which a request of the member begins to wait."""
+
+    member: str
+    service: str
+    model: str
+    adapter: str
+
+
+class TokenQuestion(TypedDict):
+    """A customer for whom the member lacks tokens, with its part of a report."""
+
+    member: str
+    customer: str
+    usage: tuple[float, float, float, float]
+
+
 class PaceQuestion(TypedDict):
     """The question where and when a prompt may be sent.
 
-    `places` has the servers that may get it and how long each reads it, the preferred
-    first; `most_s` is how long it may be held back.
+    `places` has the servers that may get it, with how long each reads it, its slots and
+    what its load is seen as more; `most_s` is how long it may be held back.
     """
 
     number: int
-    places: list[tuple[str, float]]
+    places: list[tuple[str, float, int, float]]
     gap_aim_s: float
     most_s: float
 
 
+class MemberMessage(TypedDict, total=False):
+    """One line from a member: its report, or something that cannot wait for it."""
+
+    report: MemberReport
+    pace: PaceQuestion
+    lack: Lack
+    tokens: TokenQuestion
+
+
 class PaceAnswer(TypedDict):
     """To which of the places a prompt is to be sent, and how soon."""
 
@@ -120,6 +146,7 @@
     records: list[RelayedRecord]
     suspects: SuspectList
     paced: PaceAnswer
+    given: dict[str, float]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/admission.py
+++ b/src/_pistachiopond/vm/admission.py
@@ -157,8 +157,8 @@
         until_s = min(loop.time() + TOKEN_WAIT_S, admitted.end_s)
         self._usage.lack(customer.name, cost, loop.time())
         try:
-            self._link.hurry()
             while loop.time() < until_s:
+                self._link.ask_tokens(customer.name)
                 await asyncio.sleep(TOKEN_POLL_S)
                 if self._usage.take(customer, cost, loop.time()):
                     return Ok(charged)
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -50,6 +50,13 @@
     adapter: str
 
 
+class RankedServer(NamedTuple):
+    """A server that does for a request, and what its load is seen as more for it."""
+
+    server: BackendServer
+    bias: float
+
+
 @final
 class Fleet:
     """Servers by name, with their load and health."""
@@ -67,6 +74,7 @@
         self.peer_load: dict[str, int] = {}
         self.ejector = Ejector()
         self.is_loaded = False
+        self.change_count = 0
         self.changed = anyio.Event()
         self._rng = random.Random()
         self._reached_s = boot_s()
@@ -138,7 +146,7 @@
 
     def rank(
         self, wanted: WantedModel, tried: frozenset[str], prompt_id: str | None
-    ) -> list[BackendServer]:
+    ) -> list[RankedServer]:
         """Return the best servers for a request; none where none can take it.
 
         Parameters
@@ -163,7 +171,7 @@
             elif self._may_use_leaving(name, now_s):
                 leaving.append(candidate)
         ranked = rank_candidates(staying or leaving, prompt_id, self._rng)
-        return [self.servers[name] for name in ranked]
+        return [RankedServer(self.servers[name], bias) for name, bias in ranked]
 
     def incarnations(self) -> dict[str, int]:
         """Return when each server was started, in milliseconds."""
@@ -264,6 +272,7 @@
         self._changed_set()
 
     def _changed_set(self) -> None:
+        self.change_count += 1
         self.ejector.set_servers(
             {name: frozenset(items) for name, items in self._by_service.items()}
         )
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -19,7 +19,7 @@
 from _pistachiopond.vm.admission import Admitted
 from _pistachiopond.vm.attempt import Attempt, Exchange, Outcome, give_answer
 from _pistachiopond.vm.clock import boot_s
-from _pistachiopond.vm.fleet import Fleet, WantedModel
+from _pistachiopond.vm.fleet import Fleet, RankedServer, WantedModel
 from _pistachiopond.vm.pacing import PromptPacing
 from _pistachiopond.vm.pools import ServerPools
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, answer_refusal
@@ -195,7 +195,7 @@
         tried = frozenset(self._tried)
         ranked = fleet.rank(self._wanted, tried, prompt_id)
         if not self._wanted.model:
-            return ranked[0] if ranked else None
+            return ranked[0].server if ranked else None
         if not ranked:
             ranked = await self._wait_for_model(prompt_id)
         if not ranked:
@@ -205,7 +205,7 @@
             ranked, admitted.caller, admitted.route, self._arrival_s
         )
 
-    async def _wait_for_model(self, prompt_id: str | None) -> list[BackendServer]:
+    async def _wait_for_model(self, prompt_id: str | None) -> list[RankedServer]:
         loop = asyncio.get_running_loop()
         left_s = self._admitted.end_s - loop.time()
         aim_s = self._admitted.route.aim_s
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -7,19 +7,22 @@
 from _pistachiopond.decisions.crash_counts import CrashCounts, Cutoff
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.model_plan import ModelDemand
-from _pistachiopond.decisions.prompt_pacing import PromptPace, PromptPlace
+from _pistachiopond.decisions.prompt_pacing import PromptPace, PromptPlace, PromptTerms
 from _pistachiopond.decisions.usage import UsageGiver, UsageReport
 from _pistachiopond.observe.logs import log_change, log_trouble
 from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import CustomerSpec
 from _pistachiopond.schema.peer_messages import (
     HeldUpdate,
+    Lack,
     LeaderAnswer,
     LeaderMessage,
+    MemberMessage,
     MemberReport,
     PaceAnswer,
     PaceQuestion,
     SuspectList,
+    TokenQuestion,
     decode_line,
     encode_line,
 )
@@ -90,6 +93,18 @@
     at_s: float
 
 
+def _add(
+    demand: dict[str, dict[WantedModel, ModelDemand]],
+    wanted: WantedModel,
+    more: ModelDemand,
+) -> None:
+    of_service = demand.setdefault(wanted.service, {})
+    seen = of_service.get(wanted)
+    if seen is not None:
+        more = ModelDemand(seen.running + more.running, seen.waiting + more.waiting)
+    of_service[wanted] = more
+
+
 def _add_up(reports: list[MemberReport]) -> Totals:
     load: dict[str, int] = {}
     runs: dict[tuple[str, str], int] = {}
@@ -101,11 +116,7 @@
             runs[(server, model)] = runs.get((server, model), 0) + count
         for use in report["models"]:
             wanted = WantedModel(use["service"], use["model"], use["adapter"])
-            of_service = demand.setdefault(wanted.service, {})
-            seen = of_service.get(wanted, ModelDemand(0.0, 0.0))
-            of_service[wanted] = ModelDemand(
-                seen.running + use["running"], seen.waiting + use["waiting"]
-            )
+            _add(demand, wanted, ModelDemand(use["running"], use["waiting"]))
     return Totals(load, runs, demand)
 
 
@@ -121,6 +132,7 @@
         self._giver_fence = -1
         self._totals = Totals({}, {}, {})
         self._totals_s = float("-inf")
+        self._lacks: dict[str, list[WantedModel]] = {}
         self._crashes = CrashCounts()
         self._pace = PromptPace()
 
@@ -154,6 +166,9 @@
         if now_s - self._totals_s > TOTALS_AGE_PER_MEMBER_S * len(self._members):
             self._totals_s = now_s
             self._totals = _add_up([m.report for m in self._members.values()])
+            for lacks in self._lacks.values():
+                for wanted in lacks:
+                    _add(self._totals.demand, wanted, ModelDemand(0.0, 1.0))
         return self._totals
 
     def doubtful(self) -> frozenset[str]:
@@ -172,6 +187,7 @@
         for name, member in list(self._members.items()):
             if now_s - member.at_s > MEMBER_KEPT_S:
                 del self._members[name]
+                self._lacks.pop(name, None)
                 if self._giver is not None:
                     self._giver.forget_member(name)
                 log_change("member silent", member=name, members=len(self._members))
@@ -214,7 +230,9 @@
                 if decoded.is_err():
                     log_trouble("report cannot be read", reason=decoded.err())
                     break
-                writer.write(encode_line(self._take(decoded.ok())))
+                answer = self._take(decoded.ok())
+                if answer:
+                    writer.write(encode_line(answer))
         except (OSError, ValueError) as error:
             log_trouble("member's connection ended", reason=str(error))
         except asyncio.CancelledError:
@@ -225,15 +243,35 @@
             writer.transport.abort()
 
     def _take(self, plain: dict[str, Any]) -> LeaderMessage:
-        if "pace" in plain:
-            return {"paced": self._pace_prompt(plain["pace"])}
-        return {"answer": self._answer(plain)}
+        message: MemberMessage = plain  # type: ignore[assignment]
+        if "pace" in message:
+            return {"paced": self._pace_prompt(message["pace"])}
+        if "tokens" in message:
+            return {"given": self._give_tokens(message["tokens"])}
+        if "lack" in message:
+            self._take_lack(message["lack"])
+            return {}
+        return {"answer": self._answer(message["report"])}
+
+    def report_period_s(self) -> float:
+        """Return the time between two reports of a member."""
+        return max(MIN_PERIOD_S, len(self._members) / REPORTS_PER_S)
+
+    def _take_lack(self, lack: Lack) -> None:
+        wanted = WantedModel(lack["service"], lack["model"], lack["adapter"])
+        self._lacks.setdefault(lack["member"], []).append(wanted)
+        _add(self._totals.demand, wanted, ModelDemand(0.0, 1.0))
+        self._parts.on_demand()
+
+    def _give_tokens(self, question: TokenQuestion) -> dict[str, float]:
+        usage = {question["customer"]: question["usage"]}
+        return self._give(question["member"], usage, boot_s())
 
     def _pace_prompt(self, question: PaceQuestion) -> PaceAnswer:
         places = [PromptPlace(*place) for place in question["places"]]
-        paced = self._pace.book(
-            places, question["gap_aim_s"], question["most_s"], boot_s()
-        )
+        terms = PromptTerms(question["gap_aim_s"], question["most_s"])
+        load = self.totals().load
+        paced = self._pace.book(places, terms, load, self.report_period_s(), boot_s())
         return {
             "number": question["number"],
             "place": paced.place,
@@ -252,32 +290,36 @@
             "suspects": self._suspects([]),
         }
 
-    def _answer(self, plain: dict[str, Any]) -> LeaderAnswer:
-        report: MemberReport = plain  # type: ignore[assignment]
+    def _answer(self, report: MemberReport) -> LeaderAnswer:
         now_s = boot_s()
         leadership = self._parts.leadership
         if report["member"] not in self._members:
             log_change("member seen", member=report["member"])
         self._members[report["member"]] = _Member(report, now_s)
         self._take_crashes(report, now_s)
+        self._lacks.pop(report["member"], None)
         leads = leadership.leads(now_s)
         if any(use["waiting"] for use in report["models"]):
             self._parts.on_demand()
-        period_s = max(MIN_PERIOD_S, len(self._members) / REPORTS_PER_S)
         return {
             "number": report["number"],
             "leads": leads,
             "fence": -1 if leadership.claim is None else leadership.claim.fence,
-            "given": self._give(report, now_s),
+            "given": self._give(report["member"], report["usage"], now_s),
             "load": self.totals().load,
             "members": len(self._members),
-            "period_s": period_s,
+            "period_s": self.report_period_s(),
             "topics": {
                 topic: shelf.proof() for topic, shelf in self._parts.shelves.items()
             },
         }
 
-    def _give(self, report: MemberReport, now_s: float) -> dict[str, float]:
+    def _give(
+        self,
+        member: str,
+        usages: dict[str, tuple[float, float, float, float]],
+        now_s: float,
+    ) -> dict[str, float]:
         leadership = self._parts.leadership
         if not leadership.is_mine():
             return {}
@@ -288,7 +330,7 @@
         share = self._share(now_s)
         customers = self._parts.customers()
         given: dict[str, float] = {}
-        for name, usage in report["usage"].items():
+        for name, usage in usages.items():
             customer = customers.get(name)
             if customer is None or customer.rate_per_s <= 0:
                 continue
@@ -296,7 +338,7 @@
                 rate_per_s=customer.rate_per_s * share, burst=customer.burst * share
             )
             amount = self._giver.give(
-                report["member"],
+                member,
                 scaled,
                 UsageReport(*usage),
                 now_s,
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -13,6 +13,7 @@
 from _pistachiopond.schema.peer_messages import (
     HeldUpdate,
     LeaderAnswer,
+    MemberMessage,
     MemberReport,
     PaceQuestion,
     RelayedRecord,
@@ -20,7 +21,7 @@
     encode_line,
 )
 from _pistachiopond.vm.clock import boot_s
-from _pistachiopond.vm.fleet import Fleet, HeldModels
+from _pistachiopond.vm.fleet import Fleet, HeldModels, WantedModel
 from _pistachiopond.vm.pacing import PromptPacing
 from _pistachiopond.vm.relay import RELAY_AGE_S, TopicShelf, from_relayed
 from _pistachiopond.vm.suspects import Suspects
@@ -31,10 +32,10 @@
 ANSWER_LIMIT_S: Final = 0.6
 RECONNECT_S: Final = 0.1
 FIRST_PERIOD_S: Final = 0.2
-# Reports that are hurried are at least this far apart.
-MIN_PERIOD_S: Final = 0.01
-# Over all VMs, as far as they hurry at the same time.
-HURRIES_PER_S: Final = 600.0
+# Questions for one customer's tokens are at least this far apart.
+MIN_ASK_PAUSE_S: Final = 0.01
+# Over all VMs, as far as they lack the same customer's tokens at the same time.
+ASKS_PER_S: Final = 600.0
 # Without a proof for this many reports, the store is read.
 RELAY_PERIODS: Final = 2.5
 MAX_LINE_BYTES: Final = 16 * 1024 * 1024
@@ -77,7 +78,6 @@
     def __init__(self, parts: LinkParts, leadership: Leadership) -> None:
         self._parts = parts
         self._leadership = leadership
-        self._hurry = asyncio.Event()
         self._answered = asyncio.Event()
         self._number = 0
         self._answered_s = float("-inf")
@@ -90,17 +90,49 @@
         self._period_s = FIRST_PERIOD_S
         self._members = 1
         self._writer: asyncio.StreamWriter | None = None
-        self.wants = Wants(self.hurry)
+        self._asked_tokens_s: dict[str, float] = {}
+        self.wants = Wants(self._tell_lack)
         self.pacing = PromptPacing(parts.fleet, self._ask_pace)
 
-    def hurry(self) -> None:
-        """Report at once."""
-        self._hurry.set()
+    def ask_tokens(self, customer: str) -> None:
+        """Ask for what the customer's requests lack, unless that was asked just now."""
+        now_s = boot_s()
+        pause_s = max(MIN_ASK_PAUSE_S, self._members / ASKS_PER_S)
+        if now_s - self._asked_tokens_s.get(customer, float("-inf")) < pause_s:
+            return
+        self._asked_tokens_s[customer] = now_s
+        parts = self._parts
+        usage = parts.usage.report_of(customer, now_s)
+        self._tell(
+            {
+                "tokens": {
+                    "member": parts.name,
+                    "customer": customer,
+                    "usage": tuple(usage),
+                }
+            }
+        )
+
+    def _tell_lack(self, wanted: WantedModel) -> None:
+        self._tell(
+            {
+                "lack": {
+                    "member": self._parts.name,
+                    "service": wanted.service,
+                    "model": wanted.model,
+                    "adapter": wanted.adapter,
+                }
+            }
+        )
 
     def _ask_pace(self, question: PaceQuestion) -> bool:
+        return self._tell({"pace": question})
+
+    def _tell(self, message: MemberMessage) -> bool:
+        """Send a line to the leader; return whether there is one."""
         if self._writer is None or self._leadership.is_leader_lost():
             return False
-        self._writer.write(encode_line({"pace": question}))
+        self._writer.write(encode_line(message))
         return True
 
     def members(self) -> int:
@@ -186,27 +218,18 @@
     ) -> None:
         try:
             while self._leadership.claim == claim:
-                self._hurry.clear()
                 self._number += 1
                 self._answered.clear()
                 self._sent_s = boot_s()
-                writer.write(encode_line(self._make_report()))
+                writer.write(encode_line({"report": self._make_report()}))
                 async with asyncio.timeout(ANSWER_LIMIT_S):
                     await self._answered.wait()
                 if self.has_resigned():
                     return
-                await asyncio.sleep(max(MIN_PERIOD_S, self._members / HURRIES_PER_S))
-                await self._wait_for_hurry()
+                await asyncio.sleep(self._period_s)
         finally:
             reading.cancel()
 
-    async def _wait_for_hurry(self) -> None:
-        try:
-            async with asyncio.timeout(self._period_s):
-                await self._hurry.wait()
-        except TimeoutError:
-            return
-
     async def _read(self, reader: asyncio.StreamReader) -> None:
         while line := await reader.readline():
             decoded = decode_line(line)
@@ -217,6 +240,8 @@
                 self._take_record(plain)
             for update in message.get("held", ()):
                 self._take_held(update)
+            if "given" in message:
+                self._take_tokens(message["given"])
             if "paced" in message:
                 self.pacing.answered(message["paced"])
             if "suspects" in message:
@@ -273,14 +298,18 @@
         parts.retries.set_members(self._members)
         if answer["leads"] and not self._leadership.is_mine():
             self._take_proofs(answer)
-        for name, amount in answer["given"].items():
-            parts.usage.add(name, amount, now_s)
+        self._take_tokens(answer["given"])
         own = parts.fleet.own_load
         parts.fleet.peer_load = {
             name: max(0, total - own.get(name, 0))
             for name, total in answer["load"].items()
         }
 
+    def _take_tokens(self, given: dict[str, float]) -> None:
+        now_s = boot_s()
+        for name, amount in given.items():
+            self._parts.usage.add(name, amount, now_s)
+
     def _take_record(self, plain: RelayedRecord) -> None:
         shelf = self._parts.shelves.get(plain["topic"])
         if shelf is not None and not self._leadership.is_mine():
--- a/src/_pistachiopond/vm/pacing.py
+++ b/src/_pistachiopond/vm/pacing.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable, Sequence
 from typing import Final, final
 
-from _pistachiopond.decisions.prompt_pacing import PromptPlace, ReadRate
+from _pistachiopond.decisions.prompt_pacing import ReadRate
 from _pistachiopond.schema.caller_request import CallerRequest
 from _pistachiopond.schema.deployment import BackendServer, Route
 from _pistachiopond.schema.peer_messages import PaceAnswer, PaceQuestion
-from _pistachiopond.vm.fleet import Fleet
+from _pistachiopond.vm.fleet import Fleet, RankedServer
 
 # The leader answers within some milliseconds; without it the prompt goes out at once.
 ANSWER_LIMIT_S: Final = 0.04
@@ -42,7 +42,7 @@
 
     async def place(
         self,
-        ranked: Sequence[BackendServer],
+        ranked: Sequence[RankedServer],
         caller: CallerRequest,
         route: Route,
         arrival_s: float,
@@ -51,7 +51,7 @@
 
         Parameters
         ----------
-        ranked : sequence of BackendServer
+        ranked : sequence of RankedServer
             Those that may get it, the preferred first; at least one.
         caller : CallerRequest
             The request.
@@ -67,30 +67,38 @@
         if elapsed_s > route.aim_s:
             most_s = LATE_HOLD_S
         if not tokens or route.gap_aim_s <= 0.0 or most_s <= 0.0:
-            return ranked[0]
-        places = [PromptPlace(s.server_id, self._read_s(s, tokens)) for s in ranked]
+            return ranked[0].server
+        places = [
+            (
+                server.server_id,
+                round(self._read_s(server, tokens), 4),
+                server.slots,
+                round(bias, 2),
+            )
+            for server, bias in ranked
+        ]
         self._number += 1
         number = self._number
         question: PaceQuestion = {
             "number": number,
-            "places": [(name, round(read_s, 4)) for name, read_s in places],
+            "places": places,
             "gap_aim_s": route.gap_aim_s,
             "most_s": round(most_s, 3),
         }
-        if not places[0].read_s or not self._send(question):
-            return ranked[0]
+        if not self._send(question):
+            return ranked[0].server
         answered = loop.create_future()
         self._asked[number] = answered
         try:
             async with asyncio.timeout(ANSWER_LIMIT_S):
                 answer = await answered
         except TimeoutError:
-            return ranked[0]
+            return ranked[0].server
         finally:
             del self._asked[number]
         if answer["wait_s"] > 0.0:
             await asyncio.sleep(answer["wait_s"])
-        return ranked[answer["place"]]
+        return ranked[answer["place"]].server
 
     def answered(self, answer: PaceAnswer) -> None:
         """Take the leader's answer."""
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -42,6 +42,8 @@
 # Orders are answered within some milliseconds, or not at all.
 ORDER_LIMIT_S: Final = 0.3
 REPORT_LIMIT_S: Final = 1.0
+# From a report that shows an adapter in use to the plan that heeds it.
+ADAPTER_MARGIN_S: Final = 0.15
 # An accepted adapter takes up to this long until requests may use it.
 ADAPTER_LOAD_S: Final = 0.012
 
@@ -77,25 +79,32 @@
         self.board = Board(spec)
         self.memory = DemandMemory()
         self.allowance = LoadAllowance(spec.loads_per_s, now_s)
+        self.ticked_s = float("-inf")
         # A new leader plans once all members have reported.
-        self.planned_s = now_s + FIRST_PLAN_S - TICK_S
+        self.plans_from_s = now_s + FIRST_PLAN_S
+        self.fleet_change = -1
+        self.recent_adapters: dict[str, int] = {}
         self._adapter_seen_s: dict[WantedModel, float] = {}
         self._waiting_since_s: dict[WantedModel, float] = {}
 
-    def recent_adapters(
-        self, demand: Mapping[WantedModel, ModelDemand], now_s: float
-    ) -> dict[str, int]:
-        """Return how many adapters of each model were asked for lately."""
+    def note_use(self, demand: Mapping[WantedModel, ModelDemand], now_s: float) -> None:
+        """Note which adapters are in use, where, and how many of each model lately."""
         for wanted in demand:
             if wanted.adapter:
                 self._adapter_seen_s[wanted] = now_s
-        counts: dict[str, int] = {}
+        self.recent_adapters = {}
         for wanted, seen_s in list(self._adapter_seen_s.items()):
             if now_s - seen_s > ADAPTER_USE_S:
                 del self._adapter_seen_s[wanted]
             else:
-                counts[wanted.model] = counts.get(wanted.model, 0) + 1
-        return counts
+                known = self.recent_adapters.get(wanted.model, 0)
+                self.recent_adapters[wanted.model] = known + 1
+        in_use = {(wanted.model, wanted.adapter) for wanted in demand}
+        for holding in self.board.holdings.values():
+            for model, adapters in holding.models.items():
+                for adapter in adapters:
+                    if (model, adapter) in in_use:
+                        holding.adapter_used_s[(model, adapter)] = now_s
 
     def waiting_since_s(
         self, demand: Mapping[WantedModel, ModelDemand], now_s: float
@@ -120,6 +129,7 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._fence = -1
+        self._is_changed = False
         self.hub: Hub | None = None
 
     def wake(self) -> None:
@@ -161,7 +171,9 @@
         for name, service in deployment.services.items():
             if service.engine is not None:
                 self._plan(name, service.engine, now_s)
-        self._tell()
+        if self._is_changed:
+            self._is_changed = False
+            self._tell()
 
     def _plan(self, service: str, spec: EngineSpec, now_s: float) -> None:
         engines = self._engines.get(service)
@@ -170,15 +182,21 @@
             self._engines[service] = engines
         board = engines.board
         board.spec = spec
-        servers = self._parts.fleet.of_service(service)
-        board.set_servers({server.server_id: server for server in servers})
-        for holding in board.holdings.values():
-            self._ask_if_unsure(holding, now_s)
+        if engines.fleet_change != self._parts.fleet.change_count:
+            engines.fleet_change = self._parts.fleet.change_count
+            servers = self._parts.fleet.of_service(service)
+            board.set_servers({server.server_id: server for server in servers})
+            self._is_changed = True
         assert self.hub is not None
         totals = self.hub.totals()
         demand = totals.demand.get(service, {})
-        self._note_use(board, demand, now_s)
         waiting_since_s = engines.waiting_since_s(demand, now_s)
+        is_tick = now_s - engines.ticked_s >= TICK_S
+        if is_tick:
+            engines.ticked_s = now_s
+            for holding in board.holdings.values():
+                self._ask_if_unsure(holding, now_s)
+            engines.note_use(demand, now_s)
         inputs = PlanInputs(
             board=board,
             replicas=board.replicas(),
@@ -188,11 +206,12 @@
             runs=totals.runs,
             doubtful=self.hub.doubtful(),
             allowance=engines.allowance,
-            adapters=engines.recent_adapters(demand, now_s),
+            adapters=engines.recent_adapters,
+            adapter_kept_s=self.hub.report_period_s() + ADAPTER_MARGIN_S,
         )
-        engines.memory.update(inputs.demand, now_s)
-        if now_s - engines.planned_s >= TICK_S:
-            engines.planned_s = now_s
+        if is_tick:
+            engines.memory.update(inputs.demand, now_s)
+        if is_tick and now_s >= engines.plans_from_s:
             for order in plan_models(inputs, now_s):
                 self._send(board.holdings[order.server_id], order)
         waiting = [wanted for wanted in waiting_since_s if wanted.adapter]
@@ -217,16 +236,6 @@
             if order is not None:
                 self._send(inputs.board.holdings[order.server_id], order)
 
-    def _note_use(
-        self, board: Board, demand: dict[WantedModel, ModelDemand], now_s: float
-    ) -> None:
-        for wanted in demand:
-            if not wanted.adapter:
-                continue
-            for holding in board.holdings.values():
-                if wanted.adapter in holding.models.get(wanted.model, ()):
-                    holding.adapter_used_s[(wanted.model, wanted.adapter)] = now_s
-
     def _ask_if_unsure(self, holding: Holding, now_s: float) -> None:
         is_unsure = not holding.is_known or holding.is_overdue(now_s)
         if not is_unsure or holding.is_ordering or holding.server.is_leaving:
@@ -263,6 +272,7 @@
             )
             return
         holding.take_report(report.ok(), asked_s)
+        self._is_changed = True
         self.wake()
 
     async def _order(self, holding: Holding, order: ModelOrder, fence: int) -> None:
@@ -293,6 +303,7 @@
         # it if it has carried the lost one out, and never carries out both.
         holding.ordered_s = boot_s()
         holding.is_ordering = False
+        self._is_changed = True
         self.wake()
 
     async def _accepted(
--- a/src/_pistachiopond/vm/wants.py
+++ b/src/_pistachiopond/vm/wants.py
@@ -12,8 +12,8 @@
 class Wants:
     """What requests of this VM use and lack."""
 
-    def __init__(self, on_lack: Callable[[], None]) -> None:
-        """Start empty; `on_lack` is called when a request begins to wait."""
+    def __init__(self, on_lack: Callable[[WantedModel], None]) -> None:
+        """Start empty; `on_lack` receives what a request begins to wait for."""
         self._on_lack = on_lack
         self.running: dict[WantedModel, int] = {}
         self.lacking: dict[WantedModel, int] = {}
@@ -38,7 +38,7 @@
     def waiting(self, wanted: WantedModel) -> Iterator[None]:
         """Count a request that waits for a server that holds the model."""
         increase(self.lacking, wanted)
-        self._on_lack()
+        self._on_lack(wanted)
         try:
             yield
         finally:
--- a/testing/decisions/test_forwarding.py
+++ b/testing/decisions/test_forwarding.py
@@ -144,7 +144,7 @@
 class ServerChoiceTests(unittest.TestCase):
     def choose(self, *candidates: Candidate, prompt: str | None = None) -> str | None:
         ranked = rank_candidates(candidates, prompt, random.Random(1))
-        return ranked[0] if ranked else None
+        return ranked[0].server_id if ranked else None
 
     def test_the_emptier_server_is_taken_and_a_doubtful_one_last(self) -> None:
         full = Candidate("full", 9.0, 10, True, False)
--- a/testing/decisions/test_model_plan.py
+++ b/testing/decisions/test_model_plan.py
@@ -73,6 +73,7 @@
             doubtful=frozenset(),
             allowance=self.allowance,
             adapters=adapters or {},
+            adapter_kept_s=0.35,
         )
 
     def settle(self, demand: dict[str, ModelDemand]) -> None:
@@ -237,6 +238,18 @@
             holding.adapter_used_s[("m0", name)] = plan.now_s
         self.assertIsNone(plan_adapter(plan.inputs({}), "m0", "a9", plan.now_s))
 
+    def test_an_adapter_just_loaded_is_not_unloaded_for_the_next(self) -> None:
+        plan = Planning(make_spec(1), make_server("s1", "m0"))
+        holding = plan.board.holdings["s1"]
+        for number in range(1, 5):
+            order = plan_adapter(plan.inputs({}), "m0", f"a{number}", plan.now_s)
+            assert order is not None
+            holding.accepted(order, plan.now_s, 0.0)
+        self.assertIsNone(plan_adapter(plan.inputs({}), "m0", "a9", plan.now_s + 0.1))
+        order = plan_adapter(plan.inputs({}), "m0", "a9", plan.now_s + 0.4)
+        assert order is not None
+        self.assertEqual(order.action, "unload")
+
 
 class ReportTests(unittest.TestCase):
     def test_a_report_from_before_the_last_order_is_ignored(self) -> None:
--- a/testing/decisions/test_prompt_pacing.py
+++ b/testing/decisions/test_prompt_pacing.py
@@ -12,6 +12,7 @@
     FIRST_SAMPLES,
     PromptPace,
     PromptPlace,
+    PromptTerms,
     ReadRate,
 )
 
@@ -24,6 +25,8 @@
 GAP_AIM_S = 0.15
 FIRST_AIM_S = 0.3
 HOLD_S = 0.12
+# Between two reports of a VM.
+PERIOD_S = 0.3
 
 
 class Prompt(NamedTuple):
@@ -64,8 +67,9 @@
     """Return when the prompts are sent to the one server that may get them."""
     sent = []
     for prompt in sorted(prompts):
-        place = PromptPlace("s1", prompt.tokens / READ_TOKENS_PER_S)
-        answer = pace.book([place], GAP_AIM_S, most_s, prompt.at_s)
+        place = PromptPlace("s1", prompt.tokens / READ_TOKENS_PER_S, 64, 0.0)
+        terms = PromptTerms(GAP_AIM_S, most_s)
+        answer = pace.book([place], terms, {}, PERIOD_S, prompt.at_s)
         sent.append(prompt._replace(at_s=prompt.at_s + answer.wait_s))
     return sent
 
@@ -102,9 +106,27 @@
 
     def test_a_prompt_goes_to_the_server_that_has_less_to_read(self) -> None:
         pace = PromptPace()
-        first, second = PromptPlace("s1", 0.2), PromptPlace("s2", 0.02)
-        self.assertEqual(pace.book([first, second], GAP_AIM_S, HOLD_S, 0.0), (0, 0.0))
-        self.assertEqual(pace.book([first, second], GAP_AIM_S, HOLD_S, 0.0), (1, 0.0))
+        places = [PromptPlace("s1", 0.2, 64, 0.0), PromptPlace("s2", 0.02, 64, 0.0)]
+        terms = PromptTerms(GAP_AIM_S, HOLD_S)
+        for expected in (0, 1):
+            answer = pace.book(places, terms, {}, PERIOD_S, 0.0)
+            self.assertEqual(answer, (expected, 0.0))
+
+    def test_vms_that_ask_at_once_do_not_all_get_the_emptiest_server(self) -> None:
+        # Reports of load are old by up to a period; all VMs see the same one as empty.
+        pace = PromptPace()
+        places = [PromptPlace(f"s{n}", 0.002, 12, 0.0) for n in range(4)]
+        load = {"s0": 0.0, "s1": 6.0, "s2": 6.0, "s3": 6.0}
+        terms = PromptTerms(GAP_AIM_S, HOLD_S)
+        sent = dict.fromkeys(load, 0)
+        for number in range(24):
+            answer = pace.book(places, terms, load, PERIOD_S, number * 0.002)
+            sent[f"s{answer.place}"] += 1
+        at_servers = [load[name] + count for name, count in sent.items()]
+        self.assertLessEqual(max(at_servers), 12)
+        # Long after, what was sent is in the reports and counts no more.
+        answer = pace.book(places, terms, load, PERIOD_S, 10.0)
+        self.assertEqual(answer.place, 0)
 
 
 class ReadRateTests(unittest.TestCase):
--- a/testing/vm/test_hub.py
+++ b/testing/vm/test_hub.py
@@ -56,7 +56,7 @@
             assert claim is not None
             self.leadership.read(claim, claim.fence + 1, now_s)
         with patch.object(hub_module, "boot_s", lambda: now_s):
-            answer = self.hub._answer(dict(make_report(member, 10_000.0)))
+            answer = self.hub._answer(make_report(member, 10_000.0))
         return answer["given"].get("office", 0.0)
 
 
--- a/testing/vm/test_pacing.py
+++ b/testing/vm/test_pacing.py
@@ -5,6 +5,7 @@
 
 from _pistachiopond.schema.caller_request import CallerRequest
 from _pistachiopond.schema.peer_messages import PaceQuestion
+from _pistachiopond.vm.fleet import RankedServer
 from _pistachiopond.vm.pacing import ANSWER_LIMIT_S, PromptPacing
 from testing.decisions.test_forwarding import ROUTE
 from testing.vm.deployment import running_world
@@ -30,11 +31,12 @@
             await world.add_server("s1", "plain")
             pacing = world.vm.link.pacing
             server = world.vm.fleet.servers["s1"]
+            ranked = [RankedServer(server, 0.0)]
             for _ in range(20):
                 pacing.was_read(server, 1_000, 0.04)
             loop = asyncio.get_running_loop()
             began_s = loop.time()
-            places = [pacing.place([server], CALLER, STREAM, began_s) for _ in range(4)]
+            places = [pacing.place(ranked, CALLER, STREAM, began_s) for _ in range(4)]
             await asyncio.gather(*places)
             elapsed_s = loop.time() - began_s
             self.assertGreater(elapsed_s, 0.05)
@@ -44,6 +46,7 @@
         async with running_world() as world:
             await world.add_server("s1", "plain")
             server = world.vm.fleet.servers["s1"]
+            ranked = [RankedServer(server, 0.0)]
             asked: list[PaceQuestion] = []
 
             def ask(question: PaceQuestion) -> bool:
@@ -56,7 +59,7 @@
             loop = asyncio.get_running_loop()
             for _ in range(2):
                 began_s = loop.time()
-                chosen = await pacing.place([server], CALLER, STREAM, began_s)
+                chosen = await pacing.place(ranked, CALLER, STREAM, began_s)
                 self.assertIs(chosen, server)
                 self.assertLess(loop.time() - began_s, 3 * ANSWER_LIMIT_S)
             self.assertEqual(len(asked), 2)
