Heartbeats are not relayed; VMs try a lost store less often; idle limits are learned

Change: only records that change what is believed are passed on; tries of VMs that have a leader stay below 40 a second together; a kept connection that is reset within a round trip lowers how long one may have been idle for a request that must run once, for its service and for a while. What a server has left to read weighs in its choice.

--- a/src/_pistachiopond/decisions/prompt_pacing.py
+++ b/src/_pistachiopond/decisions/prompt_pacing.py
@@ -19,9 +19,9 @@
 # Of the longest pause that a route allows: a server may have this much to read. The
 # rest is for the tokens of one event at the pace above.
 AHEAD_SHARE: Final = 0.2
-# A server on which a prompt is held back for a second is taken only where the others
-# are fuller by this part of their slots.
-WAIT_COST_PER_S: Final = 3.0
+# A server that has a second more to read than another is taken only where the other is
+# fuller by this part of its slots.
+READING_COST_PER_S: Final = 8.0
 # Longer than the period of reports with the most VMs.
 FORGOTTEN_S: Final = 5.0
 # Prompts are read slower than a server can, when others wait before them, and faster,
@@ -149,25 +149,25 @@
             The time in seconds.
         """
         ahead_s = terms.gap_aim_s * AHEAD_SHARE
-        waits = [self._left_s(place.server_id, now_s) - ahead_s for place in places]
-        waits = [min(max(0.0, wait_s), terms.most_s) for wait_s in waits]
+        left = [self._left_s(place.server_id, now_s) for place in places]
 
         def cost(number: int) -> float:
             place = places[number]
             at_server = load.get(place.server_id, 0.0)
             at_server += self._unreported(place.server_id, period_s, now_s)
             filled = (at_server + 1.0) / max(1, place.slots)
-            return load_cost(filled) + place.bias + WAIT_COST_PER_S * waits[number]
+            return load_cost(filled) + place.bias + READING_COST_PER_S * left[number]
 
         number = min(range(len(places)), key=cost)
         chosen = places[number]
         # More than what can be held back is not booked, so that nobody waits for it.
-        until_s = now_s + self._left_s(chosen.server_id, now_s)
+        until_s = now_s + left[number]
         self._read_until_s[chosen.server_id] = min(
             until_s + chosen.read_s / READING_SHARE, now_s + ahead_s + terms.most_s
         )
         self._sent_s.setdefault(chosen.server_id, deque()).append(now_s)
-        return Paced(number, waits[number])
+        wait_s = max(0.0, left[number] - ahead_s)
+        return Paced(number, min(wait_s, terms.most_s))
 
     def forget_old(self, now_s: float) -> None:
         """Forget the servers that have got nothing of late."""
--- a/src/_pistachiopond/http1/pool.py
+++ b/src/_pistachiopond/http1/pool.py
@@ -61,6 +61,7 @@
                 kept.append(candidate)
         self._idle[:0] = reversed(kept)
         if found is not None:
+            found.idle_for_s = now_s - found.idle_since_s
             return found
         if self.max_open is not None and self.open_count >= self.max_open:
             raise ExchangeError("connect", f"{self.open_count} connections are in use")
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -139,7 +139,7 @@
         """Send the request and pass the answer on; return how that ended."""
         server = self._server
         pool = self._pools.of(server)
-        max_idle_s = self._pools.max_idle_s(self._admitted.route)
+        max_idle_s = self._pools.max_idle_s(self._admitted.route, server.service)
         try:
             connection = await pool.acquire(max_idle_s)
         except ExchangeError as error:
@@ -150,6 +150,10 @@
             if error.kind == "connect":
                 return Outcome("connect", str(error))
             kind: AttemptKind = "broken" if self._responder.has_begun else "unclear"
+            if error.kind in ("closed", "reset") and connection.idle_for_s:
+                after_s = asyncio.get_running_loop().time() - self._sent_s
+                idle_s = connection.idle_for_s
+                self._pools.was_reset(server.service, idle_s, after_s)
             is_cut_off = error.kind in ("closed", "reset", "truncated")
             return Outcome(kind, str(error), is_cut_off=is_cut_off)
         except BrokenStreamError as error:
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -86,19 +86,17 @@
 
     # What the follower of the servers' topic tells.
 
-    def apply(self, record: KeyedRecord) -> None:
-        """Take the newest entry of a server."""
+    def apply(self, record: KeyedRecord) -> bool:
+        """Take the newest entry of a server; return whether it changes anything."""
         if not record.value:
-            self._gone(record.key)
-            return
+            return self._gone(record.key)
         decoded = decode_server(record.key, record.value)
         if decoded.is_err():
             log_trouble(
                 "entry names no server", server=record.key, reason=decoded.err()
             )
-            self._gone(record.key)
-            return
-        self._put(decoded.ok())
+            return self._gone(record.key)
+        return self._put(decoded.ok())
 
     def reached(self, at_s: float) -> None:
         """Note up to when the entries are known."""
@@ -218,10 +216,10 @@
         since_s = self._leaving_since_s.get(name, float("-inf"))
         return now_s - since_s < self._drain_s * LEAVING_USE_SHARE
 
-    def _put(self, server: BackendServer) -> None:
+    def _put(self, server: BackendServer) -> bool:
         known = self.servers.get(server.server_id)
         if known is not None and known.started_ms > server.started_ms:
-            return
+            return False
         is_new = known is None or known.started_ms != server.started_ms
         if is_new or known.is_leaving != server.is_leaving:
             log_change(
@@ -239,25 +237,26 @@
             )
         if server.is_leaving and (is_new or not known.is_leaving):
             self._leaving_since_s[server.server_id] = boot_s()
+        had_lapsed = self._lapsed.pop(server.server_id, None) is not None
         if known == server:
-            self._lapsed.pop(server.server_id, None)
-            return
+            return had_lapsed
         if known is not None and known.service != server.service:
             self._by_service[known.service].pop(server.server_id, None)
-        self._lapsed.pop(server.server_id, None)
         self.servers[server.server_id] = server
         self._by_service.setdefault(server.service, {})[server.server_id] = server
         self._changed_set()
+        return True
 
-    def _gone(self, name: str) -> None:
+    def _gone(self, name: str) -> bool:
         if name not in self.servers:
-            return
+            return False
         if boot_s() - self._returned_s < LAPSE_SEEN_S:
             until_s = self._returned_s + LAPSED_KEPT_S
             self._lapsed.setdefault(name, until_s)
             log_change("server's entry has lapsed with the store", server=name)
-            return
+            return True
         self._drop(name)
+        return True
 
     def _drop(self, name: str) -> None:
         self._lapsed.pop(name, None)
--- a/src/_pistachiopond/vm/follow.py
+++ b/src/_pistachiopond/vm/follow.py
@@ -69,12 +69,30 @@
         topic: FollowedTopic,
         shelf: TopicShelf,
         is_relayed: Callable[[], bool],
+        spare_s: Callable[[], float],
     ) -> None:
+        """Start without knowledge.
+
+        Parameters
+        ----------
+        store : StoreClient
+            The calls to the store.
+        topic : FollowedTopic
+            What to read.
+        shelf : TopicShelf
+            Where records go.
+        is_relayed : callable
+            Returns whether the leader passes the topic's records on.
+        spare_s : callable
+            Returns the time between two tries of a store that does not answer, where
+            the leader tries too.
+        """
         self._store = store
         self._topic = topic.name
         self._pause_s = topic.pause_s
         self._shelf = shelf
         self._is_relayed = is_relayed
+        self._spare_s = spare_s
         self._is_failing = False
         self._retry_s = RETRY_S
 
@@ -149,5 +167,5 @@
                 detail=failure.detail,
             )
         self._is_failing = True
-        await anyio.sleep(self._retry_s)
+        await anyio.sleep(max(self._retry_s, self._spare_s()))
         self._retry_s = min(MAX_RETRY_S, self._retry_s * 1.5)
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -36,6 +36,8 @@
 MIN_ASK_PAUSE_S: Final = 0.01
 # Over all VMs, as far as they lack the same customer's tokens at the same time.
 ASKS_PER_S: Final = 600.0
+# Tries of a store that does not answer, over all VMs that have a leader.
+OWN_TRIES_PER_S: Final = 40.0
 # Without a proof for this many reports, the store is read.
 RELAY_PERIODS: Final = 2.5
 MAX_LINE_BYTES: Final = 16 * 1024 * 1024
@@ -329,6 +331,17 @@
         is_mine = self._leadership.is_mine()
         return not is_mine and boot_s() - self._relayed_s < limit_s
 
+    def spare_s(self) -> float:
+        """Return how far apart this VM's own tries of a lost store should be.
+
+        The leader's tries serve all VMs that it answers, so the tries of the others
+        together stay below a rate; they only matter where the leader alone is cut off.
+        """
+        is_led = self.answer_age_s() < ANSWER_LIMIT_S + self._period_s
+        if self._leadership.is_mine() or not is_led:
+            return 0.0
+        return self._members / OWN_TRIES_PER_S
+
     def _take_held(self, update: HeldUpdate) -> None:
         models = {
             name: frozenset(adapters) for name, adapters in update["models"].items()
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -158,7 +158,7 @@
     )
     front = Front(admission, forward_parts, FrontMetrics.make(metrics))
     followers = tuple(
-        TopicFollower(store, topic, shelves[topic.name], link.is_relayed)
+        TopicFollower(store, topic, shelves[topic.name], link.is_relayed, link.spare_s)
         for topic in TOPICS
     )
     return Vm(
@@ -211,6 +211,7 @@
             connection.check_time(now_s)
         deployment = vm.state.deployment()
         services = {} if deployment is None else deployment.services
+        vm.pools.recover(TIDY_S)
         vm.pools.tidy(vm.fleet.servers, services, vm.link.members())
         vm.fleet.drop_lapsed()
         vm.hub.drop_silent()
--- a/src/_pistachiopond/vm/relay.py
+++ b/src/_pistachiopond/vm/relay.py
@@ -21,12 +21,12 @@
     Attributes
     ----------
     apply : callable
-        Receives a record.
+        Receives a record and returns whether it changes anything.
     reached : callable
         Receives a time up to which all is applied.
     """
 
-    apply: Callable[[KeyedRecord], None]
+    apply: Callable[[KeyedRecord], bool]
     reached: Callable[[float], None]
 
 
@@ -56,8 +56,8 @@
         if record.offset <= self._offset(record.key):
             return
         self._records[record.key] = record
-        self._view.apply(record)
-        if self.on_change is not None:
+        # Most records are heartbeats of servers, which other VMs need not hear of.
+        if self._view.apply(record) and self.on_change is not None:
             self.on_change([record])
 
     def reached(self, at_s: float) -> None:
--- a/src/_pistachiopond/vm/state.py
+++ b/src/_pistachiopond/vm/state.py
@@ -32,10 +32,13 @@
         """Honour keys for no longer than this without a newer proof."""
         self._revoke_s = revoke_s
 
-    def apply(self, record: KeyedRecord) -> None:
-        """Take one record; a version never goes back."""
+    def apply(self, record: KeyedRecord) -> bool:
+        """Take one record; return whether it changes anything.
+
+        A version never goes back.
+        """
         if record.key != CONFIG_KEY or not record.value:
-            return
+            return False
         decoded = decode_deployment(record.value)
         if decoded.is_err():
             log_trouble(
@@ -43,10 +46,10 @@
                 offset=record.offset,
                 reason=decoded.err(),
             )
-            return
+            return False
         deployment = decoded.ok()
         if self.table and deployment.version <= self.table.deployment.version:
-            return
+            return False
         self.table = make_route_table(deployment)
         self._limits = ServerLimits(*deployment.limits)
         log_change(
@@ -55,6 +58,7 @@
             routes=len(deployment.routes),
             keys=len(deployment.customer_of_key),
         )
+        return True
 
     def reached(self, at_s: float) -> None:
         """Note up to when no newer version exists."""
