A change of the leader costs little: newcomers hear what they lack, looks go before claims

Change: a member's first report says up to where it knows each topic, and the new leader sends what is newer; a claim follows a look at the newest one, claims are spread over 0.01 s for each VM, and looks stay below 100 a second over all. Also: sums over members have a module of their own; sightings of crashes expire; a malformed line from a member ends its connection with a reason.

--- a/src/_pistachiopond/decisions/leadership.py
+++ b/src/_pistachiopond/decisions/leadership.py
@@ -18,8 +18,10 @@
 GIVE_UP_S: Final = 1.3
 # A leader that does not answer for this long is replaced.
 SILENCE_S: Final = 0.5
-# Claims of several VMs are spread over this time, by their preference.
+# Claims of several VMs are spread over this time, by their preference; with many, over
+# more, so that most of them see another's claim before their turn.
 CLAIM_SPREAD_S: Final = 0.3
+CLAIM_SPREAD_PER_VM_S: Final = 0.01
 # A VM that has led waits this long before it claims again, doubled each time: two VMs
 # that cannot reach each other must not take turns.
 CLAIM_PAUSE_S: Final = 2.0
@@ -74,6 +76,11 @@
         self._tried_s = float("-inf")
         self._pause_s = CLAIM_PAUSE_S
         self._is_given_up = False
+        self._spread_s = CLAIM_SPREAD_S
+
+    def set_members(self, members: int) -> None:
+        """Note how many VMs there are."""
+        self._spread_s = max(CLAIM_SPREAD_S, CLAIM_SPREAD_PER_VM_S * members)
 
     def read(self, claim: Claim | None, end_offset: int, sent_s: float) -> None:
         """Take a read of the claims into account.
@@ -166,7 +173,7 @@
             return False
         if now_s - self._tried_s < TRY_PAUSE_S:
             return False
-        spread_s = self._preference * CLAIM_SPREAD_S
+        spread_s = self._preference * self._spread_s
         if self.claim is None or has_resigned:
             since_s = self._lost_s if self._lost_s is not None else now_s
             return now_s - since_s >= spread_s
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -39,7 +39,8 @@
     requests lack and what is given back; `load` the requests in progress at each
     server, `runs` those for each of its models; `doubtful` the servers that have
     failed this VM lately; `cut_off` the requests whose server ended the connection,
-    each with the server and its incarnation; `cleared` suspected ones that ran well.
+    each with the server and its incarnation; `cleared` suspected ones that ran well;
+    `known` up to where each topic of the store is known, -1 for not at all.
     """
 
     member: str
@@ -51,6 +52,7 @@
     doubtful: list[str]
     cut_off: list[tuple[str, str, int]]
     cleared: list[str]
+    known: dict[str, int]
 
 
 class LeaderAnswer(TypedDict):
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -29,6 +29,7 @@
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import WantedModel
 from _pistachiopond.vm.relay import TopicShelf, to_relayed
+from _pistachiopond.vm.totals import Totals, add_demand, add_up
 
 # Members that are silent for this long are counted no more.
 MEMBER_KEPT_S: Final = 10.0
@@ -70,56 +71,11 @@
     incarnations: Callable[[], dict[str, int]]
 
 
-class Totals(NamedTuple):
-    """Requests in progress over all members.
-
-    Attributes
-    ----------
-    load : dict of str to int
-        At each server.
-    runs : dict of (str, str) to int
-        By server and model.
-    demand : dict of str to dict
-        By service: what callers ask of each model and adapter.
-    """
-
-    load: dict[str, int]
-    runs: dict[tuple[str, str], int]
-    demand: dict[str, dict[WantedModel, ModelDemand]]
-
-
 class _Member(NamedTuple):
     report: MemberReport
     at_s: float
 
 
-def _add(
-    demand: dict[str, dict[WantedModel, ModelDemand]],
-    wanted: WantedModel,
-    more: ModelDemand,
-) -> None:
-    of_service = demand.setdefault(wanted.service, {})
-    seen = of_service.get(wanted)
-    if seen is not None:
-        more = ModelDemand(seen.running + more.running, seen.waiting + more.waiting)
-    of_service[wanted] = more
-
-
-def _add_up(reports: list[MemberReport]) -> Totals:
-    load: dict[str, int] = {}
-    runs: dict[tuple[str, str], int] = {}
-    demand: dict[str, dict[WantedModel, ModelDemand]] = {}
-    for report in reports:
-        for name, count in report["load"].items():
-            load[name] = load.get(name, 0) + count
-        for server, model, count in report["runs"]:
-            runs[(server, model)] = runs.get((server, model), 0) + count
-        for use in report["models"]:
-            wanted = WantedModel(use["service"], use["model"], use["adapter"])
-            _add(demand, wanted, ModelDemand(use["running"], use["waiting"]))
-    return Totals(load, runs, demand)
-
-
 @final
 class Hub:
     """What the members have reported, and the connections to them."""
@@ -165,10 +121,10 @@
         now_s = boot_s()
         if now_s - self._totals_s > TOTALS_AGE_PER_MEMBER_S * len(self._members):
             self._totals_s = now_s
-            self._totals = _add_up([m.report for m in self._members.values()])
+            self._totals = add_up([m.report for m in self._members.values()])
             for lacks in self._lacks.values():
                 for wanted in lacks:
-                    _add(self._totals.demand, wanted, ModelDemand(0.0, 1.0))
+                    add_demand(self._totals.demand, wanted, ModelDemand(0.0, 1.0))
         return self._totals
 
     def doubtful(self) -> frozenset[str]:
@@ -223,18 +179,21 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            if self._parts.leadership.is_mine():
-                writer.write(encode_line(self._first_message()))
+            is_first = True
             while line := await reader.readline():
                 decoded = decode_line(line)
                 if decoded.is_err():
                     log_trouble("report cannot be read", reason=decoded.err())
                     break
+                if is_first and "report" in decoded.ok():
+                    is_first = False
+                    self._greet(writer, decoded.ok()["report"]["known"])
                 answer = self._take(decoded.ok())
                 if answer:
                     writer.write(encode_line(answer))
-        except (OSError, ValueError) as error:
-            log_trouble("member's connection ended", reason=str(error))
+        except (KeyError, OSError, TypeError, ValueError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            log_trouble("member's connection ended", reason=reason)
         except asyncio.CancelledError:
             # The process ends; the streams' own callback would log it as an error.
             return
@@ -260,7 +219,7 @@
     def _take_lack(self, lack: Lack) -> None:
         wanted = WantedModel(lack["service"], lack["model"], lack["adapter"])
         self._lacks.setdefault(lack["member"], []).append(wanted)
-        _add(self._totals.demand, wanted, ModelDemand(0.0, 1.0))
+        add_demand(self._totals.demand, wanted, ModelDemand(0.0, 1.0))
         self._parts.on_demand()
 
     def _give_tokens(self, question: TokenQuestion) -> dict[str, float]:
@@ -278,17 +237,22 @@
             "wait_s": round(paced.wait_s, 3),
         }
 
-    def _first_message(self) -> LeaderMessage:
+    def _greet(self, writer: asyncio.StreamWriter, known: dict[str, int]) -> None:
+        """Tell a new member what it cannot know yet."""
+        if not self._parts.leadership.is_mine():
+            return
         records = [
             to_relayed(topic, record)
             for topic, shelf in self._parts.shelves.items()
             for record in shelf.records()
+            if record.offset >= known.get(topic, -1)
         ]
-        return {
+        message: LeaderMessage = {
             "held": self._parts.held(),
             "records": records,
             "suspects": self._suspects([]),
         }
+        writer.write(encode_line(message))
 
     def _answer(self, report: MemberReport) -> LeaderAnswer:
         now_s = boot_s()
--- a/src/_pistachiopond/vm/lead.py
+++ b/src/_pistachiopond/vm/lead.py
@@ -18,8 +18,12 @@
 PROOF_WAIT_S: Final = 0.4
 PROOF_LIMIT_S: Final = 0.9
 CALL_LIMIT_S: Final = 1.0
-# While the leader does not answer, its claim is read again this often.
+# While the leader does not answer, its claim is read again this often, or less often so
+# that all VMs together stay below a rate.
 LOOK_PERIOD_S: Final = 0.4
+LOOKS_PER_S: Final = 100.0
+# A claim follows a look at the newest one, unless that is younger than this.
+FRESH_LOOK_S: Final = 0.1
 IDLE_S: Final = 0.05
 
 
@@ -36,6 +40,7 @@
         has_resigned: Callable[[], bool],
         is_refused: Callable[[], bool],
         on_change: Callable[[], None],
+        members: Callable[[], int],
     ) -> None:
         self._store = store
         self._leadership = leadership
@@ -44,19 +49,20 @@
         self._has_resigned = has_resigned
         self._is_refused = is_refused
         self._on_change = on_change
+        self._members = members
+        self._looked_s = float("-inf")
         self.is_stopping = False
 
     async def run(self) -> None:
         """Follow the claims until cancelled."""
-        looked_s = float("-inf")
         while True:
             if self._leadership.leads(boot_s()) and not self.is_stopping:
                 await self._prove()
                 continue
             now_s = boot_s()
             is_lost = self._leadership.is_leader_lost()
-            if is_lost and now_s - looked_s >= LOOK_PERIOD_S:
-                looked_s = now_s
+            period_s = max(LOOK_PERIOD_S, self._members() / LOOKS_PER_S)
+            if is_lost and now_s - self._looked_s >= period_s:
                 await self._look()
             await self._claim_if_due()
             await anyio.sleep(IDLE_S)
@@ -69,7 +75,7 @@
             log_change("lead given up", fence=self._fence())
 
     async def _look(self) -> None:
-        sent_s = boot_s()
+        sent_s = self._looked_s = boot_s()
         answer = await self._store.read_newest(OWN_TOPIC, CALL_LIMIT_S)
         if answer.is_err():
             if answer.err().kind == "absent":
@@ -103,13 +109,14 @@
 
     async def _claim_if_due(self) -> None:
         leadership = self._leadership
+        if not self._may_claim():
+            return
+        if boot_s() - self._looked_s > FRESH_LOOK_S:
+            await self._look()
+            if not self._may_claim():
+                return
         now_s = boot_s()
         has_resigned = self._has_resigned()
-        # A refused connection is no proof that the leader has ended, since a broken
-        # network may refuse too: its lead is claimed, but not acted on at once.
-        is_free = has_resigned or self._is_refused()
-        if self.is_stopping or not leadership.may_claim(now_s, has_resigned=is_free):
-            return
         offset = leadership.end_offset
         assert offset is not None
         leadership.claim_sent(now_s)
@@ -135,6 +142,14 @@
         )
         await self._look()
 
+    def _may_claim(self) -> bool:
+        # A refused connection is no proof that the leader has ended, since a broken
+        # network may refuse too: its lead is claimed, but not acted on at once.
+        is_free = self._has_resigned() or self._is_refused()
+        return not self.is_stopping and self._leadership.may_claim(
+            boot_s(), has_resigned=is_free
+        )
+
     def _fence(self) -> int:
         return -1 if self._leadership.claim is None else self._leadership.claim.fence
 
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -281,6 +281,10 @@
             "doubtful": sorted(parts.fleet.doubtful()),
             "cut_off": [tuple(cutoff) for cutoff in cutoffs],
             "cleared": cleared,
+            "known": {
+                topic: shelf.proof()["next_offset"]
+                for topic, shelf in parts.shelves.items()
+            },
         }
 
     def _take_answer(self, answer: LeaderAnswer) -> None:
@@ -298,6 +302,7 @@
         self._period_s = answer["period_s"]
         self._members = max(1, answer["members"])
         parts.retries.set_members(self._members)
+        self._leadership.set_members(self._members)
         if answer["leads"] and not self._leadership.is_mine():
             self._take_proofs(answer)
         self._take_tokens(answer["given"])
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -126,6 +126,7 @@
         link.has_resigned,
         link.is_refused,
         link.claim_changed,
+        link.members,
     )
     placer = Placer(
         PlacerParts(settings.name, leadership, fleet, pools, state.deployment)
--- a/src/_pistachiopond/vm/suspects.py
+++ b/src/_pistachiopond/vm/suspects.py
@@ -47,10 +47,14 @@
 
     def cut_off(self, fingerprint: str, server: BackendServer) -> None:
         """Note that a server ended the connection before a whole answer."""
+        if len(self._seen) >= MOST_REMEMBERED:
+            self._forget_old()
+        if len(self._seen) >= MOST_REMEMBERED:
+            # As many at once are an outage, not one request.
+            return
         cutoff = Cutoff(fingerprint, *server.incarnation())
-        if len(self._seen) < MOST_REMEMBERED:
-            self._seen[cutoff] = boot_s()
-            self._new_cutoffs.add(cutoff)
+        self._seen[cutoff] = boot_s()
+        self._new_cutoffs.add(cutoff)
 
     def succeeded(self, fingerprint: str) -> None:
         """Note that a request ran to its end."""
@@ -70,13 +74,16 @@
 
     def leader_changed(self) -> None:
         """Tell again what a new leader cannot know."""
+        self._forget_old()
+        self._new_cutoffs = set(self._seen)
+
+    def _forget_old(self) -> None:
         now_s = boot_s()
         self._seen = {
             cutoff: seen_s
             for cutoff, seen_s in self._seen.items()
             if now_s - seen_s < REMEMBERED_S
         }
-        self._new_cutoffs = set(self._seen)
 
     def take_list(self, plain: SuspectList) -> None:
         """Replace the leader's list, and forget what it has cleared."""
--- a/testing/vm/test_suspects.py
+++ b/testing/vm/test_suspects.py
@@ -1,12 +1,28 @@
 """Tests of requests that crash the servers that run them."""
 
+import json
 import unittest
+from unittest.mock import patch
 
 from _pistachiopond.decisions.crash_counts import CRASHES_TO_REFUSE
 from _pistachiopond.http1.messages import HttpAddress
+from _pistachiopond.platform.servers import decode_server
+from _pistachiopond.vm import suspects as suspects_module
+from _pistachiopond.vm.suspects import MOST_REMEMBERED, REMEMBERED_S, Suspects
 from testing.vm.deployment import World, running_world, until
 from testing.vm.fake_server import FakeServer, break_connection
 
+ENTRY = {
+    "service": "plain",
+    "address": "10.0.0.1:80",
+    "zone": "here",
+    "slots": 4,
+    "state": "ready",
+    "born": 1,
+    "sequence": 1,
+    "models": [],
+}
+
 
 async def crash(world: World, server: FakeServer, path: str, started_ms: int) -> int:
     """Let the request at `path` crash the server; return the caller's answer."""
@@ -66,5 +82,19 @@
             self.assertEqual([c.server_id for c in cutoffs], ["s1"])
 
 
+class RememberedTests(unittest.TestCase):
+    def test_old_ones_make_room_for_new_ones(self) -> None:
+        server = decode_server("s1", json.dumps(ENTRY).encode()).unwrap()
+        now_s = [0.0]
+        with patch.object(suspects_module, "boot_s", lambda: now_s[0]):
+            suspects = Suspects()
+            for number in range(MOST_REMEMBERED + 5):
+                suspects.cut_off(f"f{number}", server)
+            self.assertEqual(len(suspects.take_news()[0]), MOST_REMEMBERED)
+            now_s[0] = REMEMBERED_S + 1.0
+            suspects.cut_off("new", server)
+            self.assertEqual([c.fingerprint for c in suspects.take_news()[0]], ["new"])
+
+
 if __name__ == "__main__":
     unittest.main()
