--- a/testing/vm/fake_server.py
+++ b/testing/vm/fake_server.py
@@ -83,6 +83,7 @@
         self.orders: list[dict[str, object]] = []
         self.models: list[dict[str, object]] = []
         self.order_count = 0
+        self.order_status = 202
         self.cancelled = 0
 
     async def handle(self, request: Request, responder: Responder) -> None:
@@ -93,7 +94,7 @@
         if request.head.target == b"/order":
             self.orders.append(json.loads(request.body))
             self.order_count += 1
-            await responder.answer(202, [], b"")
+            await responder.answer(self.order_status, [], b"")
             return
         self.requests.append(request)
         step = self.steps.pop(0) if self.steps else answer_ok
--- a/testing/vm/test_lead.py
+++ b/testing/vm/test_lead.py
@@ -4,6 +4,7 @@
 import json
 import unittest
 
+from _pistachiopond.http1.messages import HttpAddress
 from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.vm.program import Vm, make_vm
 from testing.vm.deployment import configuration, listen, make_settings, until
@@ -25,16 +26,19 @@
         value = json.dumps(configuration(1)).encode()
         self.store.put("keyed.op", "config", value)
         for number in range(count):
-            name = f"vm-{number}"
-            vm = make_vm(make_settings(address, name), Metrics())
-            works = [f.run for f in vm.followers]
-            works += [vm.link.run, vm.lead.run, vm.placer.run]
-            self.tasks[name] = [asyncio.ensure_future(work()) for work in works]
-            hub = vm.hub.run(*vm.settings.peer_address)
-            self.tasks[name].append(asyncio.ensure_future(hub))
-            self.vms[name] = vm
+            self.launch(f"vm-{number}", address)
         await until(lambda: self.all_answered(list(self.vms)), 5.0)
 
+    def launch(self, name: str, store: HttpAddress) -> None:
+        """Start a VM that knows nothing but the store."""
+        vm = make_vm(make_settings(store, name), Metrics())
+        works = [f.run for f in vm.followers]
+        works += [vm.link.run, vm.lead.run, vm.placer.run]
+        self.tasks[name] = [asyncio.ensure_future(work()) for work in works]
+        hub = vm.hub.run(*vm.settings.peer_address)
+        self.tasks[name].append(asyncio.ensure_future(hub))
+        self.vms[name] = vm
+
     def all_answered(self, names: list[str]) -> bool:
         """Return whether all of these have a leader that answers."""
         return all(self.vms[name].link.answer_age_s() < 0.5 for name in names)
@@ -83,6 +87,25 @@
         await until(lambda: self.cluster.all_answered(rest), 3.0)
         self.assertLess(asyncio.get_running_loop().time() - began_s, 2.0)
 
+    async def test_all_vms_killed_at_once_are_back_on_what_the_store_has(self) -> None:
+        value = json.dumps(configuration(9)).encode()
+        self.cluster.store.put("keyed.op", "config", value)
+        for name in list(self.cluster.vms):
+            await self.cluster.kill(name)
+        address = next(iter(self.cluster.vms.values())).settings.store_address
+        began_s = asyncio.get_running_loop().time()
+        for name in list(self.cluster.vms):
+            self.cluster.launch(name, address)
+        await until(
+            lambda: all(
+                vm.state.table is not None and vm.state.table.deployment.version == 9
+                for vm in self.cluster.vms.values()
+            ),
+            3.0,
+        )
+        self.assertLess(asyncio.get_running_loop().time() - began_s, 1.0)
+        await until(lambda: self.cluster.all_answered(list(self.cluster.vms)), 5.0)
+
     async def test_a_change_reaches_all_through_the_leader(self) -> None:
 
         value = json.dumps(configuration(7)).encode()
--- a/testing/vm/test_pools.py
+++ b/testing/vm/test_pools.py
@@ -1,13 +1,19 @@
 """Tests of how long connections may be idle before a request that runs once."""
 
+import json
 import unittest
 
+from _pistachiopond.http1.client import ExchangeError
+from _pistachiopond.platform.servers import decode_server
+from _pistachiopond.schema.deployment import ServiceSpec
 from _pistachiopond.vm.pools import (
+    CONNECTION_SHARE,
     MAX_IDLE_ONCE_S,
     MIN_IDLE_ONCE_S,
     ServerPools,
 )
 from testing.decisions.test_forwarding import ROUTE
+from testing.vm.test_suspects import ENTRY
 
 
 class IdleLimitTests(unittest.TestCase):
@@ -43,5 +49,21 @@
         self.assertIsNone(self.pools.max_idle_s(route, "s"))
 
 
+class ConnectionShareTests(unittest.IsolatedAsyncioTestCase):
+    async def test_all_vms_together_stay_near_what_a_server_accepts(self) -> None:
+        server = decode_server("s1", json.dumps(ENTRY).encode()).unwrap()
+        pools = ServerPools(lambda: 0.0)
+        pool = pools.of(server)
+        members, accepted = 8, 110
+        service = ServiceSpec("plain", accepted, None)
+        pools.tidy({"s1": server}, {"plain": service}, members)
+        assert pool.max_open is not None
+        self.assertLessEqual(pool.max_open * members, CONNECTION_SHARE * accepted)
+        pool.open_count = pool.max_open
+        with self.assertRaises(ExchangeError) as raised:
+            await pool.acquire()
+        self.assertEqual(raised.exception.kind, "connect")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/testing/vm/test_state.py
+++ b/testing/vm/test_state.py
@@ -146,6 +146,19 @@
             world.describe("e1", "engines", address, models=models)
             self.assertEqual((await caller).head.status, 200)
 
+    async def test_after_a_refusal_by_fence_no_more_orders_are_given(self) -> None:
+        async with running_world() as world:
+            server = await world.add_server("e1", "engines")
+            server.order_status = 412
+            caller = asyncio.ensure_future(
+                world.call("/model/x", X_Model="m1", X_Deadline_Ms="2500")
+            )
+            await until(lambda: bool(server.orders), 4.0)
+            await caller
+            await asyncio.sleep(1.0)
+            fences = [order["fence"] for order in server.orders]
+            self.assertEqual(len(set(fences)), len(fences))
+
     async def test_a_server_that_is_busy_with_an_order_is_tried_again_later(
         self,
     ) -> None:
--- a/testing/vm/test_stop.py
+++ b/testing/vm/test_stop.py
@@ -3,12 +3,27 @@
 import asyncio
 import unittest
 
+import anyio
+
+from _pistachiopond.http1.client import connect
+from _pistachiopond.http1.messages import HttpAddress, RequestHead, encode_request
 from _pistachiopond.http1.server import ServerConnection
+from _pistachiopond.vm.program import _ready_handler
 from _pistachiopond.vm.stop import LAST_STREAM_S, Stopping
-from testing.vm.deployment import running_world
+from testing.vm.deployment import listen, running_world
 from testing.vm.fake_server import hang, stream
 
 
+async def ask_ready(address: HttpAddress) -> int:
+    """Return what the balancer gets."""
+    connection = await connect(address, 1.0)
+    head = RequestHead(b"GET", b"/ready", [(b"Host", b"vm")])
+    connection.send(encode_request(head, b""))
+    status = (await connection.read_head()).status
+    connection.close()
+    return status
+
+
 class StoppingTests(unittest.IsolatedAsyncioTestCase):
     async def test_streams_that_could_outlast_the_grace_are_sent_elsewhere(
         self,
@@ -25,6 +40,16 @@
             self.assertIsNotNone(late.head.value(b"retry-after"))
             self.assertEqual((await world.call("/once/x")).head.status, 200)
 
+    async def test_a_stopping_vm_tells_the_balancer_at_once(self) -> None:
+        async with running_world() as world:
+            stopping = anyio.Event()
+            handler = _ready_handler(world.vm, stopping)
+            listening, address = await listen(handler)
+            self.addCleanup(listening.close)
+            self.assertEqual(await ask_ready(address), 200)
+            stopping.set()
+            self.assertEqual(await ask_ready(address), 503)
+
     async def test_what_is_left_at_the_end_of_the_grace_gets_an_answer(self) -> None:
         async with running_world() as world:
             server = await world.add_server("s1", "plain")
