Simpler: one greeting line, totals that hold doubts, and code nobody used is gone

Found when the whole change was read once more; behaviour stays as it is. - A member says up to where it knows the store's topics in a line of its own at the start of a connection, not in each report, so that the hub needs no state for it. - Servers that half of the members doubt are part of the sums over members, not counted anew at each wake of the planner; a wake without a waiting adapter between two ticks builds no inputs for a plan. - Whether the leader may give tokens is a yes or no, not a share that was 0 or 1. - An order knows the board it was planned on, instead of looking for its model in the boards of all services. - Gone: an event type and the offset of a failed call that nobody read, with the parsing that turned a malformed offset into 0; the fence in the leader's answers. - Tests: one server's entry, one start of a VM's parts and the product's own whole response stand once each.

--- a/src/_pistachiopond/decisions/event_stream.py
+++ b/src/_pistachiopond/decisions/event_stream.py
@@ -1,6 +1,6 @@
 """Cuts a server-sent event stream into whole events, so that it can be resumed."""
 
-from typing import Final, NamedTuple, final
+from typing import Final, final
 
 MAX_EVENT_BYTES: Final = 1024 * 1024
 
@@ -9,21 +9,6 @@
     """The events are not the ones that follow those before."""
 
 
-class EventBlock(NamedTuple):
-    """One event as it was received.
-
-    Attributes
-    ----------
-    raw : bytes
-        With the empty line at its end.
-    event_id : int or None
-        None where it has none.
-    """
-
-    raw: bytes
-    event_id: int | None
-
-
 @final
 class EventCutter:
     """Holds back the event that has not ended yet, and checks the order."""
--- a/src/_pistachiopond/platform/store.py
+++ b/src/_pistachiopond/platform/store.py
@@ -30,15 +30,12 @@
         is no longer kept), ``moved`` (the log has grown) or ``malformed``.
     detail : str
         For the log.
-    offset : int
-        The first offset kept for ``expired``, the end for ``moved``.
     """
 
     kind: Literal[
         "unreachable", "lost", "refused", "absent", "expired", "moved", "malformed"
     ]
     detail: str
-    offset: int = 0
 
 
 class KeyedRecord(NamedTuple):
@@ -209,19 +206,12 @@
     if status == 404:
         return Err(StoreFailure("absent", detail))
     if status == 410:
-        return Err(StoreFailure("expired", detail, _number(reply.body, "first")))
+        return Err(StoreFailure("expired", detail))
     if status == 412:
-        return Err(StoreFailure("moved", detail, _number(reply.body, "end")))
+        return Err(StoreFailure("moved", detail))
     return Err(StoreFailure("refused", detail))
 
 
-def _number(body: bytes, name: str) -> int:
-    try:
-        return int(json.loads(body)[name])
-    except (KeyError, TypeError, ValueError):
-        return 0
-
-
 def _decode_newest(
     body: bytes,
 ) -> Result[tuple[list[KeyedRecord], bool, int], StoreFailure]:
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -39,8 +39,7 @@
     requests lack and what is given back; `load` the requests in progress at each
     server, `runs` those for each of its models; `doubtful` the servers that have
     failed this VM lately; `cut_off` the requests whose server ended the connection,
-    each with the server and its incarnation; `cleared` suspected ones that ran well;
-    `known` up to where each topic of the store is known, -1 for not at all.
+    each with the server and its incarnation; `cleared` suspected ones that ran well.
     """
 
     member: str
@@ -52,7 +51,6 @@
     doubtful: list[str]
     cut_off: list[tuple[str, str, int]]
     cleared: list[str]
-    known: dict[str, int]
 
 
 class LeaderAnswer(TypedDict):
@@ -65,7 +63,6 @@
 
     number: int
     leads: bool
-    fence: int
     given: dict[str, float]
     load: dict[str, int]
     members: int
@@ -112,8 +109,13 @@
 
 
 class MemberMessage(TypedDict, total=False):
-    """One line from a member: its report, or something that cannot wait for it."""
+    """One line from a member: its report, or something that cannot wait for it.
+
+    `known` begins a connection: up to where each topic of the store is known, -1 for
+    not at all.
+    """
 
+    known: dict[str, int]
     report: MemberReport
     pace: PaceQuestion
     lack: Lack
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -131,7 +131,6 @@
         self._load_when_sent = load
         self._is_last = is_last
         self._sent_s = 0.0
-        self._first_chunk_s = 0.0
         self._first_event_s = 0.0
         self.may_have_run = False
 
@@ -241,15 +240,14 @@
     ) -> Outcome:
         responder = self._responder
         loop = asyncio.get_running_loop()
-        sent_s = last_s = loop.time()
+        head_s = last_s = loop.time()
         longest_s = 0.0
-        tokens = self._admitted.caller.prompt_tokens
+        unread_tokens = self._admitted.caller.prompt_tokens
         while chunk := await connection.read_chunk():
             now_s = loop.time()
-            if self._first_chunk_s == 0.0:
-                self._first_chunk_s = now_s
-                if tokens:
-                    self._on_read(self._server, tokens, now_s - self._sent_s)
+            if unread_tokens:
+                self._on_read(self._server, unread_tokens, now_s - self._sent_s)
+                unread_tokens = None
             if responder.has_begun:
                 longest_s = max(longest_s, now_s - last_s)
             last_s = now_s
@@ -266,7 +264,7 @@
         if not responder.has_begun:
             await responder.begin(head.status, answer_headers(head), None)
         await responder.end()
-        self._log_if_late(longest_s, sent_s)
+        self._log_if_late(longest_s, head_s)
         return DELIVERED
 
     def _log_if_late(self, longest_pause_s: float, head_s: float) -> None:
--- a/src/_pistachiopond/vm/hub.py
+++ b/src/_pistachiopond/vm/hub.py
@@ -86,7 +86,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._giver: UsageGiver | None = None
         self._giver_fence = -1
-        self._totals = Totals({}, {}, {})
+        self._totals = Totals({}, {}, {}, frozenset())
         self._totals_s = float("-inf")
         self._lacks: dict[str, list[WantedModel]] = {}
         self._crashes = CrashCounts()
@@ -127,15 +127,6 @@
                     add_demand(self._totals.demand, wanted, ModelDemand(0.0, 1.0))
         return self._totals
 
-    def doubtful(self) -> frozenset[str]:
-        """Return the servers that half of the members or more doubt."""
-        counts: dict[str, int] = {}
-        for member in self._members.values():
-            for name in member.report["doubtful"]:
-                counts[name] = counts.get(name, 0) + 1
-        half = max(1, len(self._members) / 2)
-        return frozenset(name for name, count in counts.items() if count >= half)
-
     def drop_silent(self) -> None:
         """Forget the members that have been silent for long."""
         now_s = boot_s()
@@ -179,15 +170,11 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            is_first = True
             while line := await reader.readline():
                 decoded = decode_line(line)
                 if decoded.is_err():
                     log_trouble("report cannot be read", reason=decoded.err())
                     break
-                if is_first and "report" in decoded.ok():
-                    is_first = False
-                    self._greet(writer, decoded.ok()["report"]["known"])
                 answer = self._take(decoded.ok())
                 if answer:
                     writer.write(encode_line(answer))
@@ -203,6 +190,8 @@
 
     def _take(self, plain: dict[str, Any]) -> LeaderMessage:
         message: MemberMessage = plain  # type: ignore[assignment]
+        if "known" in message:
+            return self._greeting(message["known"])
         if "pace" in message:
             return {"paced": self._pace_prompt(message["pace"])}
         if "tokens" in message:
@@ -237,22 +226,21 @@
             "wait_s": round(paced.wait_s, 3),
         }
 
-    def _greet(self, writer: asyncio.StreamWriter, known: dict[str, int]) -> None:
-        """Tell a new member what it cannot know yet."""
+    def _greeting(self, known: dict[str, int]) -> LeaderMessage:
+        """Return what a new member cannot know yet."""
         if not self._parts.leadership.is_mine():
-            return
+            return {}
         records = [
             to_relayed(topic, record)
             for topic, shelf in self._parts.shelves.items()
             for record in shelf.records()
             if record.offset >= known.get(topic, -1)
         ]
-        message: LeaderMessage = {
+        return {
             "held": self._parts.held(),
             "records": records,
             "suspects": self._suspects([]),
         }
-        writer.write(encode_line(message))
 
     def _answer(self, report: MemberReport) -> LeaderAnswer:
         now_s = boot_s()
@@ -268,7 +256,6 @@
         return {
             "number": report["number"],
             "leads": leads,
-            "fence": -1 if leadership.claim is None else leadership.claim.fence,
             "given": self._give(report["member"], report["usage"], now_s),
             "load": self.totals().load,
             "members": len(self._members),
@@ -291,19 +278,19 @@
         if self._giver is None or self._giver_fence != leadership.claim.fence:
             self._giver = UsageGiver(now_s)
             self._giver_fence = leadership.claim.fence
-        share = self._share(now_s)
+        may_give = self._may_give(now_s)
         customers = self._parts.customers()
         given: dict[str, float] = {}
         for name, usage in usages.items():
             customer = customers.get(name)
             if customer is None or customer.rate_per_s <= 0:
                 continue
-            scaled = customer._replace(
-                rate_per_s=customer.rate_per_s * share, burst=customer.burst * share
-            )
+            if not may_give:
+                # Nothing may accrue meanwhile either.
+                customer = customer._replace(rate_per_s=0.0, burst=0.0)
             amount = self._giver.give(
                 member,
-                scaled,
+                customer,
                 UsageReport(*usage),
                 now_s,
             )
@@ -311,13 +298,12 @@
                 given[name] = round(amount, 1)
         return given
 
-    def _share(self, now_s: float) -> float:
-        """Return the part of the limits that this VM may give out.
+    def _may_give(self, now_s: float) -> bool:
+        """Return whether this VM may give out parts of the limits.
 
         Without authority another leader may have been chosen by the members that do
         not report here any more, so nothing is given unless all of them still do.
         """
         if self._parts.leadership.may_act(now_s):
-            return 1.0
-        is_split = any(now_s - m.at_s >= RECENT_S for m in self._members.values())
-        return 0.0 if is_split else 1.0
+            return True
+        return all(now_s - m.at_s < RECENT_S for m in self._members.values())
--- a/src/_pistachiopond/vm/link.py
+++ b/src/_pistachiopond/vm/link.py
@@ -195,6 +195,7 @@
                     *address, limit=MAX_LINE_BYTES
                 )
             self._writer = writer
+            writer.write(encode_line({"known": self._known()}))
             async with asyncio.TaskGroup() as group:
                 reading = group.create_task(self._read(reader))
                 group.create_task(self._report(writer, claim, reading))
@@ -252,6 +253,10 @@
                 self._take_answer(message["answer"])
         raise ConnectionResetError("the leader closed the connection")
 
+    def _known(self) -> dict[str, int]:
+        shelves = self._parts.shelves.items()
+        return {topic: shelf.proof()["next_offset"] for topic, shelf in shelves}
+
     def _make_report(self) -> MemberReport:
         parts = self._parts
         wants = self.wants
@@ -281,10 +286,6 @@
             "doubtful": sorted(parts.fleet.doubtful()),
             "cut_off": [tuple(cutoff) for cutoff in cutoffs],
             "cleared": cleared,
-            "known": {
-                topic: shelf.proof()["next_offset"]
-                for topic, shelf in parts.shelves.items()
-            },
         }
 
     def _take_answer(self, answer: LeaderAnswer) -> None:
--- a/src/_pistachiopond/vm/pacing.py
+++ b/src/_pistachiopond/vm/pacing.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 from typing import Final, final
 
-from _pistachiopond.decisions.prompt_pacing import ReadRate
+from _pistachiopond.decisions.prompt_pacing import PromptPlace, ReadRate
 from _pistachiopond.schema.caller_request import CallerRequest
 from _pistachiopond.schema.deployment import BackendServer, Route
 from _pistachiopond.schema.peer_messages import PaceAnswer, PaceQuestion
@@ -69,11 +69,11 @@
         if not tokens or route.gap_aim_s <= 0.0 or most_s <= 0.0:
             return ranked[0].server
         places = [
-            (
-                server.server_id,
-                round(self._read_s(server, tokens), 4),
-                server.slots,
-                round(bias, 2),
+            PromptPlace(
+                server_id=server.server_id,
+                read_s=round(self._read_s(server, tokens), 4),
+                slots=server.slots,
+                bias=round(bias, 2),
             )
             for server, bias in ranked
         ]
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -197,6 +197,9 @@
             for holding in board.holdings.values():
                 self._ask_if_unsure(holding, now_s)
             engines.note_use(demand, now_s)
+        waiting = [wanted for wanted in waiting_since_s if wanted.adapter]
+        if not is_tick and not waiting:
+            return
         inputs = PlanInputs(
             board=board,
             replicas=board.replicas(),
@@ -204,7 +207,7 @@
             memory=engines.memory,
             server_load=totals.load,
             runs=totals.runs,
-            doubtful=self.hub.doubtful(),
+            doubtful=totals.doubtful,
             allowance=engines.allowance,
             adapters=engines.recent_adapters,
             adapter_kept_s=self.hub.report_period_s() + ADAPTER_MARGIN_S,
@@ -213,8 +216,7 @@
             engines.memory.update(inputs.demand, now_s)
         if is_tick and now_s >= engines.plans_from_s:
             for order in plan_models(inputs, now_s):
-                self._send(board.holdings[order.server_id], order)
-        waiting = [wanted for wanted in waiting_since_s if wanted.adapter]
+                self._send(board, order)
         waiting.sort(key=lambda wanted: waiting_since_s[wanted])
         self._plan_adapters(inputs, waiting, now_s)
 
@@ -234,7 +236,7 @@
                 continue
             order = plan_adapter(inputs, wanted.model, wanted.adapter, now_s)
             if order is not None:
-                self._send(inputs.board.holdings[order.server_id], order)
+                self._send(inputs.board, order)
 
     def _ask_if_unsure(self, holding: Holding, now_s: float) -> None:
         is_unsure = not holding.is_known or holding.is_overdue(now_s)
@@ -245,9 +247,10 @@
         holding.asked_s = now_s
         self._start(self._ask(holding))
 
-    def _send(self, holding: Holding, order: ModelOrder) -> None:
+    def _send(self, board: Board, order: ModelOrder) -> None:
+        holding = board.holdings[order.server_id]
         holding.is_ordering = True
-        self._start(self._order(holding, order, self._fence))
+        self._start(self._order(board, holding, order, self._fence))
 
     def _start(self, work: "asyncio.coroutines.Coroutine[None, None, None]") -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -275,7 +278,9 @@
         self._is_changed = True
         self.wake()
 
-    async def _order(self, holding: Holding, order: ModelOrder, fence: int) -> None:
+    async def _order(
+        self, board: Board, holding: Holding, order: ModelOrder, fence: int
+    ) -> None:
         server = holding.server
         request = encode_order(order, self._parts.name, fence)
         answer = await self._call(server, request, ORDER_LIMIT_S)
@@ -294,7 +299,7 @@
             detail=answer.err() if answer.is_err() else "",
         )
         if outcome in ("accepted", "holds_already"):
-            await self._accepted(holding, order, outcome)
+            await self._accepted(board, holding, order, outcome)
         elif outcome == "fenced":
             self._parts.leadership.resign()
         elif outcome != "unanswered":
@@ -307,12 +312,11 @@
         self.wake()
 
     async def _accepted(
-        self, holding: Holding, order: ModelOrder, outcome: str
+        self, board: Board, holding: Holding, order: ModelOrder, outcome: str
     ) -> None:
         duration_s = 0.0
-        for engines in self._engines.values():
-            if order.model in engines.board.spec.models:
-                duration_s = engines.board.load_duration_s(holding, order.model)
+        if order.model in board.spec.models:
+            duration_s = board.load_duration_s(holding, order.model)
         if order.adapter and order.action == "load":
             await asyncio.sleep(ADAPTER_LOAD_S)
         holding.accepted(order, boot_s(), duration_s)
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -147,15 +147,15 @@
     stopping = Stopping(settings.bounds.stop_grace_s, timer.now_s)
     admission = Admission(state, usage, link, stopping)
     forward_parts = ForwardParts(
-        fleet,
-        pools,
-        link.wants,
-        retries,
-        admission.refund,
-        stopping,
-        load_s,
-        suspects,
-        link.pacing,
+        fleet=fleet,
+        pools=pools,
+        wants=link.wants,
+        retries=retries,
+        refund=admission.refund,
+        stopping=stopping,
+        load_s=load_s,
+        suspects=suspects,
+        pacing=link.pacing,
     )
     front = Front(admission, forward_parts, FrontMetrics.make(metrics))
     followers = tuple(
--- a/src/_pistachiopond/vm/totals.py
+++ b/src/_pistachiopond/vm/totals.py
@@ -1,5 +1,6 @@
 """What the leader knows of requests in progress, over all members."""
 
+from collections import Counter
 from typing import NamedTuple
 
 from _pistachiopond.decisions.model_plan import ModelDemand
@@ -18,11 +19,14 @@
         By server and model.
     demand : dict of str to dict
         By service: what callers ask of each model and adapter.
+    doubtful : frozenset of str
+        Servers that half of the members or more doubt.
     """
 
     load: dict[str, int]
     runs: dict[tuple[str, str], int]
     demand: dict[str, dict[WantedModel, ModelDemand]]
+    doubtful: frozenset[str]
 
 
 def add_demand(
@@ -43,12 +47,16 @@
     load: dict[str, int] = {}
     runs: dict[tuple[str, str], int] = {}
     demand: dict[str, dict[WantedModel, ModelDemand]] = {}
+    doubts: Counter[str] = Counter()
     for report in reports:
         for name, count in report["load"].items():
             load[name] = load.get(name, 0) + count
+        doubts.update(report["doubtful"])
         for server, model, count in report["runs"]:
             runs[(server, model)] = runs.get((server, model), 0) + count
         for use in report["models"]:
             wanted = WantedModel(use["service"], use["model"], use["adapter"])
             add_demand(demand, wanted, ModelDemand(use["running"], use["waiting"]))
-    return Totals(load, runs, demand)
+    half = max(1, len(reports) / 2)
+    doubtful = frozenset(name for name, count in doubts.items() if count >= half)
+    return Totals(load, runs, demand, doubtful)
--- a/testing/vm/deployment.py
+++ b/testing/vm/deployment.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
-from typing import Any, NamedTuple, final
+from typing import Any, Final, final
 
 from _pistachiopond.http1.client import ClientConnection, connect
 from _pistachiopond.http1.messages import (
     HttpAddress,
     RequestHead,
-    ResponseHead,
+    WholeResponse,
     encode_request,
 )
 from _pistachiopond.http1.server import (
@@ -26,6 +26,7 @@
 from testing.vm.fake_server import FakeServer
 from testing.vm.fake_store import FakeStore
 
+MAX_BODY_BYTES: Final = 10_000_000
 LIMITS = ServerLimits(16_384, 1_000_000, 2.0, 15.0)
 BOUNDS = VmBounds(
     revoke_s=5.0,
@@ -104,11 +105,21 @@
     }
 
 
-class Answer(NamedTuple):
-    """What a caller got."""
-
-    head: ResponseHead
-    body: bytes
+def server_entry(service: str, address: str, **more: Any) -> bytes:
+    """Return a server's entry as it writes it to the store."""
+    entry = {
+        "service": service,
+        "address": address,
+        "zone": "here",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "born": 1_000,
+        "sequence": 1,
+        "models": [],
+        **more,
+    }
+    return json.dumps(entry).encode()
 
 
 @final
@@ -137,33 +148,20 @@
         self, server_id: str, service: str, address: HttpAddress, **more: Any
     ) -> None:
         """Write a server's entry."""
-        entry = {
-            "service": service,
-            "address": f"{address.ip}:{address.port}",
-            "zone": "here",
-            "version": "v1",
-            "slots": 4,
-            "state": "ready",
-            "born": 1_000,
-            "sequence": 1,
-            "models": [],
-            **more,
-        }
-        self.store.put("keyed.servers", server_id, json.dumps(entry).encode())
+        entry = server_entry(service, f"{address.ip}:{address.port}", **more)
+        self.store.put("keyed.servers", server_id, entry)
 
     def configure(self, plain: dict[str, Any]) -> None:
         """Write a configuration."""
         self.store.put("keyed.op", "config", json.dumps(plain).encode())
 
-    async def call(self, path: str, **headers: str) -> Answer:
+    async def call(self, path: str, **headers: str) -> WholeResponse:
         """Send a request on a connection of its own and return the whole answer."""
         connection = await self.send(path, **headers)
         head = await connection.read_head()
-        chunks = []
-        while chunk := await connection.read_chunk():
-            chunks.append(chunk)
+        body = await connection.read_body(MAX_BODY_BYTES)
         connection.close()
-        return Answer(head, b"".join(chunks))
+        return WholeResponse(head, body)
 
     async def send(self, path: str, **headers: str) -> ClientConnection:
         """Send a request and return its connection."""
@@ -240,6 +238,14 @@
     )
 
 
+def start_vm(vm: Vm) -> "list[asyncio.Task[None]]":
+    """Start the parts that make VMs a deployment; callers are not listened for."""
+    works: list[Coroutine[Any, Any, None]] = [f.run() for f in vm.followers]
+    works += [vm.link.run(), vm.lead.run(), vm.placer.run()]
+    works.append(vm.hub.run(*vm.settings.peer_address))
+    return [asyncio.ensure_future(work) for work in works]
+
+
 async def _settle_crashes(vm: Vm) -> None:
     while True:
         vm.hub.settle_crashes()
@@ -255,11 +261,7 @@
     front, address = await listen(vm.front.handle)
     world = World(vm, store, address)
     world.configure(configuration(1))
-    works: list[Callable[[], Awaitable[None]]] = [f.run for f in vm.followers]
-    works += [vm.link.run, vm.lead.run, vm.placer.run]
-    works.append(lambda: _settle_crashes(vm))
-    tasks = [asyncio.ensure_future(work()) for work in works]
-    tasks.append(asyncio.ensure_future(vm.hub.run(*vm.settings.peer_address)))
+    tasks = [*start_vm(vm), asyncio.ensure_future(_settle_crashes(vm))]
     try:
         await until(lambda: vm.state.table is not None and vm.link.answer_age_s() < 1.0)
         yield world
--- a/testing/vm/test_hub.py
+++ b/testing/vm/test_hub.py
@@ -6,11 +6,7 @@
 from _pistachiopond.decisions.leadership import Claim, Leadership
 from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import CustomerSpec
-from _pistachiopond.schema.peer_messages import (
-    LeaderMessage,
-    MemberReport,
-    decode_line,
-)
+from _pistachiopond.schema.peer_messages import MemberReport
 from _pistachiopond.vm import hub as hub_module
 from _pistachiopond.vm.hub import Hub, HubParts
 from _pistachiopond.vm.relay import TopicShelf, TopicView
@@ -31,7 +27,6 @@
         "doubtful": [],
         "cut_off": [],
         "cleared": [],
-        "known": {},
     }
 
 
@@ -101,16 +96,6 @@
             self.assertLessEqual(spent, allowed)
 
 
-class Lines:
-    """What a hub writes to one member."""
-
-    def __init__(self) -> None:
-        self.messages: list[LeaderMessage] = []
-
-    def write(self, line: bytes) -> None:
-        self.messages.append(decode_line(line).unwrap())
-
-
 class GreetingTests(unittest.TestCase):
     def test_a_member_is_told_only_what_it_cannot_know(self) -> None:
         shelf = TopicShelf(TopicView(lambda record: True, lambda at_s: None))
@@ -123,9 +108,8 @@
         claim = Claim(0, "vm-0", "vm-0", "127.0.0.1:1")
         leadership.claimed(claim, 0.0, has_resigned=True)
         for known, expected in ((3, ["s3", "s4"]), (-1, [f"s{n}" for n in range(5)])):
-            lines = Lines()
-            hub._greet(lines, {"servers": known})  # type: ignore[arg-type]
-            keys = [record["key"] for record in lines.messages[0]["records"]]
+            greeting = hub._greeting({"servers": known})
+            keys = [record["key"] for record in greeting["records"]]
             self.assertEqual(keys, expected)
 
 
--- a/testing/vm/test_lead.py
+++ b/testing/vm/test_lead.py
@@ -7,7 +7,13 @@
 from _pistachiopond.http1.messages import HttpAddress
 from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.vm.program import Vm, make_vm
-from testing.vm.deployment import configuration, listen, make_settings, until
+from testing.vm.deployment import (
+    configuration,
+    listen,
+    make_settings,
+    start_vm,
+    until,
+)
 from testing.vm.fake_store import FakeStore
 
 
@@ -32,11 +38,7 @@
     def launch(self, name: str, store: HttpAddress) -> None:
         """Start a VM that knows nothing but the store."""
         vm = make_vm(make_settings(store, name), Metrics())
-        works = [f.run for f in vm.followers]
-        works += [vm.link.run, vm.lead.run, vm.placer.run]
-        self.tasks[name] = [asyncio.ensure_future(work()) for work in works]
-        hub = vm.hub.run(*vm.settings.peer_address)
-        self.tasks[name].append(asyncio.ensure_future(hub))
+        self.tasks[name] = start_vm(vm)
         self.vms[name] = vm
 
     def all_answered(self, names: list[str]) -> bool:
--- a/testing/vm/test_pools.py
+++ b/testing/vm/test_pools.py
@@ -1,6 +1,5 @@
 """Tests of how long connections may be idle before a request that runs once."""
 
-import json
 import unittest
 
 from _pistachiopond.http1.client import ExchangeError
@@ -13,7 +12,7 @@
     ServerPools,
 )
 from testing.decisions.test_forwarding import ROUTE
-from testing.vm.test_suspects import ENTRY
+from testing.vm.deployment import server_entry
 
 
 class IdleLimitTests(unittest.TestCase):
@@ -51,7 +50,7 @@
 
 class ConnectionShareTests(unittest.IsolatedAsyncioTestCase):
     async def test_all_vms_together_stay_near_what_a_server_accepts(self) -> None:
-        server = decode_server("s1", json.dumps(ENTRY).encode()).unwrap()
+        server = decode_server("s1", server_entry("plain", "10.0.0.1:80")).unwrap()
         pools = ServerPools(lambda: 0.0)
         pool = pools.of(server)
         members, accepted = 8, 110
--- a/testing/vm/test_relay.py
+++ b/testing/vm/test_relay.py
@@ -1,6 +1,5 @@
 """Tests of what the leader passes on of the store's records."""
 
-import json
 import unittest
 from unittest.mock import patch
 
@@ -8,6 +7,7 @@
 from _pistachiopond.vm import fleet as fleet_module
 from _pistachiopond.vm.fleet import LAPSE_HEARTBEATS, Fleet
 from _pistachiopond.vm.relay import TopicShelf, TopicView
+from testing.vm.deployment import server_entry
 
 HEARTBEAT_S = 1.0
 
@@ -27,18 +27,9 @@
     def write(self, **fields: object) -> int:
         """Apply the next record of one server; return how many were passed on."""
         self.offset += 1
-        entry = {
-            "service": "plain",
-            "address": "10.0.0.1:80",
-            "zone": "here",
-            "slots": 4,
-            "state": "ready",
-            "born": 1,
-            "sequence": self.offset,
-            "models": [],
-            **fields,
-        }
-        value = json.dumps(entry).encode() if fields != {"gone": True} else b""
+        more = {"sequence": self.offset, **fields}
+        entry = server_entry("plain", "10.0.0.1:80", **more)
+        value = b"" if fields == {"gone": True} else entry
         self.shelf.apply(KeyedRecord(self.offset, "s1", value))
         count = len(self.relayed)
         self.relayed.clear()
@@ -49,7 +40,7 @@
         self.assertEqual([self.write() for _ in range(5)], [0] * 5)
         self.assertEqual(self.write(state="draining"), 1)
         self.assertEqual(self.write(state="draining"), 0)
-        self.assertEqual(self.write(born=2), 1)
+        self.assertEqual(self.write(born=2_000), 1)
         self.assertEqual(self.write(gone=True), 1)
         self.assertEqual(self.write(gone=True), 0)
         self.assertEqual(self.write(), 1)
--- a/testing/vm/test_suspects.py
+++ b/testing/vm/test_suspects.py
@@ -1,6 +1,5 @@
 """Tests of requests that crash the servers that run them."""
 
-import json
 import unittest
 from unittest.mock import patch
 
@@ -9,20 +8,9 @@
 from _pistachiopond.platform.servers import decode_server
 from _pistachiopond.vm import suspects as suspects_module
 from _pistachiopond.vm.suspects import MOST_REMEMBERED, REMEMBERED_S, Suspects
-from testing.vm.deployment import World, running_world, until
+from testing.vm.deployment import World, running_world, server_entry, until
 from testing.vm.fake_server import FakeServer, break_connection
 
-ENTRY = {
-    "service": "plain",
-    "address": "10.0.0.1:80",
-    "zone": "here",
-    "slots": 4,
-    "state": "ready",
-    "born": 1,
-    "sequence": 1,
-    "models": [],
-}
-
 
 async def crash(world: World, server: FakeServer, path: str, started_ms: int) -> int:
     """Let the request at `path` crash the server; return the caller's answer."""
@@ -84,7 +72,7 @@
 
 class RememberedTests(unittest.TestCase):
     def test_old_ones_make_room_for_new_ones(self) -> None:
-        server = decode_server("s1", json.dumps(ENTRY).encode()).unwrap()
+        server = decode_server("s1", server_entry("plain", "10.0.0.1:80")).unwrap()
         now_s = [0.0]
         with patch.object(suspects_module, "boot_s", lambda: now_s[0]):
             suspects = Suspects()
