--- a/src/_pistachiopond/decisions/leadership.py
+++ b/src/_pistachiopond/decisions/leadership.py
@@ -5,11 +5,18 @@
 Leases are not renewed: a leader keeps reading the log and stops acting as soon as its
 last read is too old. If that lasts longer, it gives up and acts again only after a new
 claim. A new leader waits until its predecessor must have stopped, unless the
-predecessor has resigned. The offset of the claim is the fencing token.
+predecessor has resigned. The position of the claim is the fencing token.
+
+When the store comes back from an older copy, claims may be lost and their offsets are
+given out again. So a claim holds only in the store's era in which it was made; the
+leader stops acting and claims again. Another VM may have claimed in the lost records,
+so the first claim of an era waits like that of any successor.
 """
 
 from typing import Final, NamedTuple, final
 
+from _pistachiopond.schema.store_position import StorePosition, fencing_token
+
 # A leader acts only while its last read of the claims is younger than this.
 AUTHORITY_S: Final = 1.0
 # How long a new leader waits; longer than AUTHORITY_S to allow for clock rate errors.
@@ -35,8 +42,8 @@
 
     Attributes
     ----------
-    fence : int
-        The offset of its record; the fencing token.
+    position : StorePosition
+        The offset of its record, in the era that its writer knew.
     leader : str
         The name of the VM.
     incarnation : str
@@ -45,11 +52,16 @@
         The address at which other VMs reach it.
     """
 
-    fence: int
+    position: StorePosition
     leader: str
     incarnation: str
     address: str
 
+    @property
+    def fence(self) -> int:
+        """The fencing token."""
+        return fencing_token(self.position)
+
 
 @final
 class Leadership:
@@ -65,10 +77,10 @@
         preference : float
             0 for the VM that should claim first, up to 1 for the last.
         """
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._preference = preference
         self.claim: Claim | None = None
-        self.end_offset: int | None = None
+        self.end: StorePosition | None = None
         self._read_s = float("-inf")
         self._authority_start_s = float("inf")
         self._leader_lost_s: float | None = None
@@ -76,36 +88,38 @@
         self._claim_sent_s = float("-inf")
         self._claim_pause_s = CLAIM_PAUSE_S
         self._has_given_up = False
+        self._denied_fence = -1
         self._spread_s = CLAIM_SPREAD_S
 
     def set_members(self, members: int) -> None:
         """Set the number of VMs, which determines how far claims are spread."""
         self._spread_s = max(CLAIM_SPREAD_S, CLAIM_SPREAD_PER_VM_S * members)
 
-    def read(self, claim: Claim | None, end_offset: int, sent_s: float) -> None:
+    def read(self, claim: Claim | None, end: StorePosition, sent_s: float) -> None:
         """Process a read of the claims.
 
         Parameters
         ----------
         claim : Claim or None
             The newest claim; None if there is none.
-        end_offset : int
+        end : StorePosition
             The log's end at that read.
         sent_s : float
             When the read was sent.
         """
-        if self.end_offset is not None and end_offset < self.end_offset:
+        if self.end is not None and end < self.end:
             return
-        self.end_offset = end_offset
+        self.end = end
         self._read_s = max(self._read_s, sent_s)
         if claim is None or (
-            self.claim is not None and claim.fence <= self.claim.fence
+            self.claim is not None and claim.position <= self.claim.position
         ):
             return
         was_mine = self.is_mine()
         self.claim = claim
         if self.is_mine() and not was_mine:
             self._authority_start_s = sent_s + HANDOVER_S
+            self._has_given_up = claim.fence <= self._denied_fence
         self._leader_lost_s = None
 
     def claimed(self, claim: Claim, sent_s: float, *, has_resigned: bool) -> None:
@@ -123,22 +137,36 @@
         if sent_s - self._claimed_s < 2 * MAX_CLAIM_PAUSE_S:
             self._claim_pause_s = min(MAX_CLAIM_PAUSE_S, 2 * self._claim_pause_s)
         self._claimed_s = sent_s
-        needs_no_handover = self.claim is None or has_resigned
+        era, offset = claim.position
+        if self.claim is None:
+            # An older copy of the store may lack the claim of a VM that still acts.
+            needs_no_handover = era == 0
+        else:
+            needs_no_handover = has_resigned and self.claim.position.era == era
         self.claim = claim
-        self._has_given_up = False
-        self.end_offset = claim.fence + 1
+        self._has_given_up = claim.fence <= self._denied_fence
+        self.end = StorePosition(era, offset + 1)
         self._read_s = sent_s
         self._authority_start_s = sent_s if needs_no_handover else sent_s + HANDOVER_S
 
     def is_mine(self) -> bool:
         """Return whether the newest known claim is this process's."""
-        return self.claim is not None and self.claim.incarnation == self._incarnation
+        return self.claim is not None and self.claim.incarnation == self.incarnation
+
+    def is_void(self) -> bool:
+        """Return whether the newest known claim is of an earlier era of the store."""
+        return (
+            self.claim is not None
+            and self.end is not None
+            and self.claim.position.era < self.end.era
+        )
 
     def may_act(self, now_s: float) -> bool:
         """Return whether this VM may send orders and divide limits now."""
         return (
             self.has_taken_over(now_s)
             and not self._has_given_up
+            and not self.is_void()
             and now_s - self._read_s < AUTHORITY_S
         )
 
@@ -167,12 +195,13 @@
         has_resigned : bool
             Whether the known leader itself has confirmed that it resigned.
         """
-        if self.end_offset is None or (self.is_mine() and not self._has_given_up):
+        if self.end is None or now_s - self._claim_sent_s < TRY_PAUSE_S:
             return False
+        if self.is_mine() and not self._has_given_up:
+            # Members still follow this VM, so it renews a void claim at once.
+            return self.is_void()
         if now_s - self._claimed_s < self._claim_pause_s:
             return False
-        if now_s - self._claim_sent_s < TRY_PAUSE_S:
-            return False
         spread_s = self._preference * self._spread_s
         if self.claim is None or has_resigned:
             since_s = self._leader_lost_s if self._leader_lost_s is not None else now_s
@@ -195,6 +224,14 @@
             self._has_given_up = True
         return self.is_mine() and not self._has_given_up
 
+    def deny(self, fence: int) -> None:
+        """Record that another VM was told that this one does not lead by a claim.
+
+        That VM may claim and act at once, so this one must not act on the denied claim
+        if it learns only later that the store has appended it.
+        """
+        self._denied_fence = max(self._denied_fence, fence)
+
     def resign(self) -> None:
         """Stop acting on the present claim, regardless of later reads."""
         self._has_given_up = True
--- a/src/_pistachiopond/platform/store.py
+++ b/src/_pistachiopond/platform/store.py
@@ -4,17 +4,22 @@
 import json
 import struct
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, Final, Literal, NamedTuple
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
 
 from _pistachiopond.http1.messages import CompleteResponse, Request, RequestHead
+from _pistachiopond.schema.store_position import StorePosition
 
 OPERATOR_TOPIC: Final = "keyed.op"
 SERVERS_TOPIC: Final = "keyed.servers"
 OWN_TOPIC: Final = "keyed.pond"
 
+# Rises by one whenever the store comes back from an older copy; in every answer.
+_ERA_HEADER: Final = b"store-era"
+
 _LENGTH: Final = struct.Struct(">I")
 _OFFSETS: Final = struct.Struct(">QQ")
 
@@ -27,16 +32,27 @@
     kind : str
         ``unreachable`` (nothing was sent), ``lost`` (no complete response; a write may
         take effect now or later), ``refused`` (not executed), ``absent`` (no such
-        topic), ``expired`` (the offset is no longer kept), ``moved`` (the log no
-        longer ends at the expected offset) or ``malformed``.
+        topic), ``expired`` (the store does not have the offset), ``moved`` (the log
+        no longer ends at the expected offset), ``restored`` (the store has come back
+        from an older copy, so the position means nothing any more) or ``malformed``.
     detail : str
         Description for the log.
+    era : int
+        The store's era in the answer; 0 without an answer.
     """
 
     kind: Literal[
-        "unreachable", "lost", "refused", "absent", "expired", "moved", "malformed"
+        "unreachable",
+        "lost",
+        "refused",
+        "absent",
+        "expired",
+        "moved",
+        "restored",
+        "malformed",
     ]
     detail: str
+    era: int = 0
 
 
 class KeyedRecord(NamedTuple):
@@ -44,35 +60,35 @@
 
     Attributes
     ----------
-    offset : int
-        Its offset in the topic.
+    position : StorePosition
+        Its position in the topic.
     key : str
         Identifies what the record describes.
     value : bytes
         The content; empty if the key was deleted.
     """
 
-    offset: int
+    position: StorePosition
     key: str
     value: bytes
 
 
 class TailPage(NamedTuple):
-    """The result of a read from an offset on.
+    """The result of a read from a position on.
 
     Attributes
     ----------
     records : tuple of KeyedRecord
         In the order of their offsets; empty if none was written in time.
-    next_offset : int
-        The offset to read next.
-    end : int
-        The offset after the newest record.
+    next_position : StorePosition
+        The position to read next, in the era of the position that was read.
+    end : StorePosition
+        The position after the newest record.
     """
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
-    end: int
+    next_position: StorePosition
+    end: StorePosition
 
 
 class Snapshot(NamedTuple):
@@ -82,12 +98,12 @@
     ----------
     records : tuple of KeyedRecord
         The records that the topic keeps.
-    end : int
-        An offset to read on from without missing newer records.
+    end : StorePosition
+        A position to read on from without missing newer records.
     """
 
     records: tuple[KeyedRecord, ...]
-    end: int
+    end: StorePosition
 
 
 Call = Callable[[Request, float], Awaitable[Result[CompleteResponse, StoreFailure]]]
@@ -99,45 +115,57 @@
     Attributes
     ----------
     read_tail : callable
-        ``read_tail(topic, offset, wait_s, timeout_s)`` reads records from an offset on,
-        and waits up to `wait_s` for the first.
+        ``read_tail(topic, position, wait_s, timeout_s)`` reads records from a position
+        on, and waits up to `wait_s` for the first. It fails with ``restored`` if the
+        store is in a later era.
     read_newest : callable
         ``read_newest(topic, timeout_s)`` reads the newest record of each key.
     append : callable
-        ``append(topic, key, value, at_offset, timeout_s)`` appends a record if the
-        topic ends at that offset, and returns the record's offset.
+        ``append(topic, key, value, at, timeout_s)`` appends a record if the topic ends
+        at the offset of `at`, and returns the record's position. The store does not
+        compare the era, so the position returned may be of a later one than `at`.
     """
 
     read_tail: Callable[
-        [str, int, float, float], Awaitable[Result[TailPage, StoreFailure]]
+        [str, StorePosition, float, float], Awaitable[Result[TailPage, StoreFailure]]
     ]
     read_newest: Callable[[str, float], Awaitable[Result[Snapshot, StoreFailure]]]
     append: Callable[
-        [str, str, bytes, int, float], Awaitable[Result[int, StoreFailure]]
+        [str, str, bytes, StorePosition, float],
+        Awaitable[Result[StorePosition, StoreFailure]],
     ]
 
 
+class _Answer(NamedTuple):
+    body: bytes
+    era: int
+
+
 def make_store_client(call: Call) -> StoreClient:
     """Return a client that uses `call` to send each HTTP request."""
 
     async def read_tail(
-        topic: str, offset: int, wait_s: float, timeout_s: float
+        topic: str, position: StorePosition, wait_s: float, timeout_s: float
     ) -> Result[TailPage, StoreFailure]:
-        query = {"topic": topic, "part": 0, "from": offset}
+        query = {"topic": topic, "part": 0, "from": position.offset}
         query["waitMs"] = int(wait_s * 1000)
         reply = await call(_get("/log-read", query), timeout_s)
-        return reply.and_then(_check_status).and_then(
-            lambda body: decode_tail(body, offset)
+        return (
+            reply.and_then(partial(_check_era, expected=position.era))
+            .and_then(_check_status)
+            .and_then(lambda answer: decode_tail(answer.body, position))
         )
 
     async def read_newest(
         topic: str, timeout_s: float
     ) -> Result[Snapshot, StoreFailure]:
         records: list[KeyedRecord] = []
-        end: int | None = None
+        end: StorePosition | None = None
         query: dict[str, Any] = {"topic": topic, "part": 0}
         while True:
             reply = await call(_get("/log-newest", query), timeout_s)
+            if end is not None:
+                reply = reply.and_then(partial(_check_era, expected=end.era))
             page = reply.and_then(_check_status).and_then(_decode_newest)
             if page.is_err():
                 return Err(page.err())
@@ -151,9 +179,9 @@
             query["after"] = items[-1].key
 
     async def append(
-        topic: str, key: str, value: bytes, at_offset: int, timeout_s: float
-    ) -> Result[int, StoreFailure]:
-        query = urlencode({"topic": topic, "part": 0, "at": at_offset})
+        topic: str, key: str, value: bytes, at: StorePosition, timeout_s: float
+    ) -> Result[StorePosition, StoreFailure]:
+        query = urlencode({"topic": topic, "part": 0, "at": at.offset})
         head = RequestHead(
             b"POST", f"/log-append?{query}".encode(), [(b"Host", b"store")]
         )
@@ -171,8 +199,9 @@
     return _LENGTH.pack(len(content)) + content
 
 
-def decode_tail(body: bytes, offset: int) -> Result[TailPage, StoreFailure]:
-    """Return the records in the body of a read from `offset` on."""
+def decode_tail(body: bytes, position: StorePosition) -> Result[TailPage, StoreFailure]:
+    """Return the records in the body of a read from `position` on."""
+    era, offset = position
     if len(body) < _OFFSETS.size:
         detail = f"the body has {len(body)} bytes, its two offsets need {_OFFSETS.size}"
         return Err(StoreFailure("malformed", detail))
@@ -185,7 +214,7 @@
         if len(content) < size:
             detail = f"the body ends after {len(content)} of a record's {size} bytes"
             return Err(StoreFailure("malformed", detail))
-        record = _decode_keyed(record_offset, content)
+        record = _decode_keyed(StorePosition(era, record_offset), content)
         if record is not None:
             records.append(record)
         position += _LENGTH.size + size
@@ -196,14 +225,18 @@
             "of a record's length"
         )
         return Err(StoreFailure("malformed", detail))
-    return Ok(TailPage(tuple(records), record_offset, end))
+    return Ok(
+        TailPage(
+            tuple(records), StorePosition(era, record_offset), StorePosition(era, end)
+        )
+    )
 
 
-def _decode_keyed(offset: int, content: bytes) -> KeyedRecord | None:
+def _decode_keyed(position: StorePosition, content: bytes) -> KeyedRecord | None:
     if not content or len(content) < 1 + content[0]:
         return None
     key = content[1 : 1 + content[0]].decode("utf-8", "replace")
-    return KeyedRecord(offset, key, content[1 + content[0] :])
+    return KeyedRecord(position, key, content[1 + content[0] :])
 
 
 def _get(path: str, query: dict[str, Any]) -> Request:
@@ -211,38 +244,81 @@
     return Request(RequestHead(b"GET", target, [(b"Host", b"store")]), b"")
 
 
-def _check_status(reply: CompleteResponse) -> Result[bytes, StoreFailure]:
+def _era_of(reply: CompleteResponse) -> int:
+    """Return the store's era; 0 for a store that does not send it.
+
+    Raises
+    ------
+    ValueError
+        When the header is not a whole number.
+    """
+    value = reply.head.value(_ERA_HEADER)
+    if value is None:
+        return 0
+    text = value.decode("latin-1").strip()
+    if not text.isdecimal():
+        raise ValueError(f"the store's era is not a whole number: {text!r}")
+    return int(text)
+
+
+def _check_era(
+    reply: CompleteResponse, expected: int
+) -> Result[CompleteResponse, StoreFailure]:
+    """Return the reply if it is of the expected era, otherwise a failure."""
+    try:
+        era = _era_of(reply)
+    except ValueError as error:
+        return Err(StoreFailure("malformed", str(error)))
+    if era > expected:
+        detail = f"the store is in era {era}, the position is of era {expected}"
+        return Err(StoreFailure("restored", detail, era))
+    if era < expected:
+        detail = f"the answer is of era {era}, the position is of era {expected}"
+        return Err(StoreFailure("lost", detail, era))
+    return Ok(reply)
+
+
+def _check_status(reply: CompleteResponse) -> Result[_Answer, StoreFailure]:
+    try:
+        era = _era_of(reply)
+    except ValueError as error:
+        return Err(StoreFailure("malformed", str(error)))
     status = reply.head.status
     if status == 200:
-        return Ok(reply.body)
+        return Ok(_Answer(reply.body, era))
     detail = f"status {status}: {reply.body[:200].decode('utf-8', 'replace')}"
     if status == 404:
-        return Err(StoreFailure("absent", detail))
+        return Err(StoreFailure("absent", detail, era))
     if status == 410:
-        return Err(StoreFailure("expired", detail))
+        return Err(StoreFailure("expired", detail, era))
     if status == 412:
-        return Err(StoreFailure("moved", detail))
-    return Err(StoreFailure("refused", detail))
+        return Err(StoreFailure("moved", detail, era))
+    return Err(StoreFailure("refused", detail, era))
 
 
 def _decode_newest(
-    body: bytes,
-) -> Result[tuple[list[KeyedRecord], bool, int], StoreFailure]:
+    answer: _Answer,
+) -> Result[tuple[list[KeyedRecord], bool, StorePosition], StoreFailure]:
     try:
-        plain = json.loads(body)
+        plain = json.loads(answer.body)
         records = [
             KeyedRecord(
-                int(item["offset"]), item["key"], base64.b64decode(item["value"])
+                StorePosition(answer.era, int(item["offset"])),
+                item["key"],
+                base64.b64decode(item["value"]),
             )
             for item in plain["items"]
         ]
-        return Ok((records, bool(plain["more"]), int(plain["end"])))
+        end = StorePosition(answer.era, int(plain["end"]))
+        return Ok((records, bool(plain["more"]), end))
     except (KeyError, TypeError, ValueError) as error:
-        return Err(StoreFailure("malformed", f"{type(error).__name__}: {error}"))
+        detail = f"{type(error).__name__}: {error}"
+        return Err(StoreFailure("malformed", detail, answer.era))
 
 
-def _decode_append(body: bytes) -> Result[int, StoreFailure]:
+def _decode_append(answer: _Answer) -> Result[StorePosition, StoreFailure]:
     try:
-        return Ok(int(json.loads(body)["offset"]))
+        return Ok(StorePosition(answer.era, int(json.loads(answer.body)["offset"])))
     except (KeyError, TypeError, ValueError) as error:
-        return Err(StoreFailure("malformed", f"{type(error).__name__}: {error}"))
+        detail = f"{type(error).__name__}: {error}"
+        return Err(StoreFailure("malformed", detail, answer.era))
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -1,7 +1,7 @@
 """Messages between the VMs and their elected leader, as lines of JSON."""
 
 import json
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 from result import Err, Ok, Result
 
@@ -17,19 +17,24 @@
 
 
 class RelayedRecord(TypedDict):
-    """A record of the platform's store; the value's bytes are decoded as Latin-1."""
+    """A record of the platform's store; the value's bytes are decoded as Latin-1.
+
+    Builds that do not know eras send none, as in `TopicProof`.
+    """
 
     topic: str
     offset: int
+    era: NotRequired[int]
     key: str
     value: str
 
 
 class TopicProof(TypedDict):
-    """The age of the leader's copy of a topic, and the next offset to read."""
+    """The age of the leader's copy of a topic, and the next position to read."""
 
     age_s: float
     next_offset: int
+    era: NotRequired[int]
 
 
 class MemberReport(TypedDict):
@@ -40,11 +45,14 @@
     in progress at each server, and `runs` those for each of its models. `doubtful`
     lists the servers that failed for this VM recently. `cut_off` lists the requests
     whose server ended the connection, each with the server and its incarnation.
-    `cleared` lists suspected requests that ran without a crash.
+    `cleared` lists suspected requests that ran without a crash. `fence` is the token of
+    the claim by which the member takes the receiver for the leader; builds that do not
+    know eras send none.
     """
 
     member: str
     number: int
+    fence: NotRequired[int]
     usage: dict[str, tuple[float, float, float, float]]
     load: dict[str, int]
     models: list[ModelUse]
@@ -117,10 +125,12 @@
     """One line from a member: its report, or a message too urgent to wait for it.
 
     `known` is the first message of a connection. It has the next offset that the
-    member has to read of each store topic, or -1 if it has read none.
+    member has to read of each store topic, or -1 if it has read none; `known_eras` has
+    the eras of these offsets.
     """
 
     known: dict[str, int]
+    known_eras: dict[str, int]
     report: MemberReport
     pace: PacingRequest
     lack: ModelWait
--- a/src/_pistachiopond/vm/configuration_state.py
+++ b/src/_pistachiopond/vm/configuration_state.py
@@ -9,6 +9,7 @@
 from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import CustomerSpec, Deployment
 from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.topic_cache import REWRITE_S
 
 # Keys are refused this long before the operators' bound on a key's revocation runs out.
 REVOKE_MARGIN_S: Final = 0.3
@@ -30,6 +31,8 @@
         self.table: RouteTable | None = None
         self._limits = FIRST_LIMITS
         self._current_as_of_s = float("-inf")
+        self._complete_as_of_s = float("-inf")
+        self._complete_from_s = float("-inf")
 
     def set_revoke_s(self, revoke_s: float) -> None:
         """Set how long keys are accepted without confirmation of the configuration."""
@@ -46,7 +49,7 @@
         if decoded.is_err():
             log_warning(
                 "configuration cannot be read",
-                offset=record.offset,
+                offset=record.position.offset,
                 reason=decoded.err(),
             )
             return False
@@ -64,8 +67,18 @@
         return True
 
     def mark_current(self, at_s: float) -> None:
-        """Record that no newer version existed at `at_s`."""
+        """Record that the store had no newer version at `at_s`."""
         self._current_as_of_s = max(self._current_as_of_s, at_s)
+        if at_s >= self._complete_from_s:
+            self._complete_as_of_s = max(self._complete_as_of_s, at_s)
+
+    def store_restored(self) -> None:
+        """Record that the store has come back from an older copy.
+
+        Until the operators have written it again, the store may lack a version that
+        withdrew a key and that this VM did not receive.
+        """
+        self._complete_from_s = boot_s() + REWRITE_S
 
     def deployment(self) -> Deployment | None:
         """Return the configuration in force; None before the first."""
@@ -76,12 +89,13 @@
         return {} if self.table is None else self.table.deployment.customers
 
     def age_s(self) -> float:
-        """Return the time since the configuration was confirmed as the newest."""
+        """Return the time since the store had no newer configuration."""
         return boot_s() - self._current_as_of_s
 
     def may_use_keys(self) -> bool:
         """Return whether the configuration is current enough to accept keys."""
-        return self.age_s() < self._revoke_s - REVOKE_MARGIN_S
+        age_s = boot_s() - self._complete_as_of_s
+        return age_s < self._revoke_s - REVOKE_MARGIN_S
 
     def is_fresh(self) -> bool:
         """Return whether the configuration is current enough for new callers."""
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -14,15 +14,15 @@
 from _pistachiopond.schema.deployment import BackendServer
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.counts import decrease, increase
+from _pistachiopond.vm.topic_cache import REWRITE_S
 
-# A store outage makes the entries of running servers expire. The servers write them
-# again within two seconds of the store's return; a server whose entry is still missing
-# this long after the return has gone.
-EXPIRED_ENTRY_GRACE_S: Final = 2.2
 # A deletion read this soon after the store's return may be such an expiry.
 EXPIRY_WINDOW_S: Final = 1.0
 # Entries expire after three missed heartbeats, so a shorter outage expires none.
 EXPIRY_HEARTBEATS: Final = 3.0
+# How long removed servers are remembered. The store's copies are some seconds old, so
+# an entry of a server that was removed earlier is not in them.
+REMOVED_MEMORY_S: Final = 60.0
 # A draining server gets requests only when no other server can take them, and only
 # during this share of the operators' drain limit.
 LEAVING_USE_SHARE: Final = 0.6
@@ -76,6 +76,7 @@
         self.servers: dict[str, BackendServer] = {}
         self._by_service: dict[str, dict[str, BackendServer]] = {}
         self._expired_until_s: dict[str, float] = {}
+        self._removed_s: dict[tuple[str, int], float] = {}
         self._leaving_since_s: dict[str, float] = {}
         self._loaded_models: dict[str, LoadedModels] = {}
         self.own_load: dict[str, int] = {}
@@ -106,6 +107,27 @@
             return self._entry_deleted(record.key)
         return self._add_or_update(decoded.ok())
 
+    def apply_copied(self, record: KeyedRecord) -> bool:
+        """Apply an entry found when the store has come back from an older copy.
+
+        The entry of a server that has gone since is ignored. If the server is running,
+        it writes its entry again.
+        """
+        decoded = decode_server(record.key, record.value) if record.value else None
+        if decoded is not None and decoded.is_ok():
+            if decoded.ok().incarnation() in self._removed_s:
+                log_change("copied entry of a removed server", server=record.key)
+                return False
+        return self.apply(record)
+
+    def store_restored(self) -> None:
+        """Record that the store has come back from an older copy.
+
+        Servers whose entries the copy lacks are kept until they had time to write
+        them again.
+        """
+        self._store_returned_s = boot_s()
+
     def mark_current(self, at_s: float) -> None:
         """Record that all entries written until `at_s` have been applied."""
         if at_s - self._current_as_of_s >= self._expiry_outage_s:
@@ -119,6 +141,9 @@
         for name, until_s in list(self._expired_until_s.items()):
             if now_s >= until_s:
                 self._remove(name)
+        for incarnation, removed_s in list(self._removed_s.items()):
+            if now_s - removed_s > REMOVED_MEMORY_S:
+                del self._removed_s[incarnation]
 
     # Updates from the leader.
 
@@ -230,6 +255,10 @@
         if known is not None and known.started_ms > server.started_ms:
             return False
         is_new = known is None or known.started_ms != server.started_ms
+        if not is_new and known.is_leaving:
+            # A server that leaves does not come back without a restart. An entry that
+            # says otherwise is from an older copy of the store.
+            server = server._replace(is_leaving=True)
         if is_new or known.is_leaving != server.is_leaving:
             log_change(
                 "server seen",
@@ -247,6 +276,7 @@
         if server.is_leaving and (is_new or not known.is_leaving):
             self._leaving_since_s[server.server_id] = boot_s()
         had_expired = self._expired_until_s.pop(server.server_id, None) is not None
+        self._removed_s.pop(server.incarnation(), None)
         if known == server:
             return had_expired
         if known is not None and known.service != server.service:
@@ -260,9 +290,9 @@
         if name not in self.servers:
             return False
         if boot_s() - self._store_returned_s < EXPIRY_WINDOW_S:
-            until_s = self._store_returned_s + EXPIRED_ENTRY_GRACE_S
+            until_s = self._store_returned_s + REWRITE_S
             self._expired_until_s.setdefault(name, until_s)
-            log_change("server entry expired in a store outage", server=name)
+            log_change("server entry missing after the store's return", server=name)
             return True
         self._remove(name)
         return True
@@ -273,6 +303,7 @@
         if server is None:
             return
         log_change("server gone", server=name, service=server.service)
+        self._removed_s[server.incarnation()] = boot_s()
         self._by_service[server.service].pop(name, None)
         self._loaded_models.pop(name, None)
         self._leaving_since_s.pop(name, None)
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -25,7 +25,7 @@
 from _pistachiopond.vm.model_usage import ModelUsage
 from _pistachiopond.vm.pacing import PromptPacing
 from _pistachiopond.vm.suspects import Suspects
-from _pistachiopond.vm.topic_cache import MAX_RELAY_AGE_S, TopicCache, from_relayed
+from _pistachiopond.vm.topic_cache import TopicCache, from_relayed
 
 CONNECT_TIMEOUT_S: Final = 0.5
 # The connection is closed and opened again if a report gets no reply for this long.
@@ -202,7 +202,7 @@
                     *address, limit=MAX_LINE_BYTES
                 )
             self._writer = writer
-            writer.write(encode_line({"known": self._known_offsets()}))
+            writer.write(encode_line(self._known_positions()))
             async with asyncio.TaskGroup() as group:
                 reading = group.create_task(self._read_messages(reader))
                 group.create_task(self._send_reports(writer, claim, reading))
@@ -260,9 +260,14 @@
                 self._take_reply(message["answer"])
         raise ConnectionResetError("the leader closed the connection")
 
-    def _known_offsets(self) -> dict[str, int]:
-        topic_caches = self._deps.topic_caches.items()
-        return {topic: cache.proof()["next_offset"] for topic, cache in topic_caches}
+    def _known_positions(self) -> MemberMessage:
+        proofs = {
+            topic: cache.proof() for topic, cache in self._deps.topic_caches.items()
+        }
+        return {
+            "known": {topic: proof["next_offset"] for topic, proof in proofs.items()},
+            "known_eras": {topic: proof["era"] for topic, proof in proofs.items()},
+        }
 
     def _make_report(self) -> MemberReport:
         deps = self._deps
@@ -271,6 +276,7 @@
         return {
             "member": deps.name,
             "number": self._report_number,
+            "fence": self._connected_fence,
             "usage": {
                 name: tuple(report)
                 for name, report in deps.usage.reports(boot_s()).items()
@@ -332,11 +338,12 @@
             cache.apply(from_relayed(plain))
 
     def _take_proofs(self, reply: LeaderReply) -> None:
-        for topic, proof in reply["topics"].items():
-            cache = self._deps.topic_caches.get(topic)
-            if cache is not None:
-                cache.take_proof(proof, self._sent_s)
-        if all(proof["age_s"] < MAX_RELAY_AGE_S for proof in reply["topics"].values()):
+        are_current = [
+            cache.take_proof(reply["topics"][topic], self._sent_s)
+            for topic, cache in self._deps.topic_caches.items()
+            if topic in reply["topics"]
+        ]
+        if all(are_current):
             self._relayed_s = boot_s()
 
     def is_relayed(self) -> bool:
--- a/src/_pistachiopond/vm/leader_election.py
+++ b/src/_pistachiopond/vm/leader_election.py
@@ -1,8 +1,12 @@
 """Leader election by conditional appends to a topic of the platform's store.
 
 The store appends a claim only if the topic still ends at the offset that the claiming
-VM has read, so only one of several competing claims succeeds. The offset of the newest
-claim is the leader's fencing token.
+VM has read, so only one of several competing claims succeeds. The position of the
+newest claim is the leader's fencing token.
+
+A claim's record says in which era of the store it was made. A claim that the store
+appends only after it has come back from an older copy carries the earlier era, and no
+VM takes it for valid.
 """
 
 import json
@@ -14,6 +18,7 @@
 from _pistachiopond.decisions.leadership import Claim, Leadership
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.store import OWN_TOPIC, KeyedRecord, StoreClient
+from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.schema.vm_settings import VmSettings
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.topic_follower import page_current_as_of_s
@@ -64,6 +69,8 @@
         while True:
             if self._leadership.is_leading(boot_s()) and not self.is_stopping:
                 await self._renew_authority()
+                if self._leadership.is_void():
+                    await self._claim_if_due()
                 continue
             now_s = boot_s()
             is_lost = self._leadership.is_leader_lost()
@@ -86,33 +93,43 @@
         sent_s = self._claims_read_s = boot_s()
         result = await self._store.read_newest(OWN_TOPIC, STORE_TIMEOUT_S)
         if result.is_err():
-            if result.err().kind == "absent":
-                self._leadership.read(None, 0, sent_s)
+            failure = result.err()
+            if failure.kind == "absent":
+                self._record_claim(None, StorePosition(failure.era, 0), sent_s)
             return
         snapshot = result.ok()
         self._record_claim(_newest_claim(snapshot.records), snapshot.end, sent_s)
 
     async def _renew_authority(self) -> None:
-        offset = self._leadership.end_offset
-        assert offset is not None
+        position = self._leadership.end
+        assert position is not None
         sent_s = boot_s()
         result = await self._store.read_tail(
-            OWN_TOPIC, offset, AUTHORITY_READ_WAIT_S, AUTHORITY_READ_TIMEOUT_S
+            OWN_TOPIC, position, AUTHORITY_READ_WAIT_S, AUTHORITY_READ_TIMEOUT_S
         )
         if result.is_err():
-            if result.err().kind == "expired":
+            if result.err().kind in ("expired", "restored"):
                 await self._read_claims()
             await anyio.sleep(LOOP_PAUSE_S)
             return
         page = result.ok()
         read_s = page_current_as_of_s(page, sent_s, AUTHORITY_READ_WAIT_S)
-        self._record_claim(_newest_claim(page.records), max(page.end, offset), read_s)
+        end = max(page.end, position)
+        self._record_claim(_newest_claim(page.records), end, read_s)
 
     def _record_claim(
-        self, claim: Claim | None, end_offset: int, read_s: float
+        self, claim: Claim | None, end: StorePosition, read_s: float
     ) -> None:
         known = self._leadership.claim
-        self._leadership.read(claim, end_offset, read_s)
+        was_void = self._leadership.is_void()
+        self._leadership.read(claim, end, read_s)
+        if known is not None and self._leadership.is_void() and not was_void:
+            log_warning(
+                "claim void, the store came back from an older copy",
+                leader=known.leader,
+                fence=known.fence,
+                era=end.era,
+            )
         if self._leadership.claim != known and claim is not None:
             log_change("leader seen", leader=claim.leader, fence=claim.fence)
             self._on_change()
@@ -127,8 +144,8 @@
                 return
         now_s = boot_s()
         has_resigned = self._has_resigned()
-        offset = leadership.end_offset
-        assert offset is not None
+        end = leadership.end
+        assert end is not None
         leadership.claim_sent(now_s)
         address = self._settings.peer_address
         value = {
@@ -136,20 +153,24 @@
             "incarnation": self._incarnation,
             "address": f"{address.ip}:{address.port}",
         }
+        encoded = json.dumps(value | {"era": end.era}).encode()
         result = await self._store.append(
-            OWN_TOPIC, LEADER_KEY, json.dumps(value).encode(), offset, STORE_TIMEOUT_S
+            OWN_TOPIC, LEADER_KEY, encoded, end, STORE_TIMEOUT_S
         )
-        if result.is_ok():
+        if result.is_ok() and result.ok().era == end.era:
             claim = Claim(result.ok(), *value.values())
             leadership.claimed(claim, now_s, has_resigned=has_resigned)
             log_change("lead claimed", fence=claim.fence)
             self._on_change()
             return
-        log_warning(
-            "claim of the lead failed",
-            kind=result.err().kind,
-            detail=result.err().detail,
-        )
+        if result.is_ok():
+            detail = f"appended in era {result.ok().era} for era {end.era}"
+            log_warning("claim of the lead failed", kind="restored", detail=detail)
+        else:
+            failure = result.err()
+            log_warning(
+                "claim of the lead failed", kind=failure.kind, detail=failure.detail
+            )
         await self._read_claims()
 
     def _may_claim(self) -> bool:
@@ -175,9 +196,10 @@
         return None
     try:
         plain = json.loads(record.value)
-        return Claim(
-            record.offset, plain["leader"], plain["incarnation"], plain["address"]
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        log_warning("claim cannot be read", offset=record.offset, reason=str(error))
+        # Builds that do not know eras write none.
+        position = StorePosition(int(plain.get("era", 0)), record.position.offset)
+        return Claim(position, plain["leader"], plain["incarnation"], plain["address"])
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        offset = record.position.offset
+        log_warning("claim cannot be read", offset=offset, reason=str(error))
         return None
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -34,6 +34,7 @@
     decode_line,
     encode_line,
 )
+from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import ModelRef
 from _pistachiopond.vm.report_totals import Totals, add_demand, sum_reports
@@ -204,7 +205,7 @@
     def _handle_message(self, plain: dict[str, Any]) -> LeaderMessage:
         message: MemberMessage = plain  # type: ignore[assignment]
         if "known" in message:
-            return self._initial_state(message["known"])
+            return self._initial_state(message)
         if "pace" in message:
             return {"paced": self._pace_prompt(message["pace"])}
         if "tokens" in message:
@@ -243,15 +244,24 @@
             "wait_s": round(decision.wait_s, 3),
         }
 
-    def _initial_state(self, known: dict[str, int]) -> LeaderMessage:
-        """Return the state that a member with these known offsets lacks."""
+    def _initial_state(self, message: MemberMessage) -> LeaderMessage:
+        """Return the state that a member with these known positions lacks."""
         if not self._deps.leadership.is_mine():
             return {}
+        eras = message.get("known_eras", {})
+        known = {
+            topic: StorePosition(eras.get(topic, 0), offset)
+            for topic, offset in message["known"].items()
+        }
+        # A record of an earlier era is one that the store has lost, and that the
+        # member therefore cannot have read in the present era.
         records = [
             to_relayed(topic, record)
             for topic, cache in self._deps.topic_caches.items()
             for record in cache.records()
-            if record.offset >= known.get(topic, -1)
+            if topic not in known
+            or record.position >= known[topic]
+            or record.position.era != known[topic].era
         ]
         return {
             "held": self._deps.loaded_models(),
@@ -268,6 +278,8 @@
         self._record_crashes(report, now_s)
         self._model_waits.pop(report["member"], None)
         leads = leadership.is_leading(now_s)
+        if not leads and "fence" in report:
+            leadership.deny(report["fence"])
         if any(use["waiting"] for use in report["models"]):
             self._deps.on_model_wait()
         return {
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -105,8 +105,21 @@
     leadership = Leadership(incarnation, _claim_preference(settings))
 
     topic_caches = {
-        OPERATOR_TOPIC: TopicCache(TopicCallbacks(state.apply, state.mark_current)),
-        SERVERS_TOPIC: TopicCache(TopicCallbacks(fleet.apply, fleet.mark_current)),
+        OPERATOR_TOPIC: TopicCache(
+            TopicCallbacks(
+                state.apply, state.apply, state.mark_current, state.store_restored
+            ),
+            is_versioned=True,
+        ),
+        SERVERS_TOPIC: TopicCache(
+            TopicCallbacks(
+                fleet.apply,
+                fleet.apply_copied,
+                fleet.mark_current,
+                fleet.store_restored,
+            ),
+            is_versioned=False,
+        ),
     }
 
     def model_load_s(model_ref: ModelRef) -> float:
--- a/src/_pistachiopond/vm/topic_cache.py
+++ b/src/_pistachiopond/vm/topic_cache.py
@@ -8,13 +8,18 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
-from _pistachiopond.platform.store import KeyedRecord
+from _pistachiopond.observe.logs import log_change
+from _pistachiopond.platform.store import KeyedRecord, Snapshot
 from _pistachiopond.schema.peer_messages import RelayedRecord, TopicProof
+from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm.clock import boot_s
 
 # A VM reads the store itself when the leader's own copy was last confirmed longer ago
 # than this.
 MAX_RELAY_AGE_S: Final = 2.4
+# What the operators and the servers wrote shortly before the store was away, or came
+# back from an older copy, is written again within about two seconds of its return.
+REWRITE_S: Final = 2.2
 
 
 class TopicCallbacks(NamedTuple):
@@ -24,44 +29,111 @@
     ----------
     apply : callable
         Called with each new record; returns whether it changes anything.
+    apply_copied : callable
+        Like `apply`, for the records found when the store has come back from an older
+        copy. They may be older than those applied before.
     mark_current : callable
         Called with the time until which all records have been applied.
+    store_restored : callable
+        Called when the store has come back from an older copy, before any of its
+        records is applied.
     """
 
     apply: Callable[[KeyedRecord], bool]
+    apply_copied: Callable[[KeyedRecord], bool]
     mark_current: Callable[[float], None]
+    store_restored: Callable[[], None]
 
 
 @final
 class TopicCache:
     """The newest record of each key of one topic, and how current the copy is."""
 
-    def __init__(self, callbacks: TopicCallbacks) -> None:
+    def __init__(self, callbacks: TopicCallbacks, *, is_versioned: bool) -> None:
+        """Start empty.
+
+        Parameters
+        ----------
+        callbacks : TopicCallbacks
+            Receivers of the topic's updates.
+        is_versioned : bool
+            Whether the content of records says which one is newer. The cache then
+            keeps a record that the store has lost until a newer one is written, and
+            relays it. Otherwise positions decide.
+        """
         self._callbacks = callbacks
+        self._is_versioned = is_versioned
         self._records: dict[str, KeyedRecord] = {}
-        self.next_offset: int | None = None
+        self._era: int | None = None
+        self.next_position: StorePosition | None = None
         self.current_as_of_s = float("-inf")
         self.on_change: Callable[[list[KeyedRecord]], None] | None = None
 
-    def replace(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Apply a snapshot; keys missing from it count as deleted."""
-        kept = {record.key for record in records}
-        lost = [key for key in self._records if key not in kept]
-        newest = max((record.offset for record in records), default=0)
-        for key in lost:
-            self.apply(KeyedRecord(max(newest, self._offset(key) + 1), key, b""))
-        for record in records:
-            self.apply(record)
+    def replace(self, snapshot: Snapshot) -> bool:
+        """Apply a snapshot; keys missing from it count as deleted.
+
+        A snapshot of an earlier era than that of other records is ignored; returns
+        whether it was applied.
+        """
+        era, end_offset = snapshot.end
+        if self._era is not None and era < self._era:
+            return False
+        apply = self._callbacks.apply
+        if self._enter_era(era):
+            apply = self._callbacks.apply_copied
+        kept = {record.key for record in snapshot.records}
+        newest = max((record.position.offset for record in snapshot.records), default=0)
+        for key, known in list(self._records.items()):
+            if key in kept:
+                continue
+            # Before the end, so that a record written later replaces the deletion.
+            offset = min(newest, end_offset - 1)
+            if known.position.era == era:
+                offset = max(newest, known.position.offset + 1)
+            self._apply(KeyedRecord(StorePosition(era, offset), key, b""), apply)
+        for record in snapshot.records:
+            self._apply(record, apply)
+        self.next_position = snapshot.end
+        return True
 
     def apply(self, record: KeyedRecord) -> None:
         """Apply one record, unless the cached record of its key is as new."""
-        if record.offset <= self._offset(record.key):
-            return
-        self._records[record.key] = record
+        self._enter_era(record.position.era)
+        self._apply(record, self._callbacks.apply)
+
+    def _apply(self, record: KeyedRecord, apply: Callable[[KeyedRecord], bool]) -> None:
+        known = self._records.get(record.key)
+        if self._is_versioned:
+            if known is not None and known.value == record.value:
+                is_newer = record.position > known.position
+                self._records[record.key] = record if is_newer else known
+                return
+            is_changed = apply(record)
+            if is_changed or known is None:
+                self._records[record.key] = record
+        else:
+            if known is not None and record.position <= known.position:
+                return
+            self._records[record.key] = record
+            is_changed = apply(record)
         # Most records are server heartbeats, which change nothing and are not relayed.
-        if self._callbacks.apply(record) and self.on_change is not None:
+        if is_changed and self.on_change is not None:
             self.on_change([record])
 
+    def _enter_era(self, era: int) -> bool:
+        """Note the era of a record or proof; return whether the store was restored."""
+        known = self._era
+        if known is not None and era <= known:
+            return False
+        self._era = era
+        if known is None:
+            return False
+        log_change("store came back from an older copy", era=era, earlier_era=known)
+        if self.next_position is not None and self.next_position.era < era:
+            self.next_position = None
+        self._callbacks.store_restored()
+        return True
+
     def mark_current(self, at_s: float) -> None:
         """Record that all records written until `at_s` have been applied."""
         self.current_as_of_s = max(self.current_as_of_s, at_s)
@@ -72,15 +144,19 @@
         return list(self._records.values())
 
     def proof(self) -> TopicProof:
-        """Return the age of the copy, and the offset to continue reading from."""
+        """Return the age of the copy, and the position to continue reading from."""
+        position = self.next_position
         return {
             "age_s": round(boot_s() - self.current_as_of_s, 3),
-            "next_offset": -1 if self.next_offset is None else self.next_offset,
+            "next_offset": -1 if position is None else position.offset,
+            "era": 0 if position is None else position.era,
         }
 
-    def take_proof(self, proof: TopicProof, asked_s: float) -> None:
+    def take_proof(self, proof: TopicProof, asked_s: float) -> bool:
         """Apply the leader's statement of how current the relayed records are.
 
+        Returns whether the statement shows that the records are current enough.
+
         Parameters
         ----------
         proof : TopicProof
@@ -89,20 +165,24 @@
             When the report was sent.
         """
         if proof["next_offset"] < 0 or proof["age_s"] > MAX_RELAY_AGE_S:
-            return
-        self.next_offset = max(proof["next_offset"], self.next_offset or 0)
+            return False
+        # VMs of builds that do not know eras send none.
+        position = StorePosition(proof.get("era", 0), proof["next_offset"])
+        if self._era is not None and position.era < self._era:
+            return False
+        self._enter_era(position.era)
+        known = self.next_position
+        self.next_position = position if known is None else max(position, known)
         self.mark_current(asked_s - proof["age_s"])
-
-    def _offset(self, key: str) -> int:
-        known = self._records.get(key)
-        return -1 if known is None else known.offset
+        return True
 
 
 def to_relayed(topic: str, record: KeyedRecord) -> RelayedRecord:
     """Return a record in the form that is sent to other VMs."""
     return {
         "topic": topic,
-        "offset": record.offset,
+        "offset": record.position.offset,
+        "era": record.position.era,
         "key": record.key,
         "value": record.value.decode("latin-1"),
     }
@@ -111,4 +191,5 @@
 def from_relayed(plain: RelayedRecord) -> KeyedRecord:
     """Return the record in a message of another VM."""
     value = plain["value"].encode("latin-1")
-    return KeyedRecord(int(plain["offset"]), plain["key"], value)
+    position = StorePosition(plain.get("era", 0), int(plain["offset"]))
+    return KeyedRecord(position, plain["key"], value)
--- a/src/_pistachiopond/vm/topic_follower.py
+++ b/src/_pistachiopond/vm/topic_follower.py
@@ -12,13 +12,17 @@
     StoreFailure,
     TailPage,
 )
+from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm.clock import boot_s
-from _pistachiopond.vm.topic_cache import TopicCache
+from _pistachiopond.vm.topic_cache import REWRITE_S, TopicCache
 
 # How long the store waits for a new record before it answers a read. A longer wait
 # saves calls. A shorter one confirms sooner that nothing has changed, and detects an
 # unresponsive connection sooner.
 TAIL_WAIT_S: Final = 1.6
+# The wait until `REWRITE_S` after the store came back from an older copy, so that the
+# end of that time is confirmed soon.
+RESTORED_WAIT_S: Final = 0.4
 READ_TIMEOUT_MARGIN_S: Final = 1.0
 PROBE_TIMEOUT_S: Final = 0.7
 SNAPSHOT_TIMEOUT_S: Final = 4.0
@@ -97,17 +101,18 @@
         self._shared_retry_pause_s = shared_retry_pause_s
         self._is_failing = False
         self._retry_pause_s = INITIAL_RETRY_PAUSE_S
+        self._short_waits_until_s = float("-inf")
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
-            offset = self._cache.next_offset
-            if offset is None:
-                await self._read_snapshot()
-            elif self._is_relayed():
+            position = self._cache.next_position
+            if self._is_relayed():
                 await anyio.sleep(RELAY_CHECK_PERIOD_S)
+            elif position is None:
+                await self._read_snapshot()
             else:
-                await self._read_tail(offset)
+                await self._read_tail(position)
 
     async def _read_snapshot(self) -> None:
         sent_s = boot_s()
@@ -117,28 +122,32 @@
             return
         snapshot: Snapshot = result.ok()
         self._record_success()
-        self._cache.replace(snapshot.records)
-        self._cache.next_offset = snapshot.end
-        self._cache.mark_current(sent_s)
+        if self._cache.replace(snapshot):
+            self._cache.mark_current(sent_s)
 
-    async def _read_tail(self, offset: int) -> None:
+    async def _read_tail(self, position: StorePosition) -> None:
         sent_s = boot_s()
+        wait_s = TAIL_WAIT_S if sent_s > self._short_waits_until_s else RESTORED_WAIT_S
         # After a failure the read does not wait for records, so that the first answer
         # shows the store's return at once.
-        wait_s = 0.0 if self._is_failing else TAIL_WAIT_S
+        wait_s = 0.0 if self._is_failing else wait_s
         margin_s = PROBE_TIMEOUT_S if self._is_failing else READ_TIMEOUT_MARGIN_S
         result = await self._store.read_tail(
-            self._topic, offset, wait_s, wait_s + margin_s
+            self._topic, position, wait_s, wait_s + margin_s
         )
         if result.is_err():
             failure = result.err()
-            if failure.kind == "expired":
+            if failure.kind in ("expired", "restored"):
                 log_change(
-                    "offset no longer kept by the store, reading a snapshot",
+                    "position unknown to the store, reading a snapshot",
                     topic=self._topic,
-                    offset=offset,
+                    era=position.era,
+                    offset=position.offset,
+                    reason=failure.detail,
                 )
-                self._cache.next_offset = None
+                self._cache.next_position = None
+                if failure.kind == "restored":
+                    self._short_waits_until_s = boot_s() + REWRITE_S
                 return
             await self._record_failure(failure)
             return
@@ -146,19 +155,19 @@
         self._record_success()
         for record in page.records:
             self._cache.apply(record)
-        if page.next_offset < page.end:
-            self._cache.next_offset = page.next_offset
+        if page.next_position < page.end:
+            self._cache.next_position = page.next_position
             return
-        if page.end < offset:
-            # Topics only grow, so a topic that ends before the cached offset is not
-            # the one that the cache was filled from.
+        if page.end < position:
+            # Within an era topics only grow, so a topic that ends before the cached
+            # position is not the one that the cache was filled from.
             log_warning(
-                "topic ends before the cached offset, reading a snapshot",
+                "topic ends before the cached position, reading a snapshot",
                 topic=self._topic,
             )
-            self._cache.next_offset = None
+            self._cache.next_position = None
             return
-        self._cache.next_offset = max(page.next_offset, offset)
+        self._cache.next_position = max(page.next_position, position)
         self._cache.mark_current(page_current_as_of_s(page, sent_s, wait_s))
         if page.records:
             await anyio.sleep(self._pause_s)
--- a/testing/platform_adapter/test_decoding.py
+++ b/testing/platform_adapter/test_decoding.py
@@ -22,6 +22,7 @@
 from _pistachiopond.platform.store import decode_tail, encode_record
 from _pistachiopond.schema.caller_request import ForwardContext
 from _pistachiopond.schema.model_orders import ModelOrder
+from _pistachiopond.schema.store_position import StorePosition
 from testing.vm.deployment import configuration
 
 ENTRY = {
@@ -101,18 +102,19 @@
     ) -> None:
         body = struct.pack(">QQ", offset + len(records), 0)
         body += b"".join(encode_record(key, value) for key, value in records)
-        page = decode_tail(body, offset).ok()
+        page = decode_tail(body, StorePosition(7, offset)).ok()
         self.assertEqual([(r.key, r.value) for r in page.records], records)
-        self.assertEqual(page.next_offset, offset + len(records))
+        self.assertEqual(page.next_position, StorePosition(7, offset + len(records)))
 
     @settings(derandomize=True, deadline=None)
     @given(st.binary(max_size=80))
     def test_arbitrary_bytes_raise_no_exception(self, body: bytes) -> None:
-        decode_tail(body, 0)
+        decode_tail(body, StorePosition(0, 0))
 
     def test_a_truncated_read_is_malformed(self) -> None:
         body = struct.pack(">QQ", 1, 0) + encode_record("key", b"value")[:-1]
-        self.assertEqual(decode_tail(body, 0).err().kind, "malformed")
+        page = decode_tail(body, StorePosition(0, 0))
+        self.assertEqual(page.err().kind, "malformed")
 
 
 class RequestTests(unittest.TestCase):
--- a/testing/vm/test_leader_server.py
+++ b/testing/vm/test_leader_server.py
@@ -7,6 +7,7 @@
 from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import CustomerSpec
 from _pistachiopond.schema.peer_messages import MemberReport
+from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm import leader_server as leader_server_module
 from _pistachiopond.vm.leader_server import LeaderServer, LeaderServerDependencies
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
@@ -48,15 +49,16 @@
         )
 
     def claim(self, fence: int, now_s: float) -> None:
-        self.leadership.read(None, fence, now_s)
-        claim = Claim(fence, self.name, self.name, "127.0.0.1:1")
+        self.leadership.read(None, StorePosition(0, fence), now_s)
+        claim = Claim(StorePosition(0, fence), self.name, self.name, "127.0.0.1:1")
         self.leadership.claimed(claim, now_s, has_resigned=True)
 
     def allocate(self, member: str, now_s: float, *, has_store: bool) -> float:
         if has_store:
             claim = self.leadership.claim
             assert claim is not None
-            self.leadership.read(claim, claim.fence + 1, now_s)
+            end = StorePosition(0, claim.position.offset + 1)
+            self.leadership.read(claim, end, now_s)
         with patch.object(leader_server_module, "boot_s", lambda: now_s):
             reply = self.leader_server._reply_to_report(make_report(member, 10_000.0))
         return reply["given"].get("office", 0.0)
@@ -100,19 +102,27 @@
 
 class InitialStateTests(unittest.TestCase):
     def test_a_new_member_gets_only_records_from_its_known_offset_on(self) -> None:
-        cache = TopicCache(TopicCallbacks(lambda record: True, lambda at_s: None))
+        cache = TopicCache(
+            TopicCallbacks(
+                lambda record: True,
+                lambda record: True,
+                lambda at_s: None,
+                lambda: None,
+            ),
+            is_versioned=False,
+        )
         for offset in range(5):
-            cache.apply(KeyedRecord(offset, f"s{offset}", b"x"))
+            cache.apply(KeyedRecord(StorePosition(0, offset), f"s{offset}", b"x"))
         leadership = Leadership("vm-0", 0.0)
         leader_server = LeaderServer(
             LeaderServerDependencies(
                 leadership, dict, list, lambda: None, {"servers": cache}, dict
             )
         )
-        claim = Claim(0, "vm-0", "vm-0", "127.0.0.1:1")
+        claim = Claim(StorePosition(0, 0), "vm-0", "vm-0", "127.0.0.1:1")
         leadership.claimed(claim, 0.0, has_resigned=True)
         for known, expected in ((3, ["s3", "s4"]), (-1, [f"s{n}" for n in range(5)])):
-            initial_state = leader_server._initial_state({"servers": known})
+            initial_state = leader_server._initial_state({"known": {"servers": known}})
             keys = [record["key"] for record in initial_state["records"]]
             self.assertEqual(keys, expected)
 
--- a/testing/vm/test_topic_cache.py
+++ b/testing/vm/test_topic_cache.py
@@ -4,6 +4,7 @@
 from unittest.mock import patch
 
 from _pistachiopond.platform.store import KeyedRecord
+from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm import fleet as fleet_module
 from _pistachiopond.vm.fleet import EXPIRY_HEARTBEATS, Fleet
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
@@ -20,7 +21,13 @@
         self.addCleanup(clock.stop)
         self.fleet = Fleet("here", HEARTBEAT_S, 2.0)
         self.cache = TopicCache(
-            TopicCallbacks(self.fleet.apply, self.fleet.mark_current)
+            TopicCallbacks(
+                self.fleet.apply,
+                self.fleet.apply_copied,
+                self.fleet.mark_current,
+                self.fleet.store_restored,
+            ),
+            is_versioned=False,
         )
         self.relayed: list[KeyedRecord] = []
         self.cache.on_change = self.relayed.extend
@@ -32,7 +39,7 @@
         more = {"sequence": self.offset, **fields}
         entry = server_entry("plain", "10.0.0.1:80", **more)
         value = b"" if fields == {"gone": True} else entry
-        self.cache.apply(KeyedRecord(self.offset, "s1", value))
+        self.cache.apply(KeyedRecord(StorePosition(0, self.offset), "s1", value))
         count = len(self.relayed)
         self.relayed.clear()
         return count
@@ -59,7 +66,8 @@
     def test_a_new_member_gets_only_the_newest_record_of_a_key(self) -> None:
         self.write()
         self.write()
-        self.assertEqual([record.offset for record in self.cache.records()], [2])
+        offsets = [record.position.offset for record in self.cache.records()]
+        self.assertEqual(offsets, [2])
 
 
 if __name__ == "__main__":
