--- a/testing/vm/deployment.py
+++ b/testing/vm/deployment.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager
+import socket
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any, Final, final
 
 from _pistachiopond.http1.client import ClientConnection, connect
@@ -213,13 +214,23 @@
 
 def free_port() -> int:
     """Return a port on which nothing listens at present."""
-    import socket
-
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return int(probe.getsockname()[1])
 
 
+@contextmanager
+def refusing_address() -> Iterator[HttpAddress]:
+    """Return an address that refuses connections.
+
+    The port stays bound without listening, so that no other process takes it. On a port
+    from `free_port`, another process may listen by the time of the connection.
+    """
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        yield HttpAddress(*bound.getsockname())
+
+
 def make_settings(store: HttpAddress, name: str = "vm-1") -> VmSettings:
     """Return the settings of a VM on the loopback address."""
     unused = HttpAddress("127.0.0.1", 1)
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -6,7 +6,7 @@
 from _pistachiopond.http1.client import ExchangeError
 from _pistachiopond.http1.messages import HttpAddress, Request
 from _pistachiopond.http1.server import Responder
-from testing.vm.deployment import free_port, running_deployment, wait_until
+from testing.vm.deployment import refusing_address, running_deployment, wait_until
 from testing.vm.fake_server import (
     attempt_of,
     break_connection,
@@ -146,13 +146,16 @@
             await wait_until(lambda: server.cancelled == 1, 0.5)
 
     async def test_failed_connection_attempts_use_no_retry_budget(self) -> None:
+        with refusing_address() as refusing:
+            await self.check_calls_beside_a_refusing_server(refusing)
+
+    async def check_calls_beside_a_refusing_server(self, refusing: HttpAddress) -> None:
         async with running_deployment() as deployment:
             deployment.vm.retries.set_bounds(0.0, 0.0)
             while deployment.vm.retries.spend("plain"):
                 pass
             await deployment.add_server("s1", "plain")
-            closed = HttpAddress("127.0.0.1", free_port())
-            deployment.write_entry("s2", "plain", closed)
+            deployment.write_entry("s2", "plain", refusing)
             await wait_until(lambda: "s2" in deployment.vm.fleet.servers)
             for _ in range(6):
                 response = await deployment.call("/once/x")
