Servers that say in an answer that they leave, or want a pause

Cause: nothing read Server-Leaving and Retry-After in servers' answers.

Change: each head of a server's answer, to requests, orders and reports, is decoded in platform/. A leaving server counts as draining for the rest of its lifetime, whatever its entry says, and gets nothing after 0.6 of the drain time; streams under way are finished. A 503 with Retry-After pauses the server for this VM over all routes, models, orders and reports; a choice made before is checked again after pacing and after connecting. If all servers of a request are paused it waits for the first pause that ends in time, else it is refused at once with that time. After a pause the VM's requests there rise to the slots within a second. Pauses are bounded to 600 s; unreadable ones are logged and ignored.

--- a/src/_pistachiopond/decisions/attempt_policy.py
+++ b/src/_pistachiopond/decisions/attempt_policy.py
@@ -4,7 +4,9 @@
 
 from _pistachiopond.schema.deployment import Route
 
-AttemptKind = Literal["connect", "not_run", "not_here", "failure", "unclear", "broken"]
+AttemptKind = Literal[
+    "connect", "withdrawn", "not_run", "not_here", "failure", "unclear", "broken"
+]
 NextStep = Literal["refuse", "give_answer", "fail", "break_off"]
 
 # Limits the attempts that servers certainly did not run. These are retried even for
@@ -21,6 +23,7 @@
     ----------
     kind : str
         How the last attempt ended: ``connect`` (no connection; nothing was sent),
+        ``withdrawn`` (nothing was sent, since the server takes no requests now),
         ``not_run`` (the server reported that it did not run the request),
         ``not_here`` (another server now has the address), ``failure`` (a complete
         response with an error status), ``unclear`` (the request may have run),
@@ -48,7 +51,7 @@
     """Return whether the route and the time left allow a retry; budgets aside."""
     if state.time_left_s < MIN_TIME_LEFT_S or state.kind == "broken":
         return False
-    if state.kind in ("connect", "not_run", "not_here"):
+    if state.kind in ("connect", "withdrawn", "not_run", "not_here"):
         if state.servers_run and not is_repeatable(route):
             return False
         return state.not_run_count <= MAX_NOT_RUN_ATTEMPTS
--- a/src/_pistachiopond/platform/servers.py
+++ b/src/_pistachiopond/platform/servers.py
@@ -1,15 +1,25 @@
 """Decodes backend servers' entries and reports, and encodes orders to them."""
 
 import json
-from typing import Any, Literal
+import math
+from typing import Any, Final, Literal
 
 from result import Err, Ok, Result
 
-from _pistachiopond.http1.messages import Request, RequestHead, parse_address
+from _pistachiopond.http1.messages import (
+    Request,
+    RequestHead,
+    ResponseHead,
+    parse_address,
+)
 from _pistachiopond.schema.deployment import BackendServer
 from _pistachiopond.schema.model_orders import ModelOrder, ServerReport
+from _pistachiopond.schema.server_notice import NO_NOTICE, ServerNotice
 
 _STATES = {"ready": False, "draining": True}
+# In all answers of a server that is shutting down.
+_LEAVING_HEADER: Final = b"server-leaving"
+_PAUSE_HEADER: Final = b"retry-after"
 
 
 def decode_server(server_id: str, value: bytes) -> Result[BackendServer, str]:
@@ -112,6 +122,32 @@
     return _ORDER_OUTCOMES.get(status, "refused")
 
 
+def decode_notice(head: ResponseHead) -> ServerNotice:
+    """Return what the head of any answer of a server says about the server."""
+    leaving = head.value(_LEAVING_HEADER)
+    pause = head.value(_PAUSE_HEADER) if head.status == 503 else None
+    if leaving is None and pause is None:
+        return NO_NOTICE
+    problems = []
+    is_leaving = leaving is not None and leaving.strip() == b"1"
+    if leaving is not None and not is_leaving:
+        problems.append(f"unknown value of the leaving header: {leaving!r}")
+    pause_s = None
+    if pause is not None:
+        try:
+            pause_s = _decode_pause(pause.decode("latin-1"))
+        except ValueError as error:
+            problems.append(str(error))
+    return ServerNotice(is_leaving, pause_s, "; ".join(problems))
+
+
+def _decode_pause(text: str) -> float:
+    pause_s = float(text)
+    if math.isnan(pause_s) or pause_s < 0.0:
+        raise ValueError(f"the pause is not a time: {text!r}")
+    return pause_s
+
+
 def encode_report_request(server_id: str) -> RequestHead:
     """Return the request for a server's report on its models and orders."""
     headers = [(b"Host", b"server"), (b"X-Expect-Instance", server_id.encode())]
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -21,9 +21,11 @@
     is_response_to,
     response_headers,
 )
+from _pistachiopond.platform.servers import decode_notice
 from _pistachiopond.schema.caller_request import ForwardContext
 from _pistachiopond.schema.deployment import BackendServer
 from _pistachiopond.vm.admission import Admitted
+from _pistachiopond.vm.fleet import Fleet
 from _pistachiopond.vm.server_pools import ServerPools
 
 # Responses up to this size are buffered whole before the first byte goes to the caller.
@@ -98,6 +100,7 @@
         self,
         exchange: Exchange,
         pools: ServerPools,
+        fleet: Fleet,
         server: BackendServer,
         *,
         on_prefill: Callable[[BackendServer, int, float], None],
@@ -112,6 +115,8 @@
             The request and the writer of its response.
         pools : ServerPools
             Connections to servers.
+        fleet : Fleet
+            Says whether the server may get requests, and learns from its answers.
         server : BackendServer
             The server to send the request to.
         on_prefill : callable
@@ -128,6 +133,7 @@
         self._splitter = exchange.splitter
         self._arrival_s = exchange.arrival_s
         self._pools = pools
+        self._fleet = fleet
         self._server = server
         self._on_prefill = on_prefill
         self._load_when_sent = load
@@ -146,6 +152,10 @@
         except ExchangeError as error:
             return Outcome("connect", str(error))
         try:
+            if not self._fleet.is_open(server):
+                # While the connection was opened, another answer of the server said
+                # that it leaves or wants a pause.
+                return Outcome("withdrawn", "the server takes no requests now")
             return await self._send_and_relay(connection)
         except ExchangeError as error:
             if error.kind == "connect":
@@ -187,6 +197,7 @@
         head = await self._read_head(connection)
         if head is None:
             return Outcome("unclear", "the server sent no response head in time")
+        self._fleet.apply_notice(self._server, decode_notice(head))
         response_kind = classify_response(head)
         if response_kind in ("not_run", "not_here"):
             self.may_have_run = False
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -8,10 +8,12 @@
 
 from _pistachiopond.decisions.ejection import Ejector
 from _pistachiopond.decisions.server_choice import Candidate, rank_candidates
+from _pistachiopond.decisions.server_pauses import MAX_PAUSE_S, ServerPauses
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.servers import decode_server
 from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import BackendServer
+from _pistachiopond.schema.server_notice import ServerNotice
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.counts import decrease, increase
 from _pistachiopond.vm.topic_cache import REWRITE_S
@@ -26,6 +28,9 @@
 # A draining server gets requests only when no other server can take them, and only
 # during this share of the operators' drain limit.
 LEAVING_USE_SHARE: Final = 0.6
+# How long a server that has no entry is remembered as leaving. Its entry can come back,
+# for example after a store outage, but no server leaves for longer than this.
+LEAVING_MEMORY_S: Final = 600.0
 
 
 class LoadedModels(NamedTuple):
@@ -77,7 +82,8 @@
         self._by_service: dict[str, dict[str, BackendServer]] = {}
         self._expired_until_s: dict[str, float] = {}
         self._removed_s: dict[tuple[str, int], float] = {}
-        self._leaving_since_s: dict[str, float] = {}
+        self._leaving_since_s: dict[tuple[str, int], float] = {}
+        self._pauses = ServerPauses()
         self._loaded_models: dict[str, LoadedModels] = {}
         self.own_load: dict[str, int] = {}
         self.peer_load: dict[str, int] = {}
@@ -144,6 +150,32 @@
         for incarnation, removed_s in list(self._removed_s.items()):
             if now_s - removed_s > REMOVED_MEMORY_S:
                 del self._removed_s[incarnation]
+        present = {server.incarnation() for server in self.servers.values()}
+        for incarnation, since_s in list(self._leaving_since_s.items()):
+            if incarnation not in present and now_s - since_s > LEAVING_MEMORY_S:
+                del self._leaving_since_s[incarnation]
+        self._pauses.drop_ended(now_s)
+
+    # Updates from the servers' answers.
+
+    def apply_notice(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Apply what an answer of a server says about the server itself."""
+        name, now_s = server.server_id, boot_s()
+        if notice.problem:
+            log_warning(
+                "server's notice cannot be read", server=name, reason=notice.problem
+            )
+        if notice.pause_s is not None:
+            is_new = self._pauses.begin(server.incarnation(), notice.pause_s, now_s)
+            if is_new or notice.pause_s > MAX_PAUSE_S:
+                log_change("server asks for a pause", server=name, s=notice.pause_s)
+        if not notice.is_leaving or server.incarnation() in self._leaving_since_s:
+            return
+        self._leaving_since_s[server.incarnation()] = now_s
+        log_change("server says that it leaves", server=name, service=server.service)
+        known = self.servers.get(name)
+        if known is not None and known.incarnation() == server.incarnation():
+            self._store(known._replace(is_leaving=True))
 
     # Updates from the leader.
 
@@ -196,14 +228,40 @@
             name = server.server_id
             if name in tried or not self.can_run(server, model_ref):
                 continue
+            if not self._is_open(server, now_s) or not self._has_room(server, now_s):
+                continue
             candidate = self._candidate(server, now_s)
-            if not server.is_leaving:
-                staying.append(candidate)
-            elif self._may_use_leaving(name, now_s):
-                leaving.append(candidate)
+            (leaving if server.is_leaving else staying).append(candidate)
         ranked = rank_candidates(staying or leaving, prompt_id, self._rng)
         return [RankedServer(self.servers[name], bias) for name, bias in ranked]
 
+    def is_open(self, server: BackendServer) -> bool:
+        """Return whether a request may be sent to the server now."""
+        known = self.servers.get(server.server_id)
+        is_current = known is not None and known.incarnation() == server.incarnation()
+        return is_current and self._is_open(known, boot_s())
+
+    def resume_s(self, model_ref: ModelRef) -> float | None:
+        """Return when the first server takes requests again, if all are paused.
+
+        None if no server can run the request, or one of them takes requests now.
+        """
+        now_s = boot_s()
+        first_s: float | None = None
+        for server in self.servers_of(model_ref.service):
+            if server.is_leaving or not self.can_run(server, model_ref):
+                continue
+            if self._has_room(server, now_s):
+                return None
+            resume_s = self._pauses.resume_s(server.incarnation(), now_s)
+            if resume_s is not None:
+                first_s = resume_s if first_s is None else min(first_s, resume_s)
+        return first_s
+
+    def paused(self) -> frozenset[str]:
+        """Return the servers that asked this VM for a pause."""
+        return self._pauses.paused(boot_s())
+
     def incarnations(self) -> dict[str, int]:
         """Return the start time of each server, in Unix milliseconds."""
         return {name: server.started_ms for name, server in self.servers.items()}
@@ -246,18 +304,26 @@
             or self.ejector.is_ejected(name, now_s),
         )
 
-    def _may_use_leaving(self, name: str, now_s: float) -> bool:
-        since_s = self._leaving_since_s.get(name, float("-inf"))
-        return now_s - since_s < self._drain_s * LEAVING_USE_SHARE
+    def _is_open(self, server: BackendServer, now_s: float) -> bool:
+        incarnation = server.incarnation()
+        if server.is_leaving:
+            since_s = self._leaving_since_s.get(incarnation, float("-inf"))
+            if now_s - since_s >= self._drain_s * LEAVING_USE_SHARE:
+                return False
+        return not self._pauses.is_paused(incarnation, now_s)
+
+    def _has_room(self, server: BackendServer, now_s: float) -> bool:
+        running = self.own_load.get(server.server_id, 0)
+        return self._pauses.may_send(server.incarnation(), running, server.slots, now_s)
 
     def _add_or_update(self, server: BackendServer) -> bool:
         known = self.servers.get(server.server_id)
         if known is not None and known.started_ms > server.started_ms:
             return False
         is_new = known is None or known.started_ms != server.started_ms
-        if not is_new and known.is_leaving:
+        if server.incarnation() in self._leaving_since_s:
             # A server that leaves does not come back without a restart. An entry that
-            # says otherwise is from an older copy of the store.
+            # says otherwise was written before, or is from an older copy of the store.
             server = server._replace(is_leaving=True)
         if is_new or known.is_leaving != server.is_leaving:
             log_change(
@@ -273,18 +339,22 @@
                 server=server.server_id,
                 models=sorted(server.models),
             )
-        if server.is_leaving and (is_new or not known.is_leaving):
-            self._leaving_since_s[server.server_id] = boot_s()
+        if server.is_leaving:
+            self._leaving_since_s.setdefault(server.incarnation(), boot_s())
         had_expired = self._expired_until_s.pop(server.server_id, None) is not None
         self._removed_s.pop(server.incarnation(), None)
         if known == server:
             return had_expired
+        self._store(server)
+        return True
+
+    def _store(self, server: BackendServer) -> None:
+        known = self.servers.get(server.server_id)
         if known is not None and known.service != server.service:
             self._by_service[known.service].pop(server.server_id, None)
         self.servers[server.server_id] = server
         self._by_service.setdefault(server.service, {})[server.server_id] = server
         self._servers_changed()
-        return True
 
     def _entry_deleted(self, name: str) -> bool:
         if name not in self.servers:
@@ -306,7 +376,6 @@
         self._removed_s[server.incarnation()] = boot_s()
         self._by_service[server.service].pop(name, None)
         self._loaded_models.pop(name, None)
-        self._leaving_since_s.pop(name, None)
         self.peer_load.pop(name, None)
         self._servers_changed()
 
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -11,6 +11,7 @@
 )
 from _pistachiopond.decisions.dispatch_types import FailureKind
 from _pistachiopond.decisions.event_splitter import EventSplitter
+from _pistachiopond.decisions.server_pauses import plan_pause_wait
 from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
 from _pistachiopond.http1.messages import Request
 from _pistachiopond.http1.server import Responder
@@ -119,6 +120,8 @@
         self._tried: set[str] = set()
         self._earlier_possible_runs = 0
         self._not_run_count = 0
+        self._pause_limit_s: float | None = None
+        self._pause_retry_after_s: float | None = None
         caller = admitted.caller
         self._model_ref = ModelRef(admitted.service, caller.model, caller.adapter)
         is_resumed = admitted.route.kind == "stream" and admitted.route.is_resumable
@@ -158,7 +161,8 @@
                 return
             # The operators' retry budget bounds repeated requests that reach servers;
             # failed connection attempts do not count.
-            has_reached_server = has_reached_server or outcome.kind != "connect"
+            if outcome.kind not in ("connect", "withdrawn"):
+                has_reached_server = True
             if has_reached_server and not deps.retries.spend(self._admitted.service):
                 await self._finish(outcome._replace(detail="retry budget exhausted"))
                 return
@@ -203,31 +207,63 @@
 
     async def _choose_server(self) -> BackendServer | None:
         fleet = self._deps.fleet
-        prompt = self._admitted.caller.prompt
-        prompt_id = prompt[0].part_id if prompt else None
-        tried = frozenset(self._tried)
-        ranked = fleet.rank(self._model_ref, tried, prompt_id)
-        if not self._model_ref.model:
-            return ranked[0].server if ranked else None
-        if not ranked:
-            ranked = await self._wait_for_model(prompt_id)
-        if not ranked:
-            return None
         admitted = self._admitted
-        return await self._deps.pacing.choose_server(
-            ranked, admitted.caller, admitted.route, self._arrival_s
-        )
+        prompt = admitted.caller.prompt
+        prompt_id = prompt[0].part_id if prompt else None
+        while True:
+            ranked = fleet.rank(self._model_ref, frozenset(self._tried), prompt_id)
+            resume_s = None if ranked else fleet.resume_s(self._model_ref)
+            if resume_s is not None:
+                if not await self._wait_for_pause(resume_s):
+                    return None
+                continue
+            if not ranked and self._model_ref.model:
+                ranked = await self._wait_for_model(prompt_id)
+            if not ranked:
+                return None
+            if not self._model_ref.model:
+                return ranked[0].server
+            server = await self._deps.pacing.choose_server(
+                ranked, admitted.caller, admitted.route, self._arrival_s
+            )
+            if fleet.is_open(server):
+                return server
+            # It asked for a pause or said that it leaves while the prompt was delayed.
 
-    async def _wait_for_model(self, prompt_id: str | None) -> list[RankedServer]:
+    def _latest_start_s(self) -> float:
+        """Return until when the request may wait for a server."""
         loop = asyncio.get_running_loop()
         left_s = self._admitted.end_s - loop.time()
         latency_objective_s = self._admitted.route.latency_objective_s
         caller_wait_s = max(
             MIN_CALLER_WAIT_S, CALLER_WAIT_OBJECTIVES * latency_objective_s
         )
-        wait_until_s = loop.time() + min(
+        return loop.time() + min(
             MODEL_WAIT_SHARE * left_s, CALLER_WAIT_SHARE * caller_wait_s
         )
+
+    async def _wait_for_pause(self, resume_s: float) -> bool:
+        """Wait for the first paused server, unless that would take too long.
+
+        Returns False if the request must be refused instead.
+        """
+        loop = asyncio.get_running_loop()
+        if self._pause_limit_s is None:
+            self._pause_limit_s = self._latest_start_s()
+        now_s = boot_s()
+        left_s = self._pause_limit_s - loop.time()
+        wait = plan_pause_wait(resume_s, now_s + left_s, now_s)
+        if wait.until_s is None:
+            self._pause_retry_after_s = max(RETRY_SOON_S, wait.retry_after_s)
+            return False
+        await asyncio.sleep(wait.until_s - now_s)
+        # The server that asked for the pause did not run the request.
+        self._tried.clear()
+        return True
+
+    async def _wait_for_model(self, prompt_id: str | None) -> list[RankedServer]:
+        loop = asyncio.get_running_loop()
+        wait_until_s = self._latest_start_s()
         fleet = self._deps.fleet
         began_s = loop.time()
         if self._not_run_count:
@@ -270,6 +306,7 @@
         self._attempt = Attempt(
             self._exchange,
             deps.pools,
+            deps.fleet,
             server,
             on_prefill=deps.pacing.record_prefill,
             load=load,
@@ -286,7 +323,7 @@
     def _record_failure(self, server: BackendServer, outcome: Outcome) -> AttemptState:
         kind = outcome.kind
         assert kind is not None
-        if kind in ("connect", "not_run", "not_here"):
+        if kind in ("connect", "withdrawn", "not_run", "not_here"):
             self._not_run_count += 1
         if kind == "broken" and self._splitter is not None:
             # The caller has received only complete events, so another server can
@@ -305,8 +342,11 @@
         )
         if outcome.is_cut_off:
             self._deps.suspects.record_lost_connection(self._fingerprint(), server)
-        failure_kind: FailureKind = _FAILURE_KINDS[outcome.kind or "unclear"]
-        if self._deps.fleet.ejector.failed(server.server_id, failure_kind, boot_s()):
+        failure_kind = _FAILURE_KINDS.get(outcome.kind or "unclear")
+        ejector = self._deps.fleet.ejector
+        if failure_kind is not None and ejector.failed(
+            server.server_id, failure_kind, boot_s()
+        ):
             log_change("server ejected", server=server.server_id, last=failure_kind)
         return AttemptState(
             kind, self._count_possible_runs(), self._not_run_count, left_s
@@ -341,7 +381,9 @@
             await self._refuse(Refusal(502, kind, None, log_fields))
 
     def _retry_after_s(self) -> float:
-        """Return the Retry-After: the expected time until the model is loaded."""
+        """Return the Retry-After: when a server is expected to take the request."""
+        if self._pause_retry_after_s is not None:
+            return self._pause_retry_after_s
         if not self._model_ref.model or self._deps.fleet.has_server_for(
             self._model_ref
         ):
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -29,6 +29,7 @@
 from _pistachiopond.http1.pool import send_request
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.servers import (
+    decode_notice,
     decode_order_reply,
     decode_report,
     encode_order,
@@ -219,7 +220,7 @@
             demand_history=engines.demand_history,
             server_load=totals.load,
             running_requests=totals.running_requests,
-            unhealthy_servers=totals.unhealthy_servers,
+            unhealthy_servers=totals.unhealthy_servers | self._deps.fleet.paused(),
             load_rate_limit=engines.load_rate_limit,
             adapters=engines.recent_adapters,
             adapter_idle_s=self.leader_server.report_period_s() + ADAPTER_USE_MARGIN_S,
@@ -254,7 +255,10 @@
         self, inventory: ServerInventory, now_s: float
     ) -> None:
         is_unsure = not inventory.is_known or inventory.is_overdue(now_s)
-        if not is_unsure or inventory.is_ordering or inventory.server.is_leaving:
+        server = inventory.server
+        if not is_unsure or inventory.is_ordering or server.is_leaving:
+            return
+        if not self._deps.fleet.is_open(server):
             return
         if now_s - max(inventory.asked_s, inventory.ordered_s) < REPORT_LAG_S:
             return
@@ -356,6 +360,7 @@
             response = await send_request(pool, request, timeout_s)
         except ExchangeError as error:
             return Err(str(error))
+        self._deps.fleet.apply_notice(server, decode_notice(response.head))
         return Ok((response.head.status, response.body))
 
     def _announce_changes(self) -> None:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -85,6 +85,7 @@
     placer: Placer
     suspects: Suspects
     request_handler: RequestHandler
+    topic_caches: dict[str, TopicCache]
     followers: tuple[TopicFollower, ...]
     metrics: Metrics
     shutdown: Shutdown
@@ -207,6 +208,7 @@
         placer=placer,
         suspects=suspects,
         request_handler=request_handler,
+        topic_caches=topic_caches,
         followers=followers,
         metrics=metrics,
         shutdown=shutdown,
@@ -240,6 +242,21 @@
         "Of callers.",
         lambda: len(connections),
     )
+    metrics.gauge(
+        "pond_paused_servers",
+        "Servers that asked this VM for a pause.",
+        lambda: len(vm.fleet.paused()),
+    )
+    metrics.gauge(
+        "pond_leaving_servers",
+        "Servers that are shutting down.",
+        lambda: sum(server.is_leaving for server in vm.fleet.servers.values()),
+    )
+    metrics.gauge(
+        "pond_store_era",
+        "How often the store came back from an older copy.",
+        lambda: max(cache.proof()["era"] for cache in vm.topic_caches.values()),
+    )
     metrics.gauge(
         "pond_configuration_age_s",
         "Proof's age.",
--- a/testing/vm/fake_server.py
+++ b/testing/vm/fake_server.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import final
 
-from _pistachiopond.http1.messages import Request
+from _pistachiopond.http1.messages import RawHeaders, Request
 from _pistachiopond.http1.server import Responder
 
 Step = Callable[[Request, Responder], Awaitable[None]]
@@ -88,6 +88,8 @@
         self.models: list[dict[str, object]] = []
         self.order_count = 0
         self.order_status = 202
+        self.order_headers: RawHeaders = []
+        self.reports = 0
         self.cancelled = 0
 
     async def handle(self, request: Request, responder: Responder) -> None:
@@ -98,7 +100,7 @@
         if request.head.target == b"/order":
             self.orders.append(json.loads(request.body))
             self.order_count += 1
-            await responder.respond(self.order_status, [], b"")
+            await responder.respond(self.order_status, self.order_headers, b"")
             return
         self.requests.append(request)
         step = self.steps.pop(0) if self.steps else respond_ok
@@ -109,6 +111,7 @@
             raise
 
     async def _report(self, responder: Responder) -> None:
+        self.reports += 1
         plain = {
             "models": self.models,
             "busy": False,
