--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -168,7 +168,9 @@
         if notice.pause_s is not None:
             is_new = self._pauses.begin(server.incarnation(), notice.pause_s, now_s)
             if is_new or notice.pause_s > MAX_PAUSE_S:
-                log_change("server asks for a pause", server=name, s=notice.pause_s)
+                log_change(
+                    "server asks for a pause", server=name, pause_s=notice.pause_s
+                )
         if not notice.is_leaving or server.incarnation() in self._leaving_since_s:
             return
         self._leaving_since_s[server.incarnation()] = now_s
