--- a/testing/live/old_build_records.py
+++ b/testing/live/old_build_records.py
@@ -243,7 +243,7 @@
     if kind == "claim":
         try:
             position = _look_up("schema.store_position.StorePosition")(0, 7)
-        except (AttributeError, ImportError):
+        except LookupError:
             # A build that does not know the store's eras.
             position = 7
         record = _look_up("platform.store.KeyedRecord")(
