Topic cache: a proof needs records, and a copy stays a copy after a relayed record

Cause, by reading: a VM that connects to a leader which does not yet know its own claim gets no records, and the leader's next proof then stood in for the VM's first read: it would have gone on without configuration and servers.

Tests in testing/vm/test_store_restore.py, both failed before.

--- a/src/_pistachiopond/vm/topic_cache.py
+++ b/src/_pistachiopond/vm/topic_cache.py
@@ -65,6 +65,9 @@
         self._is_versioned = is_versioned
         self._records: dict[str, KeyedRecord] = {}
         self._era: int | None = None
+        # The era of the first record and then of the last snapshot or proof. A snapshot
+        # of a later era is an older copy.
+        self._read_era: int | None = None
         self.next_position: StorePosition | None = None
         self.current_as_of_s = float("-inf")
         self.on_change: Callable[[list[KeyedRecord]], None] | None = None
@@ -78,9 +81,10 @@
         era, end_offset = snapshot.end
         if self._era is not None and era < self._era:
             return False
-        apply = self._callbacks.apply
-        if self._enter_era(era):
-            apply = self._callbacks.apply_copied
+        self._enter_era(era)
+        is_copy = self._read_era is not None and self._read_era < era
+        self._read_era = era
+        apply = self._callbacks.apply_copied if is_copy else self._callbacks.apply
         kept = {record.key for record in snapshot.records}
         newest = max((record.position.offset for record in snapshot.records), default=0)
         for key, known in list(self._records.items()):
@@ -120,19 +124,19 @@
         if is_changed and self.on_change is not None:
             self.on_change([record])
 
-    def _enter_era(self, era: int) -> bool:
-        """Note the era of a record or proof; return whether the store was restored."""
+    def _enter_era(self, era: int) -> None:
+        """Note the era of a record or proof; report if the store was restored."""
         known = self._era
         if known is not None and era <= known:
-            return False
+            return
         self._era = era
         if known is None:
-            return False
+            self._read_era = era
+            return
         log_change("store came back from an older copy", era=era, earlier_era=known)
         if self.next_position is not None and self.next_position.era < era:
             self.next_position = None
         self._callbacks.store_restored()
-        return True
 
     def mark_current(self, at_s: float) -> None:
         """Record that all records written until `at_s` have been applied."""
@@ -166,11 +170,15 @@
         """
         if proof["next_offset"] < 0 or proof["age_s"] > MAX_RELAY_AGE_S:
             return False
+        if self.next_position is None and not self._records:
+            # The leader has relayed nothing yet, so its copy is not here.
+            return False
         # VMs of builds that do not know eras send none.
         position = StorePosition(proof.get("era", 0), proof["next_offset"])
         if self._era is not None and position.era < self._era:
             return False
         self._enter_era(position.era)
+        self._read_era = position.era
         known = self.next_position
         self.next_position = position if known is None else max(position, known)
         self.mark_current(asked_s - proof["age_s"])
--- a/testing/decisions/placement_day.py
+++ b/testing/decisions/placement_day.py
@@ -21,11 +21,9 @@
 from _pistachiopond.schema.deployment import BackendServer, EngineSpec, ModelSpec
 
 STEP_S: Final = 0.1
-# How long a request runs, and how long it waits for its model: urgent ones until their
-# callers would give up, others for most of their deadline.
+# How long a request runs, and how long it waits for its model.
 SERVICE_S: Final = 1.5
-URGENT_WAIT_S: Final = 1.2
-PATIENT_WAIT_S: Final = 14.0
+WAIT_S: Final = 1.2
 # How long a refused caller stays away.
 RETRY_AFTER_S: Final = 3.0
 ADDRESS: Final = HttpAddress("127.0.0.1", 1)
@@ -34,7 +32,6 @@
 class _Waiting(NamedTuple):
     model: str
     from_s: float
-    wait_s: float
     has_returned: bool
 
 
@@ -75,7 +72,6 @@
         spec: EngineSpec,
         rate_per_s: Callable[[str, float], float],
         seed: int,
-        patient_rate_per_s: Callable[[str, float], float] = lambda model, at_s: 0.0,
     ) -> None:
         """Start without servers.
 
@@ -84,20 +80,15 @@
         spec : EngineSpec
             The models, and the memory of each server.
         rate_per_s : callable
-            Returns the arrival rate of urgent requests for a model at a time.
+            Returns the arrival rate of requests for a model at a time.
         seed : int
             Of the arrivals.
-        patient_rate_per_s : callable
-            The same for requests that wait long.
         """
         self.spec = spec
         self.now_s = 0.0
         self.asked: dict[str, int] = {}
         self.served: dict[str, int] = {}
-        self._rate_per_s = {
-            URGENT_WAIT_S: rate_per_s,
-            PATIENT_WAIT_S: patient_rate_per_s,
-        }
+        self._rate_per_s = rate_per_s
         self._rng = random.Random(seed)
         self._fleet = EngineFleet(spec)
         self._history = DemandHistory()
@@ -157,11 +148,10 @@
     def _arrive(self) -> None:
         arrived: list[_Waiting] = []
         for model in self.spec.models:
-            for wait_s, rate_per_s in self._rate_per_s.items():
-                rate = rate_per_s(model, self.now_s) * STEP_S
-                count = int(rate) + (self._rng.random() < rate - int(rate))
-                self.asked[model] = self.asked.get(model, 0) + count
-                arrived += [_Waiting(model, self.now_s, wait_s, False)] * count
+            rate = self._rate_per_s(model, self.now_s) * STEP_S
+            count = int(rate) + (self._rng.random() < rate - int(rate))
+            self.asked[model] = self.asked.get(model, 0) + count
+            arrived += [_Waiting(model, self.now_s, False)] * count
         arrived += [item for item in self._returning if item.from_s <= self.now_s]
         self._returning = [i for i in self._returning if i.from_s > self.now_s]
         self._waiting += arrived
@@ -185,7 +175,7 @@
                 self._running.append(_Running(end_s, name, request.model))
                 known = self.served.get(request.model, 0)
                 self.served[request.model] = known + 1
-            elif self.now_s - request.from_s < request.wait_s:
+            elif self.now_s - request.from_s < WAIT_S:
                 left.append(request)
             elif not request.has_returned:
                 back_s = self.now_s + RETRY_AFTER_S
--- a/testing/vm/test_store_restore.py
+++ b/testing/vm/test_store_restore.py
@@ -256,6 +256,33 @@
         self.assertFalse(self.cache.take_proof(late, 0.0))
         self.assertIsNone(self.cache.next_position)
 
+    def test_a_proof_does_not_stand_in_for_a_first_read(self) -> None:
+        proof = {"age_s": 0.0, "next_offset": 40, "era": 0}
+        self.assertFalse(self.cache.take_proof(proof, 0.0))
+        self.assertIsNone(self.cache.next_position)
+        self.cache.apply(KeyedRecord(StorePosition(0, 39), "k", b"relayed"))
+        self.assertTrue(self.cache.take_proof(proof, 0.0))
+
+    def test_a_copy_read_after_a_relayed_record_still_counts_as_a_copy(self) -> None:
+        copied: list[str] = []
+
+        def apply_copied(record: KeyedRecord) -> bool:
+            copied.append(record.key)
+            return False
+
+        callbacks = self.cache._callbacks._replace(apply_copied=apply_copied)
+        cache = TopicCache(callbacks, is_versioned=False)
+        first = KeyedRecord(StorePosition(0, 5), "k", b"before")
+        cache.replace(Snapshot((first,), StorePosition(0, 6)))
+        cache.apply(KeyedRecord(StorePosition(1, 4), "other", b"relayed"))
+        old = KeyedRecord(StorePosition(1, 2), "k", b"older")
+        cache.replace(Snapshot((old,), StorePosition(1, 3)))
+        self.assertIn("k", copied)
+        copied.clear()
+        newer = KeyedRecord(StorePosition(1, 9), "k", b"written again")
+        cache.replace(Snapshot((newer,), StorePosition(1, 10)))
+        self.assertEqual(copied, [])
+
     def test_an_emptied_store_deletes_and_takes_the_first_offset_again(self) -> None:
         self.cache.apply(KeyedRecord(StorePosition(0, 5), "k", b"lost"))
         self.cache.replace(Snapshot((), StorePosition(1, 0)))
