--- a/src/_pistachiopond/http1/client.py
+++ b/src/_pistachiopond/http1/client.py
@@ -66,6 +66,7 @@
         self.idle_since_s = 0.0
         self.idle_duration_s = 0.0
         self.idle_limit_s: float | None = None
+        self.skipped_responses = 0
 
     # Callbacks of the transport.
 
@@ -139,6 +140,7 @@
         elif not self._is_expected(head):
             self._is_skipping = True
             self.is_usable = False
+            self.skipped_responses += 1
         else:
             self._head = head
             self._apply_connection_headers(head)
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -172,6 +172,13 @@
             kind = "broken" if self._responder.has_started else "unclear"
             return Outcome(kind, str(error), is_cut_off=True)
         finally:
+            if connection.skipped_responses:
+                log_change(
+                    "response of another request skipped",
+                    request=self._admitted.caller.attempt_id,
+                    server=server.server_id,
+                    count=connection.skipped_responses,
+                )
             # Releasing a connection whose exchange is incomplete closes it, which
             # makes the server cancel the request.
             pool.release(connection)
@@ -307,10 +314,20 @@
         )
 
     def _resume_after(self) -> str | None:
-        if self._splitter is None or self._splitter.last_id is None:
+        splitter = self._splitter
+        if splitter is None:
+            return None
+        if splitter.has_incomplete_event():
+            log_change(
+                "incomplete event left by an earlier attempt",
+                request=self._admitted.caller.attempt_id,
+                server=self._server.server_id,
+                last_event_id=splitter.last_id,
+            )
+        if splitter.last_id is None:
             return None
-        self._splitter.restart()
-        return str(self._splitter.last_id)
+        splitter.restart()
+        return str(splitter.last_id)
 
 
 async def write_response(responder: Responder, response: CompleteResponse) -> None:
