Failing test: a stream begun again carries bytes of the run before

A server breaks off within the first event of a resumable stream; the caller gets that part and then the other server's events.

--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -88,6 +88,20 @@
             self.assertEqual(response.body.count(b"data: x\n\n"), 7)
             self.assertEqual(second.requests[0].head.values(b"last-event-id"), [b"3"])
 
+    async def test_a_stream_begun_again_has_no_bytes_of_the_run_before(self) -> None:
+        async with running_deployment() as deployment:
+            first = await deployment.add_server("s1", "plain")
+            breaks = asyncio.Event()
+            first.steps = [stream(0, -1, breaks)]
+            caller = asyncio.ensure_future(deployment.call("/resume/x"))
+            await wait_until(lambda: bool(first.requests))
+            second = await deployment.add_server("s2", "plain")
+            second.steps = [stream(0, 2)]
+            breaks.set()
+            response = await caller
+            expected = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(3))
+            self.assertEqual(response.body, expected)
+
     async def test_a_resumed_stream_that_fails_does_not_look_complete(self) -> None:
         async with running_deployment() as deployment:
             first = await deployment.add_server("s1", "plain")
