Streams: a new attempt drops the incomplete event before the first whole one too

What callers saw: a piece that is not of their request. A server that broke off within the first event of a resumable stream left its bytes in the splitter, and the stream of the next server began with them: `id: 0\ndaid: 0\ndata: x`.

Cause: `_resume_after` returned early while no event was complete, before it dropped the incomplete one. State of one attempt that the next one finds.

Why it works: the splitter is emptied at the start of each attempt, whatever was complete; the last event's id alone decides where the next run goes on.

--- a/src/_pistachiopond/decisions/event_splitter.py
+++ b/src/_pistachiopond/decisions/event_splitter.py
@@ -46,7 +46,7 @@
         return bool(self._incomplete)
 
     def restart(self) -> None:
-        """Drop the incomplete event; a new attempt resumes after the last whole one."""
+        """Drop the incomplete event, which belongs to the attempt that has ended."""
         self._incomplete = b""
 
     def _check(self, block: bytes) -> None:
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -324,10 +324,8 @@
                 server=self._server.server_id,
                 last_event_id=splitter.last_id,
             )
-        if splitter.last_id is None:
-            return None
         splitter.restart()
-        return str(splitter.last_id)
+        return None if splitter.last_id is None else str(splitter.last_id)
 
 
 async def write_response(responder: Responder, response: CompleteResponse) -> None:
