Failing test: events before an invalid one are missing in the stream

A server repeats an event, and its bytes arrive in one piece with whole events before it. The caller never gets these.

--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -8,6 +8,7 @@
 from _pistachiopond.http1.server import Responder
 from testing.vm.deployment import refusing_address, running_deployment, wait_until
 from testing.vm.fake_server import (
+    Step,
     attempt_of,
     break_connection,
     hang,
@@ -18,6 +19,19 @@
 )
 
 
+def continue_or(first: Step) -> Step:
+    """Return a step that runs `first`, or resumes a stream up to event 3."""
+
+    async def step(request: Request, responder: Responder) -> None:
+        last_ids = request.head.values(b"last-event-id")
+        if not last_ids:
+            await first(request, responder)
+        else:
+            await stream(int(last_ids[0]) + 1, 3)(request, responder)
+
+    return step
+
+
 class ForwardTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_response_is_relayed_and_forged_headers_are_not_forwarded(
         self,
@@ -102,6 +116,24 @@
             expected = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(3))
             self.assertEqual(response.body, expected)
 
+    async def test_events_before_an_invalid_one_are_not_missing_in_the_stream(
+        self,
+    ) -> None:
+        async def repeat_an_event(request: Request, responder: Responder) -> None:
+            headers = [(b"X-Attempt-Id", attempt_of(request))]
+            await responder.start_response(200, headers, None)
+            events = [b"id: %d\ndata: x\n\n" % number for number in (0, 1, 0)]
+            await responder.send(b"".join(events))
+            await responder.end()
+
+        async with running_deployment() as deployment:
+            for name in ("s1", "s2"):
+                server = await deployment.add_server(name, "plain")
+                server.steps = [continue_or(repeat_an_event)]
+            response = await deployment.call("/resume/x")
+            expected = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(4))
+            self.assertEqual(response.body, expected)
+
     async def test_a_resumed_stream_that_fails_does_not_look_complete(self) -> None:
         async with running_deployment() as deployment:
             first = await deployment.add_server("s1", "plain")
