Streams: whole events before an invalid one reach the caller

What callers saw: a stream without some of its events. When whole events arrived in one piece with an event whose id is not above the last, the splitter noted the ids of the whole ones and raised without returning them; the next attempt resumed after them.

Cause: the position to resume at was advanced before the bytes were handed over.

--- a/src/_pistachiopond/decisions/event_splitter.py
+++ b/src/_pistachiopond/decisions/event_splitter.py
@@ -3,31 +3,42 @@
 from typing import Final, final
 
 MAX_EVENT_BYTES: Final = 1024 * 1024
+EVENT_END: Final = b"\n\n"
 
 
 class BrokenStreamError(ValueError):
-    """An incomplete event is too large, or an event id is not above the last one."""
+    """An attempt's stream cannot go on; the message says why."""
 
 
 @final
 class EventSplitter:
-    """Buffers the incomplete event, and checks that event ids increase."""
+    """Buffers the incomplete event, and checks that event ids increase.
+
+    Attributes
+    ----------
+    last_id : int or None
+        The id of the last event returned; None before the first one.
+    problem : str or None
+        Why the attempt's stream cannot go on after the events returned so far.
+    """
 
     def __init__(self, last_id: int | None = None) -> None:
         self._incomplete = b""
         self.last_id = last_id
+        self.problem: str | None = None
 
     def feed(self, chunk: bytes) -> bytes:
-        """Return the events completed by `chunk`.
+        """Return the events completed by `chunk`, up to the first invalid one.
+
+        An invalid event sets `problem`, and nothing after it is returned.
 
         Raises
         ------
         BrokenStreamError
-            When an event has not ended within `MAX_EVENT_BYTES`, or its id is not
-            above the one before.
+            When an event has not ended within `MAX_EVENT_BYTES`.
         """
         data = self._incomplete + chunk
-        end = data.rfind(b"\n\n")
+        end = data.rfind(EVENT_END)
         if end < 0:
             self._incomplete = data
             if len(data) > MAX_EVENT_BYTES:
@@ -36,9 +47,14 @@
                     f"at most {MAX_EVENT_BYTES} bytes are allowed"
                 )
             return b""
-        whole, self._incomplete = data[: end + 2], data[end + 2 :]
-        for block in whole.split(b"\n\n"):
-            self._check(block)
+        size = end + len(EVENT_END)
+        whole, self._incomplete = data[:size], data[size:]
+        valid_bytes = 0
+        for block in whole.split(EVENT_END):
+            self.problem = self._check(block)
+            if self.problem is not None:
+                return whole[:valid_bytes]
+            valid_bytes += len(block) + len(EVENT_END)
         return whole
 
     def has_incomplete_event(self) -> bool:
@@ -46,10 +62,11 @@
         return bool(self._incomplete)
 
     def restart(self) -> None:
-        """Drop the incomplete event, which belongs to the attempt that has ended."""
+        """Drop what is left of the attempt that has ended."""
         self._incomplete = b""
+        self.problem = None
 
-    def _check(self, block: bytes) -> None:
+    def _check(self, block: bytes) -> str | None:
         for line in block.split(b"\n"):
             if not line.startswith(b"id:"):
                 continue
@@ -58,7 +75,6 @@
                 continue
             event_id = int(text)
             if self.last_id is not None and event_id <= self.last_id:
-                raise BrokenStreamError(
-                    f"event id {event_id} is not above the last id {self.last_id}"
-                )
+                return f"event id {event_id} is not above the last id {self.last_id}"
             self.last_id = event_id
+        return None
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -279,14 +279,17 @@
             last_s = now_s
             if self._splitter is not None:
                 chunk = self._splitter.feed(chunk)
-                if not chunk:
-                    continue
-            if not responder.has_started:
-                self._first_event_s = now_s - self._arrival_s
-                await responder.start_response(
-                    head.status, response_headers(head), None
-                )
-            await responder.send(chunk)
+            if chunk:
+                if not responder.has_started:
+                    self._first_event_s = now_s - self._arrival_s
+                    await responder.start_response(
+                        head.status, response_headers(head), None
+                    )
+                await responder.send(chunk)
+            # Raised after the events before the invalid one have been sent, since the
+            # stream is resumed after them.
+            if self._splitter is not None and self._splitter.problem is not None:
+                raise BrokenStreamError(self._splitter.problem)
         if self._splitter is not None and self._splitter.has_incomplete_event():
             raise BrokenStreamError("the stream ended in the middle of an event")
         if not responder.has_started:
