Failing test: a late second refusal is taken for the next attempt's answer

A server that turns a request away and asks for a pause gives that answer twice. The attempt after the pause goes to it on the same connection, with the same id, and takes the second refusal for its answer: a request that may run once runs twice.

--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from typing import final
 
 from _pistachiopond.http1.client import ExchangeError
 from _pistachiopond.http1.messages import HttpAddress, Request
@@ -32,6 +33,54 @@
     return step
 
 
+@final
+class RawServer:
+    """Runs all requests but the first, which it refuses twice, the second time late."""
+
+    def __init__(self) -> None:
+        self.runs = 0
+        self._has_refused = False
+
+    async def listen(self) -> HttpAddress:
+        """Listen on a free port and return its address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return HttpAddress(*self._server.sockets[0].getsockname())
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        late = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(len(b"body"))
+                attempt_id = head.split(b"X-Attempt-Id: ")[1].split(b"\r\n")[0]
+                if not self._has_refused:
+                    self._has_refused = True
+                    late = (
+                        b"HTTP/1.1 503 Busy\r\nX-Attempt-Id: %b\r\n"
+                        b"X-Not-Executed: 1\r\nRetry-After: 0.1\r\n"
+                        b"Content-Length: 0\r\n\r\n" % attempt_id
+                    )
+                    writer.write(late)
+                    continue
+                self.runs += 1
+                writer.write(late)
+                late = b""
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\n"
+                    b"X-Server-Seal: seal\r\nContent-Length: 4\r\n\r\ndone" % attempt_id
+                )
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+
 class ForwardTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_response_is_relayed_and_forged_headers_are_not_forwarded(
         self,
@@ -79,6 +128,19 @@
             self.assertEqual(unclear.head.status, 502)
             self.assertIsNone(unclear.head.value(b"x-server-seal"))
 
+    async def test_a_late_second_refusal_is_not_taken_for_the_next_attempts_answer(
+        self,
+    ) -> None:
+        async with running_deployment() as deployment:
+            server = RawServer()
+            address = await server.listen()
+            deployment.write_entry("s1", "plain", address)
+            await wait_until(lambda: "s1" in deployment.vm.fleet.servers)
+            response = await deployment.call("/once/x")
+            self.assertEqual((response.head.status, response.body), (200, b"done"))
+            self.assertEqual(server.runs, 1)
+            server.close()
+
     async def test_a_servers_error_response_is_relayed(self) -> None:
         async with running_deployment() as deployment:
             server = await deployment.add_server("s1", "plain")
