Attempts of one request do not share a connection

What callers saw: a request that may run once runs twice, or is refused as not run while it runs. A server turns the request away and asks for a pause; after the pause the next attempt goes to the same server, mostly on the same connection, since the pool reuses the last one first. If the server repeats its refusal late, that second response comes before the answer to the next attempt and bears the same attempt id.

Cause: responses are told apart by the attempt id, and two attempts at one server have the same id on the same connection. Ruled out for other requests: their ids differ, so their late answers are skipped and the connection is closed (test_connections).

Why it works: a response can only come on the connection of its request, and a request remembers the connections on which it was sent; the pool leaves these out for it.

--- a/src/_pistachiopond/http1/pool.py
+++ b/src/_pistachiopond/http1/pool.py
@@ -1,7 +1,7 @@
 """A pool of persistent connections to one server."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final, final
 
 from _pistachiopond.http1.client import ClientConnection, ExchangeError, connect
@@ -38,7 +38,11 @@
         self.max_open: int | None = None
         self.opened_total = 0
 
-    async def acquire(self, max_idle_s: float | None = None) -> ClientConnection:
+    async def acquire(
+        self,
+        max_idle_s: float | None = None,
+        excluded: Collection[ClientConnection] = (),
+    ) -> ClientConnection:
         """Return an idle connection, or open a new one.
 
         Parameters
@@ -46,6 +50,8 @@
         max_idle_s : float or None
             Connections that have been idle for longer are not used; None to apply
             only the server's own limit.
+        excluded : collection of ClientConnection
+            Connections that are not used.
 
         Raises
         ------
@@ -60,10 +66,12 @@
             candidate = self._idle.pop()
             if not candidate.is_open() or self._is_old(candidate, now_s):
                 self.discard(candidate)
-            elif max_idle_s is None or now_s - candidate.idle_since_s <= max_idle_s:
-                found = candidate
-            else:
+            elif candidate in excluded or (
+                max_idle_s is not None and now_s - candidate.idle_since_s > max_idle_s
+            ):
                 kept.append(candidate)
+            else:
+                found = candidate
         self._idle[:0] = reversed(kept)
         if found is not None:
             found.idle_duration_s = now_s - found.idle_since_s
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -76,6 +76,10 @@
         Splits a resumable stream into events; None for all other responses.
     arrival_s : float
         When the request arrived, on the event loop's clock.
+    used_connections : set of ClientConnection
+        Connections on which the request was sent. A late second response to an attempt
+        carries the same id as the response to the next one, so no two attempts share a
+        connection.
     """
 
     request: Request
@@ -83,6 +87,7 @@
     responder: Responder
     splitter: EventSplitter | None
     arrival_s: float
+    used_connections: set[ClientConnection]
 
 
 @final
@@ -132,6 +137,7 @@
         self._responder = exchange.responder
         self._splitter = exchange.splitter
         self._arrival_s = exchange.arrival_s
+        self._used_connections = exchange.used_connections
         self._pools = pools
         self._fleet = fleet
         self._server = server
@@ -148,7 +154,7 @@
         pool = self._pools.pool_of(server)
         max_idle_s = self._pools.max_idle_s(self._admitted.route, server.service)
         try:
-            connection = await pool.acquire(max_idle_s)
+            connection = await pool.acquire(max_idle_s, self._used_connections)
         except ExchangeError as error:
             return Outcome("connect", str(error))
         try:
@@ -200,6 +206,7 @@
             encode_request(encoded.head, encoded.body),
             lambda head: is_response_to(attempt_id, head),
         )
+        self._used_connections.add(connection)
         self.may_have_run = True
         head = await self._read_head(connection)
         if head is None:
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -129,7 +129,7 @@
         self._attempt: Attempt | None = None
         self._arrival_s = asyncio.get_running_loop().time()
         self._exchange = Exchange(
-            request, admitted, responder, self._splitter, self._arrival_s
+            request, admitted, responder, self._splitter, self._arrival_s, set()
         )
 
     async def run(self) -> None:
