Failing test: a late second answer is taken for a server's report

Orders and reports of the leader share connections with callers' requests and accept any response, so the late second answer to a request counts as the answer to the order or report that follows on that connection.

--- a/testing/vm/fake_server.py
+++ b/testing/vm/fake_server.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Awaitable, Callable
 from typing import final
 
-from _pistachiopond.http1.messages import RawHeaders, Request
+from _pistachiopond.http1.messages import HttpAddress, RawHeaders, Request
 from _pistachiopond.http1.server import Responder
 
 Step = Callable[[Request, Responder], Awaitable[None]]
@@ -118,3 +119,59 @@
             "sequence": self.order_count,
         }
         await responder.respond(200, [], json.dumps(plain).encode())
+
+
+RawAnswer = tuple[bytes, bytes, bytes]
+
+
+@final
+class RepeatingServer:
+    """Repeats its first answer late, before the next one on the same connection.
+
+    An answer is a status line, lines of headers and a body. The attempt id of the
+    request is echoed.
+    """
+
+    def __init__(self, first: RawAnswer, others: RawAnswer) -> None:
+        self.requests = 0
+        self._first = first
+        self._others = others
+
+    async def listen(self) -> HttpAddress:
+        """Listen on a free port until the event loop ends, and return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return HttpAddress(*self._server.sockets[0].getsockname())
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        late = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"Content-Length: (\d+)", head)
+                await reader.readexactly(int(length[1]) if length else 0)
+                self.requests += 1
+                answer = self._encode(head)
+                if self.requests == 1:
+                    late = answer
+                else:
+                    writer.write(late)
+                    late = b""
+                    # Another read at the client than that of the answer.
+                    await asyncio.sleep(0.02)
+                writer.write(answer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+    def _encode(self, head: bytes) -> bytes:
+        status, headers, body = self._first if self.requests == 1 else self._others
+        echoed = re.search(rb"X-Attempt-Id: [^\r]*\r\n", head)
+        return b"HTTP/1.1 %b\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
+            status,
+            headers,
+            echoed[0] if echoed else b"",
+            len(body),
+            body,
+        )
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import unittest
-from typing import final
 
 from _pistachiopond.http1.client import ExchangeError
 from _pistachiopond.http1.messages import HttpAddress, Request
 from _pistachiopond.http1.server import Responder
-from testing.vm.deployment import refusing_address, running_deployment, wait_until
+from _pistachiopond.platform.servers import encode_report_request
+from testing.vm.deployment import (
+    SingleVmDeployment,
+    refusing_address,
+    running_deployment,
+    wait_until,
+)
 from testing.vm.fake_server import (
+    RepeatingServer,
     Step,
     attempt_of,
     break_connection,
@@ -33,52 +39,12 @@
     return step
 
 
-@final
-class RawServer:
-    """Runs all requests but the first, which it refuses twice, the second time late."""
-
-    def __init__(self) -> None:
-        self.runs = 0
-        self._has_refused = False
-
-    async def listen(self) -> HttpAddress:
-        """Listen on a free port and return its address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return HttpAddress(*self._server.sockets[0].getsockname())
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._server.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        late = b""
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                await reader.readexactly(len(b"body"))
-                attempt_id = head.split(b"X-Attempt-Id: ")[1].split(b"\r\n")[0]
-                if not self._has_refused:
-                    self._has_refused = True
-                    late = (
-                        b"HTTP/1.1 503 Busy\r\nX-Attempt-Id: %b\r\n"
-                        b"X-Not-Executed: 1\r\nRetry-After: 0.1\r\n"
-                        b"Content-Length: 0\r\n\r\n" % attempt_id
-                    )
-                    writer.write(late)
-                    continue
-                self.runs += 1
-                writer.write(late)
-                late = b""
-                await writer.drain()
-                await asyncio.sleep(0.02)
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\n"
-                    b"X-Server-Seal: seal\r\nContent-Length: 4\r\n\r\ndone" % attempt_id
-                )
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            writer.close()
+async def add_raw_server(
+    deployment: SingleVmDeployment, server: RepeatingServer
+) -> None:
+    """Register the server as ``s1`` and wait until the VM knows it."""
+    deployment.write_entry("s1", "plain", await server.listen())
+    await wait_until(lambda: "s1" in deployment.vm.fleet.servers)
 
 
 class ForwardTests(unittest.IsolatedAsyncioTestCase):
@@ -132,14 +98,23 @@
         self,
     ) -> None:
         async with running_deployment() as deployment:
-            server = RawServer()
-            address = await server.listen()
-            deployment.write_entry("s1", "plain", address)
-            await wait_until(lambda: "s1" in deployment.vm.fleet.servers)
+            busy = (b"503 Busy", b"X-Not-Executed: 1\r\nRetry-After: 0.1\r\n", b"")
+            server = RepeatingServer(busy, (b"200 OK", b"", b"done"))
+            await add_raw_server(deployment, server)
+            response = await deployment.call("/once/x")
+            self.assertEqual((response.head.status, response.body), (200, b"done"))
+            self.assertEqual(server.requests, 2)
+
+    async def test_a_late_second_answer_is_not_taken_for_a_servers_report(self) -> None:
+        async with running_deployment() as deployment:
+            server = RepeatingServer((b"200 OK", b"", b"done"), (b"200 OK", b"", b"{}"))
+            await add_raw_server(deployment, server)
             response = await deployment.call("/once/x")
             self.assertEqual((response.head.status, response.body), (200, b"done"))
-            self.assertEqual(server.runs, 1)
-            server.close()
+            known = deployment.vm.fleet.servers["s1"]
+            report = Request(encode_report_request("s1"), b"")
+            answer = await deployment.vm.placer._call(known, report, 1.0)
+            self.assertEqual(answer.ok(), (200, b"{}"))
 
     async def test_a_servers_error_response_is_relayed(self) -> None:
         async with running_deployment() as deployment:
