Orders and reports: a response with an attempt id is not theirs

What it did: the leader took the late second answer to a caller's request for a server's answer to an order or a report, so it believed an order accepted that was not, or could not read the report. Callers see it as models that are not loaded in time.

Cause: calls of the leader share the connections of requests and accepted any response. The same class as the attempts that shared a connection: a response is matched by less than its request. They have no id, so a response that has one is another request's, and is skipped as on a request's own exchange.

Not covered: a second answer to an order before that to the next order. These have nothing to compare; the order count that each order names bounds the harm.

--- a/src/_pistachiopond/http1/pool.py
+++ b/src/_pistachiopond/http1/pool.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable, Collection
 from typing import Final, final
 
-from _pistachiopond.http1.client import ClientConnection, ExchangeError, connect
+from _pistachiopond.http1.client import (
+    ClientConnection,
+    ExchangeError,
+    IsExpected,
+    accept_any_response,
+    connect,
+)
 from _pistachiopond.http1.messages import (
     CompleteResponse,
     HttpAddress,
@@ -123,7 +129,10 @@
 
 
 async def send_request(
-    pool: ConnectionPool, request: Request, timeout_s: float
+    pool: ConnectionPool,
+    request: Request,
+    timeout_s: float,
+    is_expected: IsExpected = accept_any_response,
 ) -> CompleteResponse:
     """Send a request of this software's own API and return the complete response.
 
@@ -135,6 +144,8 @@
         The request to send.
     timeout_s : float
         The limit for the response, counted from when a connection is available.
+    is_expected : callable
+        Whether a response with a given head belongs to this request.
 
     Raises
     ------
@@ -144,7 +155,7 @@
     connection = await pool.acquire()
     try:
         async with asyncio.timeout(timeout_s):
-            connection.send(encode_request(request.head, request.body))
+            connection.send(encode_request(request.head, request.body), is_expected)
             head = await connection.read_head()
             return CompleteResponse(head, await connection.read_body(MAX_BODY_BYTES))
     except TimeoutError:
--- a/src/_pistachiopond/platform/requests.py
+++ b/src/_pistachiopond/platform/requests.py
@@ -122,6 +122,14 @@
     return value is not None and value.decode("latin-1").strip() == attempt_id
 
 
+def is_response_to_call(head: ResponseHead) -> bool:
+    """Return whether a response can be one to a call of this system itself.
+
+    Such calls have no id, so a response with an id is one to a caller's request.
+    """
+    return head.value(ATTEMPT_ID) is None
+
+
 def classify_response(head: ResponseHead) -> ResponseKind:
     """Return what became of the request, according to a server's response."""
     if head.status == 421:
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -28,6 +28,7 @@
 from _pistachiopond.http1.messages import Request
 from _pistachiopond.http1.pool import send_request
 from _pistachiopond.observe.logs import log_change, log_warning
+from _pistachiopond.platform.requests import is_response_to_call
 from _pistachiopond.platform.servers import (
     decode_notice,
     decode_order_reply,
@@ -357,7 +358,7 @@
     ) -> Result[tuple[int, bytes], str]:
         pool = self._deps.pools.pool_of(server)
         try:
-            response = await send_request(pool, request, timeout_s)
+            response = await send_request(pool, request, timeout_s, is_response_to_call)
         except ExchangeError as error:
             return Err(str(error))
         self._deps.fleet.apply_notice(server, decode_notice(response.head))
