--- /dev/null
+++ b/testing/vm/test_cut_from_servers.py
@@ -0,0 +1,124 @@
+"""Tests of VMs that cannot reach the servers while the other VMs can."""
+
+import asyncio
+import socket
+import unittest
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
+
+from _pistachiopond.http1.messages import HttpAddress
+from _pistachiopond.http1.pool import ConnectionPool
+from _pistachiopond.schema.deployment import BackendServer
+from _pistachiopond.vm.program import Vm
+from testing.vm.cluster import Cluster
+from testing.vm.deployment import (
+    SingleVmDeployment,
+    listen,
+    refusing_address,
+    wait_until,
+)
+
+# The operators' stability window, after which callers must be served again.
+STABILITY_WINDOW_S = 3.0
+FIRST_TRIES = 40
+
+
+@contextmanager
+def hanging_address() -> Iterator[HttpAddress]:
+    """Return an address at which new connections are neither opened nor refused."""
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(3)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        try:
+            yield HttpAddress(*full.getsockname())
+        finally:
+            for filler in fillers:
+                filler.close()
+
+
+def cut_off(vm: Vm, address: HttpAddress) -> Callable[[], None]:
+    """Let all connections from a VM to servers go to `address`; return the undoing."""
+    pool_of = vm.pools.pool_of
+    vm.pools._pools.clear()
+
+    def divert(server: BackendServer) -> ConnectionPool:
+        return pool_of(server._replace(address=address))
+
+    def heal() -> None:
+        vm.pools._pools.clear()
+        vm.pools.pool_of = pool_of
+
+    vm.pools.pool_of = divert
+    return heal
+
+
+@asynccontextmanager
+async def running_cluster(servers: int) -> AsyncIterator[SingleVmDeployment]:
+    """Run three VMs and servers, with callers at a VM that does not lead."""
+    cluster = Cluster()
+    await cluster.start(3)
+    name = min(name for name in cluster.vms if name != cluster.leader())
+    callers, address = await listen(cluster.vms[name].request_handler.handle)
+    deployment = SingleVmDeployment(cluster.vms[name], cluster.store, address)
+    for number in range(servers):
+        await deployment.add_server(f"s{number}", "plain")
+    for vm in cluster.vms.values():
+        await wait_until(lambda vm=vm: len(vm.fleet.servers) == servers)
+    try:
+        yield deployment
+    finally:
+        callers.close()
+        deployment.close()
+        await cluster.close()
+
+
+async def count_served(deployment: SingleVmDeployment, path: str) -> int:
+    """Send requests over two seconds; return how many succeed at the first try."""
+
+    async def call() -> bool:
+        response = await deployment.call(path)
+        return response.head.status == 200
+
+    tasks = []
+    for _ in range(FIRST_TRIES):
+        tasks.append(asyncio.ensure_future(call()))
+        await asyncio.sleep(2.0 / FIRST_TRIES)
+    return sum(await asyncio.gather(*tasks))
+
+
+class CutFromServersTests(unittest.IsolatedAsyncioTestCase):
+    async def check_served(self, address: HttpAddress, path: str) -> None:
+        """Check that at least two thirds of the first tries succeed after the window.
+
+        The other VMs serve all of theirs.
+        """
+        async with running_cluster(servers=3) as deployment:
+            cut_off(deployment.vm, address)
+            began_s = asyncio.get_running_loop().time()
+            await count_served(deployment, path)
+            left_s = began_s + STABILITY_WINDOW_S - asyncio.get_running_loop().time()
+            await asyncio.sleep(max(0.0, left_s))
+            served = await count_served(deployment, path)
+            self.assertGreaterEqual(served, FIRST_TRIES * 2 / 3)
+
+    async def test_callers_of_a_vm_whose_connections_to_servers_hang_are_served(
+        self,
+    ) -> None:
+        with hanging_address() as address:
+            for path in ("/once/x", "/safe/x"):
+                await self.check_served(address, path)
+
+    async def test_callers_of_a_vm_whose_connections_to_servers_are_refused_are_served(
+        self,
+    ) -> None:
+        with refusing_address() as address:
+            for path in ("/once/x", "/safe/x"):
+                await self.check_served(address, path)
+
+
+if __name__ == "__main__":
+    unittest.main()
