VMs that cannot reach the servers pass requests on to VMs that can

Cause: each request found out by itself that it could not reach a server, at 1.2 s for each, and no VM concluded that it was the one cut off. State that concerns the VM's own network was kept by request and by server only. Ruled out: ejection (first after 7 s, and bounded to a third of the servers), Retry-After (first tries failed). Readiness would not help where a whole data centre is cut off, since the balancer then ignores it.

Change: outcomes of new connections are shared by service; two servers that fail in a row make it unreachable, probes end that. Requests for an unreachable service go through a VM that reaches it, chosen from the leader's list; it forwards as if the request were its own, without counting or charging it again. Attempts take a target, a server or a VM.

--- a/src/_pistachiopond/http1/client.py
+++ b/src/_pistachiopond/http1/client.py
@@ -67,6 +67,7 @@
         self.idle_duration_s = 0.0
         self.idle_limit_s: float | None = None
         self.skipped_responses = 0
+        self.has_timed_out = False
 
     # Callbacks of the transport.
 
@@ -101,6 +102,7 @@
         """Fail the request in progress, unless its response is complete."""
         self.is_usable = False
         self._transport = None
+        self.has_timed_out = isinstance(exc, TimeoutError)
         if self._is_expected is not None and not self._is_done:
             if self._head is not None or self._has_response_bytes:
                 self._fail(
--- a/src/_pistachiopond/http1/pool.py
+++ b/src/_pistachiopond/http1/pool.py
@@ -27,6 +27,13 @@
 MIN_IDLE_LIMIT_S: Final = 0.5
 # Larger than any response to this software's own API calls.
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
+# A reachable server accepts within milliseconds, and TCP sends a lost SYN again after
+# one second.
+SLOW_CONNECT_S: Final = 0.3
+
+
+def ignore_outcome(is_connected: bool) -> None:
+    """Ignore whether a connection was opened."""
 
 
 @final
@@ -34,11 +41,30 @@
     """Connections to one server; the most recently used one is reused first."""
 
     def __init__(
-        self, address: HttpAddress, now_s: Callable[[], float], connect_timeout_s: float
+        self,
+        address: HttpAddress,
+        now_s: Callable[[], float],
+        connect_timeout_s: float,
+        on_connect: Callable[[bool], None] = ignore_outcome,
     ) -> None:
+        """Start without connections.
+
+        Parameters
+        ----------
+        address : HttpAddress
+            The server's address.
+        now_s : callable
+            The monotonic time in seconds.
+        connect_timeout_s : float
+            The limit for opening a connection.
+        on_connect : callable
+            Called with True when a connection has been opened, and with False when one
+            could not be opened, or not within `SLOW_CONNECT_S`.
+        """
         self._address = address
         self._now_s = now_s
         self._connect_timeout_s = connect_timeout_s
+        self._on_connect = on_connect
         self._idle: list[ClientConnection] = []
         self.open_connections = 0
         self.max_open: int | None = None
@@ -88,13 +114,36 @@
                 f"{self.open_connections} connections are open, of {self.max_open} "
                 "allowed, and none of them can be used",
             )
+        return await self._open()
+
+    async def open_idle(self) -> None:
+        """Open a connection and keep it for a later request.
+
+        Raises
+        ------
+        ExchangeError
+            Of kind ``connect``, when connecting fails.
+        """
+        connection = await self._open()
+        connection.idle_since_s = self._now_s()
+        self._idle.append(connection)
+
+    async def _open(self) -> ClientConnection:
         self.open_connections += 1
         self.opened_total += 1
+        loop = asyncio.get_running_loop()
+        slow = loop.call_later(SLOW_CONNECT_S, self._on_connect, False)
         try:
-            return await connect(self._address, self._connect_timeout_s)
-        except BaseException:
+            connection = await connect(self._address, self._connect_timeout_s)
+        except BaseException as error:
             self.open_connections -= 1
+            if isinstance(error, ExchangeError):
+                self._on_connect(False)
             raise
+        finally:
+            slow.cancel()
+        self._on_connect(True)
+        return connection
 
     def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool; it is closed if it cannot be reused."""
--- a/src/_pistachiopond/platform/requests.py
+++ b/src/_pistachiopond/platform/requests.py
@@ -48,6 +48,8 @@
     b"x-prompt-prefix",
 )
 MAX_PRIORITY: Final = 9
+# In responses to callers these codes promise that the request has not run.
+_NOT_RUN_STATUSES: Final = (408, 429, 503)
 
 
 def decode_request(head: RequestHead) -> Result[CallerRequest, str]:
@@ -98,14 +100,7 @@
 
 def encode_forwarded(request: Request, context: ForwardContext) -> Request:
     """Return the request in the form that is sent to a server."""
-    headers = [
-        (name, value)
-        for name, value in remove_hop_by_hop_headers(request.head.headers)
-        if name.lower() not in _SYSTEM_HEADERS
-    ]
-    if context.resume_after is not None:
-        headers = [item for item in headers if item[0].lower() != b"last-event-id"]
-        headers.append((b"Last-Event-Id", context.resume_after.encode()))
+    headers = _forwarded_headers(request.head, context.resume_after)
     headers.append((b"X-Expect-Instance", context.server_id.encode()))
     headers.append((b"X-Deadline-Ms", b"%d" % max(1, context.deadline_s * MS_PER_S)))
     rank = min(MAX_PRIORITY, max(0, context.urgency_rank))
@@ -116,6 +111,33 @@
     return Request(head, request.body)
 
 
+def encode_relayed(request: Request, resume_after: str | None) -> Request:
+    """Return the request in the form that another VM forwards, without a key.
+
+    Parameters
+    ----------
+    request : Request
+        The caller's request.
+    resume_after : str or None
+        The last stream event that the caller has received.
+    """
+    headers = _forwarded_headers(request.head, resume_after)
+    head = RequestHead(request.head.method, request.head.target, headers)
+    return Request(head, request.body)
+
+
+def _forwarded_headers(head: RequestHead, resume_after: str | None) -> RawHeaders:
+    headers = [
+        (name, value)
+        for name, value in remove_hop_by_hop_headers(head.headers)
+        if name.lower() not in _SYSTEM_HEADERS
+    ]
+    if resume_after is not None:
+        headers = [item for item in headers if item[0].lower() != b"last-event-id"]
+        headers.append((b"Last-Event-Id", resume_after.encode()))
+    return headers
+
+
 def is_response_to(attempt_id: str, head: ResponseHead) -> bool:
     """Return whether a response carries the id of the request."""
     value = head.value(ATTEMPT_ID)
@@ -136,14 +158,18 @@
         return "not_here"
     if head.value(b"x-not-executed") is not None:
         return "not_run"
-    # In responses to callers these codes promise that the request has not run. A server
-    # that sends one without the header above gives no such promise, so the code must
-    # not be relayed.
-    if head.status in (408, 429, 503):
+    # A server that sends one of these codes without the header above gives no such
+    # promise, so the code must not be relayed.
+    if head.status in _NOT_RUN_STATUSES:
         return "unclear"
     return "success" if 200 <= head.status < 300 else "failure"
 
 
+def promises_not_run(status: int) -> bool:
+    """Return whether a refusal with this status promises that nothing has run."""
+    return status in _NOT_RUN_STATUSES or 400 <= status < 500
+
+
 def response_headers(head: ResponseHead) -> RawHeaders:
     """Return the headers of a server's response that are relayed to the caller."""
     return [
--- a/src/_pistachiopond/platform/settings.py
+++ b/src/_pistachiopond/platform/settings.py
@@ -34,7 +34,11 @@
 
 def _decode(plain: dict[str, Any]) -> VmSettings:
     listen = plain["listen"]
-    ports = plain["internalPortRange"]
+    first_port, last_port = (int(port) for port in plain["internalPortRange"])
+    if last_port <= first_port:
+        raise ValueError(
+            f"internalPortRange is {first_port} to {last_port}, two ports are needed"
+        )
     limits = plain["limits"]
     return VmSettings(
         name=str(plain["nodeName"]),
@@ -42,7 +46,8 @@
         data_centre=str(plain["zone"]),
         caller_address=parse_address(listen["front"]),
         ready_address=parse_address(listen["ready"]),
-        peer_address=HttpAddress(str(plain["ip"]), int(ports[0])),
+        peer_address=HttpAddress(str(plain["ip"]), first_port),
+        relay_address=HttpAddress(str(plain["ip"]), first_port + 1),
         heartbeat_s=float(plain["heartbeatMs"]) / MS_PER_S,
         cpu_cores=float(limits["cpuShare"]) * float(limits["cpuCores"]),
         link_mbps=float(limits["linkMbps"]),
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -47,7 +47,9 @@
     whose server ended the connection, each with the server and its incarnation.
     `cleared` lists suspected requests that ran without a crash. `fence` is the token of
     the claim by which the member takes the receiver for the leader; builds that do not
-    know eras send none.
+    know eras send none. `relay_address` is where the member takes other VMs' requests,
+    and `unreachable` lists the services whose servers it cannot reach; both are missing
+    from builds that do not pass requests on.
     """
 
     member: str
@@ -60,6 +62,8 @@
     doubtful: list[str]
     cut_off: list[tuple[str, str, int]]
     cleared: list[str]
+    relay_address: NotRequired[str]
+    unreachable: NotRequired[list[str]]
 
 
 class LeaderReply(TypedDict):
@@ -67,7 +71,9 @@
 
     `given` has the tokens to add to each customer's balance, and `load` the requests of
     all VMs at each server. `period_s` is the time until the next report. `topics` says
-    how fresh each topic's relayed records are.
+    how fresh each topic's relayed records are. `relays` lists the addresses of VMs
+    that forward requests for the member: for each service that it cannot reach, and
+    under an empty name for all services. It is missing from older builds.
     """
 
     number: int
@@ -77,6 +83,7 @@
     members: int
     period_s: float
     topics: dict[str, TopicProof]
+    relays: NotRequired[dict[str, list[str]]]
 
 
 class LoadedModelsUpdate(TypedDict):
--- a/src/_pistachiopond/schema/vm_settings.py
+++ b/src/_pistachiopond/schema/vm_settings.py
@@ -42,6 +42,8 @@
         The data centre that it runs in.
     caller_address, ready_address, peer_address : HttpAddress
         The addresses that it listens on for callers, the load balancer and other VMs.
+    relay_address : HttpAddress
+        The address that it listens on for requests that other VMs pass on.
     heartbeat_s : float
         The period of the backend servers' heartbeats.
     cpu_cores, link_mbps : float
@@ -58,6 +60,7 @@
     caller_address: HttpAddress
     ready_address: HttpAddress
     peer_address: HttpAddress
+    relay_address: HttpAddress
     heartbeat_s: float
     cpu_cores: float
     link_mbps: float
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -1,7 +1,6 @@
-"""One attempt to have a request answered by one backend server."""
+"""One attempt to have a request answered by a backend server or through another VM."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.attempt_policy import AttemptKind
@@ -15,18 +14,9 @@
 )
 from _pistachiopond.http1.server import Responder
 from _pistachiopond.observe.logs import log_change
-from _pistachiopond.platform.requests import (
-    classify_response,
-    encode_forwarded,
-    is_response_to,
-    response_headers,
-)
-from _pistachiopond.platform.servers import decode_notice
-from _pistachiopond.schema.caller_request import ForwardContext
-from _pistachiopond.schema.deployment import BackendServer
+from _pistachiopond.platform.requests import is_response_to, response_headers
 from _pistachiopond.vm.admission import Admitted
-from _pistachiopond.vm.fleet import Fleet
-from _pistachiopond.vm.server_pools import ServerPools
+from _pistachiopond.vm.attempt_target import Target
 
 # Responses up to this size are buffered whole before the first byte goes to the caller.
 # A response that is cut off within that size can then be retried or reported as failed.
@@ -92,25 +82,17 @@
 
 @final
 class Attempt:
-    """Sends a request to one server and relays the response to the caller.
+    """Sends a request to one target and relays the response to the caller.
 
     Attributes
     ----------
     may_have_run : bool
-        Whether the request was sent and the server has not confirmed that it did not
+        Whether the request was sent and the target has not confirmed that it did not
         run it.
     """
 
     def __init__(
-        self,
-        exchange: Exchange,
-        pools: ServerPools,
-        fleet: Fleet,
-        server: BackendServer,
-        *,
-        on_prefill: Callable[[BackendServer, int, float], None],
-        load: int,
-        is_last: bool,
+        self, exchange: Exchange, target: Target, *, load: int, is_last: bool
     ) -> None:
         """Prepare an attempt.
 
@@ -118,30 +100,19 @@
         ----------
         exchange : Exchange
             The request and the writer of its response.
-        pools : ServerPools
-            Connections to servers.
-        fleet : Fleet
-            Says whether the server may get requests, and learns from its answers.
-        server : BackendServer
-            The server to send the request to.
-        on_prefill : callable
-            Called with the server, the prompt's tokens and the seconds from sending
-            the request to the first bytes of a stream.
+        target : Target
+            The server or VM to send the request to.
         load : int
             Requests in progress at the server, for the log.
         is_last : bool
             Whether the request may go to no other server after this one.
         """
-        self._request = exchange.request
         self._admitted = exchange.admitted
         self._responder = exchange.responder
         self._splitter = exchange.splitter
         self._arrival_s = exchange.arrival_s
         self._used_connections = exchange.used_connections
-        self._pools = pools
-        self._fleet = fleet
-        self._server = server
-        self._on_prefill = on_prefill
+        self._target = target
         self._load_when_sent = load
         self._is_last = is_last
         self._sent_s = 0.0
@@ -150,15 +121,14 @@
 
     async def run(self) -> Outcome:
         """Send the request, relay the response, and return the outcome."""
-        server = self._server
-        pool = self._pools.pool_of(server)
-        max_idle_s = self._pools.max_idle_s(self._admitted.route, server.service)
+        target = self._target
+        pool = target.pool
         try:
-            connection = await pool.acquire(max_idle_s, self._used_connections)
+            connection = await pool.acquire(target.max_idle_s, self._used_connections)
         except ExchangeError as error:
             return Outcome("connect", str(error))
         try:
-            if not self._fleet.is_open(server):
+            if not target.is_open():
                 # While the connection was opened, another answer of the server said
                 # that it leaves or wants a pause.
                 return Outcome("withdrawn", "the server takes no requests now")
@@ -166,11 +136,12 @@
         except ExchangeError as error:
             if error.kind == "connect":
                 return Outcome("connect", str(error))
+            if connection.has_timed_out:
+                target.record_timeout()
             kind: AttemptKind = "broken" if self._responder.has_started else "unclear"
             if error.kind in ("closed", "reset") and connection.idle_duration_s:
                 after_s = asyncio.get_running_loop().time() - self._sent_s
-                idle_s = connection.idle_duration_s
-                self._pools.record_reset(server.service, idle_s, after_s)
+                target.record_reset(connection.idle_duration_s, after_s)
             is_cut_off = error.kind in ("closed", "reset", "truncated")
             return Outcome(kind, str(error), is_cut_off=is_cut_off)
         except BrokenStreamError as error:
@@ -182,7 +153,7 @@
                 log_change(
                     "response of another request skipped",
                     request=self._admitted.caller.attempt_id,
-                    server=server.server_id,
+                    server=target.name,
                     count=connection.skipped_responses,
                 )
             # Releasing a connection whose exchange is incomplete closes it, which
@@ -191,16 +162,11 @@
 
     async def _send_and_relay(self, connection: ClientConnection) -> Outcome:
         admitted = self._admitted
+        target = self._target
         loop = asyncio.get_running_loop()
-        context = ForwardContext(
-            server_id=self._server.server_id,
-            customer=admitted.customer.name if admitted.customer else None,
-            deadline_s=admitted.end_s - loop.time(),
-            urgency_rank=admitted.rank,
-            resume_after=self._resume_after(),
-        )
+        resume_after = self._resume_after()
         self._sent_s = loop.time()
-        encoded = encode_forwarded(self._request, context)
+        encoded = target.encode(admitted.end_s - self._sent_s, resume_after)
         attempt_id = admitted.caller.attempt_id
         connection.send(
             encode_request(encoded.head, encoded.body),
@@ -211,8 +177,8 @@
         head = await self._read_head(connection)
         if head is None:
             return Outcome("unclear", "the server sent no response head in time")
-        self._fleet.apply_notice(self._server, decode_notice(head))
-        response_kind = classify_response(head)
+        target.take_notice(head)
+        response_kind = target.classify(head)
         if response_kind in ("not_run", "not_here"):
             self.may_have_run = False
             await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
@@ -279,7 +245,7 @@
         while chunk := await connection.read_chunk():
             now_s = loop.time()
             if prompt_tokens:
-                self._on_prefill(self._server, prompt_tokens, now_s - self._sent_s)
+                self._target.record_prefill(prompt_tokens, now_s - self._sent_s)
                 prompt_tokens = None
             if responder.has_started:
                 longest_pause_s = max(longest_pause_s, now_s - last_s)
@@ -313,7 +279,7 @@
         log_change(
             "answer late",
             request=self._admitted.caller.attempt_id,
-            server=self._server.server_id,
+            server=self._target.name,
             model=self._admitted.caller.model,
             adapter=self._admitted.caller.adapter,
             first_event_s=round(self._first_event_s, 3),
@@ -331,7 +297,7 @@
             log_change(
                 "incomplete event left by an earlier attempt",
                 request=self._admitted.caller.attempt_id,
-                server=self._server.server_id,
+                server=self._target.name,
                 last_event_id=splitter.last_id,
             )
         splitter.restart()
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -196,6 +196,10 @@
         """Return the servers of a service."""
         return self._by_service.get(service, {}).values()
 
+    def staying_servers(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that are not leaving."""
+        return [item for item in self.servers_of(service) if not item.is_leaving]
+
     def can_run(self, server: BackendServer, model_ref: ModelRef) -> bool:
         """Return whether the server can run requests for the model and adapter."""
         if not model_ref.model:
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
+from prometheus_client import Counter
+
 from _pistachiopond.decisions.attempt_policy import (
     AttemptState,
     final_step,
@@ -19,12 +21,15 @@
 from _pistachiopond.schema.deployment import BackendServer
 from _pistachiopond.vm.admission import Admitted
 from _pistachiopond.vm.attempt import Attempt, Exchange, Outcome, write_response
+from _pistachiopond.vm.attempt_target import make_peer_target, make_server_target
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet, ModelRef, RankedServer
 from _pistachiopond.vm.model_usage import ModelUsage
 from _pistachiopond.vm.pacing import PromptPacing
+from _pistachiopond.vm.peer_relays import Peer, PeerRelays
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, send_refusal
 from _pistachiopond.vm.server_pools import ServerPools
+from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.shutdown import Shutdown
 from _pistachiopond.vm.suspects import Suspects, make_fingerprint
 
@@ -42,6 +47,9 @@
 # A server that executes an order to load or unload a model refuses requests for about
 # a hundred milliseconds.
 ORDER_WAIT_S: Final = 0.12
+# A request is passed on to at most this many other VMs. The second one is for a VM that
+# has stopped or has itself lost its links to the servers a moment ago.
+MAX_TRIED_PEERS: Final = 2
 # Longer waits for a model are logged.
 LOGGED_WAIT_S: Final = 0.25
 
@@ -69,6 +77,12 @@
         Requests that may have crashed their servers.
     pacing : PromptPacing
         Spreads prompts over time.
+    reach : ServerReach
+        Says which services this VM cannot reach.
+    relays : PeerRelays
+        Other VMs, which forward requests for such services.
+    relayed : Counter
+        Requests passed on to other VMs, by outcome.
     """
 
     fleet: Fleet
@@ -80,6 +94,23 @@
     model_load_s: Callable[[ModelRef], float]
     suspects: Suspects
     pacing: PromptPacing
+    reach: ServerReach
+    relays: PeerRelays
+    relayed: Counter
+
+
+class RelayOrigin(NamedTuple):
+    """What the VM that passed a request on has done about it.
+
+    That VM has counted the request and charged its customer.
+
+    Attributes
+    ----------
+    fingerprint : str
+        The digest by which requests that crash servers are known.
+    """
+
+    fingerprint: str
 
 
 async def forward(
@@ -87,9 +118,24 @@
     request: Request,
     admitted: Admitted,
     responder: Responder,
+    origin: RelayOrigin | None = None,
 ) -> None:
-    """Forward a request and relay its response, by the request's deadline."""
-    forwarded = _ForwardedRequest(deps, request, admitted, responder)
+    """Forward a request and relay its response, by the request's deadline.
+
+    Parameters
+    ----------
+    deps : ForwardDependencies
+        Dependencies shared by all requests.
+    request : Request
+        The caller's request.
+    admitted : Admitted
+        Its route, service, customer and deadline.
+    responder : Responder
+        Writes the response.
+    origin : RelayOrigin or None
+        Set if another VM has passed the request on; it is not passed on again.
+    """
+    forwarded = _ForwardedRequest(deps, request, admitted, responder, origin)
     try:
         async with asyncio.timeout_at(admitted.end_s) as timeout:
             deps.shutdown.request_timeouts.add(timeout)
@@ -113,11 +159,15 @@
         request: Request,
         admitted: Admitted,
         responder: Responder,
+        origin: RelayOrigin | None,
     ) -> None:
         self._deps = deps
+        self._origin = origin
         self._admitted = admitted
         self._responder = responder
         self._tried: set[str] = set()
+        self._tried_peers: set[Peer] = set()
+        self._has_failed_to_connect = False
         self._earlier_possible_runs = 0
         self._not_run_count = 0
         self._pause_limit_s: float | None = None
@@ -142,20 +192,22 @@
                 Refusal(503, "crashes_servers", refused_for_s, log_fields)
             )
             return
-        deps.retries.record_request(self._admitted.service)
+        if self._origin is None:
+            deps.retries.record_request(self._admitted.service)
         has_reached_server = False
         while True:
-            server = await self._choose_server()
-            if server is None:
+            receiver = await self._choose_receiver()
+            if receiver is None:
                 await self._finish(Outcome("not_run", "no server available"))
                 return
-            outcome = await self._run_attempt(server)
+            if isinstance(receiver, Peer):
+                outcome = await self._run_at_peer(receiver)
+            else:
+                outcome = await self._run_attempt(receiver)
             if outcome.kind is None:
-                deps.fleet.ejector.succeeded(server.server_id)
-                if not deps.suspects.is_empty():
-                    deps.suspects.record_success(self._fingerprint())
+                self._record_success(receiver)
                 return
-            state = self._record_failure(server, outcome)
+            state = self._record_failure(receiver, outcome)
             if not may_retry(self._admitted.route, state):
                 await self._finish(outcome)
                 return
@@ -174,6 +226,8 @@
         return suspects.refused_for_s(self._fingerprint())
 
     def _fingerprint(self) -> str:
+        if self._origin is not None:
+            return self._origin.fingerprint
         return make_fingerprint(self._exchange.request, self._admitted.caller)
 
     async def handle_timeout(self) -> None:
@@ -197,7 +251,7 @@
 
     def refund_if_not_run(self) -> None:
         """Refund the rate limit tokens if certainly no server ran the request."""
-        if not self._count_possible_runs():
+        if self._origin is None and not self._count_possible_runs():
             self._deps.refund(self._admitted)
 
     def _count_possible_runs(self) -> int:
@@ -205,6 +259,24 @@
         current_may_have_run = self._attempt is not None and self._attempt.may_have_run
         return self._earlier_possible_runs + int(current_may_have_run)
 
+    async def _choose_receiver(self) -> BackendServer | Peer | None:
+        """Return the server or the VM for the next attempt; None if there is none."""
+        if self._deps.reach.is_unreachable(self._admitted.service):
+            peer = self._choose_peer()
+            # After VMs have refused, trying the unreachable servers would only use up
+            # the caller's time.
+            if peer is not None or self._tried_peers:
+                return peer
+        server = await self._choose_server()
+        if server is None and self._has_failed_to_connect:
+            return self._choose_peer()
+        return server
+
+    def _choose_peer(self) -> Peer | None:
+        if self._origin is not None or len(self._tried_peers) >= MAX_TRIED_PEERS:
+            return None
+        return self._deps.relays.choose(self._admitted.service, self._tried_peers)
+
     async def _choose_server(self) -> BackendServer | None:
         fleet = self._deps.fleet
         admitted = self._admitted
@@ -302,14 +374,18 @@
         self._tried.add(name)
         self._earlier_possible_runs = self._count_possible_runs()
         is_last = self._earlier_possible_runs + 1 >= self._admitted.route.max_servers
-        load = deps.fleet.load(name)
         self._attempt = Attempt(
             self._exchange,
-            deps.pools,
-            deps.fleet,
-            server,
-            on_prefill=deps.pacing.record_prefill,
-            load=load,
+            make_server_target(
+                server,
+                self._exchange.request,
+                self._admitted,
+                deps.pools,
+                deps.fleet,
+                deps.pacing.record_prefill,
+                deps.reach.record_connect,
+            ),
+            load=deps.fleet.load(name),
             is_last=is_last,
         )
         deps.fleet.request_started(name)
@@ -320,7 +396,54 @@
             deps.fleet.request_ended(name)
             deps.model_usage.request_ended(self._model_ref, name)
 
-    def _record_failure(self, server: BackendServer, outcome: Outcome) -> AttemptState:
+    async def _run_at_peer(self, peer: Peer) -> Outcome:
+        relays = self._deps.relays
+        max_servers = self._admitted.route.max_servers
+        self._tried_peers.add(peer)
+        self._earlier_possible_runs = self._count_possible_runs()
+        self._attempt = Attempt(
+            self._exchange,
+            make_peer_target(
+                peer,
+                self._exchange.request,
+                self._admitted,
+                relays,
+                max_servers=max_servers - self._earlier_possible_runs,
+                fingerprint=self._fingerprint(),
+            ),
+            load=0,
+            # The other VM decides about further servers, so its answer is awaited.
+            is_last=True,
+        )
+        relays.request_started(peer)
+        try:
+            outcome = await self._attempt.run()
+        finally:
+            relays.request_ended(peer)
+        if self._attempt.may_have_run:
+            # The other VM may have tried as many servers as it was allowed to.
+            self._earlier_possible_runs = max_servers
+        self._deps.relayed.labels(outcome.kind or "answered").inc()
+        log_change(
+            "request passed on",
+            request=self._admitted.caller.attempt_id,
+            service=self._admitted.service,
+            peer=peer.name(),
+            outcome=outcome.kind or "answered",
+        )
+        return outcome
+
+    def _record_success(self, receiver: BackendServer | Peer) -> None:
+        deps = self._deps
+        if isinstance(receiver, Peer):
+            return
+        deps.fleet.ejector.succeeded(receiver.server_id)
+        if not deps.suspects.is_empty():
+            deps.suspects.record_success(self._fingerprint())
+
+    def _record_failure(
+        self, receiver: BackendServer | Peer, outcome: Outcome
+    ) -> AttemptState:
         kind = outcome.kind
         assert kind is not None
         if kind in ("connect", "withdrawn", "not_run", "not_here"):
@@ -331,6 +454,17 @@
             kind = "unclear"
         loop = asyncio.get_running_loop()
         left_s = self._admitted.end_s - loop.time()
+        if not isinstance(receiver, Peer):
+            self._record_server_failure(receiver, outcome, left_s)
+        return AttemptState(
+            kind, self._count_possible_runs(), self._not_run_count, left_s
+        )
+
+    def _record_server_failure(
+        self, server: BackendServer, outcome: Outcome, left_s: float
+    ) -> None:
+        if outcome.kind == "connect":
+            self._has_failed_to_connect = True
         log_change(
             "attempt failed",
             request=self._admitted.caller.attempt_id,
@@ -348,9 +482,6 @@
             server.server_id, failure_kind, boot_s()
         ):
             log_change("server ejected", server=server.server_id, last=failure_kind)
-        return AttemptState(
-            kind, self._count_possible_runs(), self._not_run_count, left_s
-        )
 
     async def _finish(self, outcome: Outcome) -> None:
         kind = outcome.kind or "unclear"
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -7,7 +7,7 @@
 from _pistachiopond.decisions.leadership import Claim, Leadership
 from _pistachiopond.decisions.shared_limits import CustomerBalances
 from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
-from _pistachiopond.http1.messages import parse_address
+from _pistachiopond.http1.messages import HttpAddress, parse_address
 from _pistachiopond.observe.logs import log_warning
 from _pistachiopond.schema.deployment import CustomerSpec
 from _pistachiopond.schema.peer_messages import (
@@ -24,6 +24,8 @@
 from _pistachiopond.vm.fleet import Fleet, LoadedModels, ModelRef
 from _pistachiopond.vm.model_usage import ModelUsage
 from _pistachiopond.vm.pacing import PromptPacing
+from _pistachiopond.vm.peer_relays import PeerRelays
+from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.topic_cache import TopicCache, from_relayed
 
@@ -64,6 +66,12 @@
         This VM's caches of the store's topics.
     suspects : Suspects
         Requests that may have crashed their servers.
+    reach : ServerReach
+        Says which services this VM cannot reach.
+    relays : PeerRelays
+        The other VMs that forward requests for such services.
+    relay_address : HttpAddress
+        Where this VM takes the requests of others.
     """
 
     name: str
@@ -73,6 +81,9 @@
     customers: Callable[[], dict[str, CustomerSpec]]
     topic_caches: dict[str, TopicCache]
     suspects: Suspects
+    reach: ServerReach
+    relays: PeerRelays
+    relay_address: HttpAddress
 
 
 @final
@@ -299,6 +310,8 @@
             "doubtful": sorted(deps.fleet.ejected()),
             "cut_off": [tuple(lost) for lost in lost_connections],
             "cleared": cleared,
+            "relay_address": "{}:{}".format(*deps.relay_address),
+            "unreachable": sorted(deps.reach.unreachable()),
         }
 
     def _take_reply(self, reply: LeaderReply) -> None:
@@ -321,6 +334,13 @@
         if reply["leads"] and not self._leadership.is_mine():
             self._take_proofs(reply)
         self._add_tokens(reply["given"])
+        if reply["leads"]:
+            deps.relays.set_peers(
+                {
+                    service: tuple(parse_address(address) for address in addresses)
+                    for service, addresses in reply.get("relays", {}).items()
+                }
+            )
         own = deps.fleet.own_load
         deps.fleet.peer_load = {
             name: max(0, total - own.get(name, 0))
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -16,6 +16,7 @@
     PromptCandidate,
     PromptPacer,
 )
+from _pistachiopond.decisions.relay_choice import RelayMember, RelayRing
 from _pistachiopond.decisions.shared_limits import UsageAllocator, UsageReport
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.store import KeyedRecord
@@ -99,6 +100,7 @@
         self._allocator_fence = -1
         self._totals = Totals({}, {}, {}, frozenset())
         self._totals_s = float("-inf")
+        self._relay_ring = RelayRing({})
         self._model_waits: dict[str, list[ModelRef]] = {}
         self._crashes = CrashCounts()
         self._prompt_pacer = PromptPacer()
@@ -133,6 +135,16 @@
         if now_s - self._totals_s > MAX_TOTALS_AGE_PER_MEMBER_S * len(self._members):
             self._totals_s = now_s
             self._totals = sum_reports([m.report for m in self._members.values()])
+            self._relay_ring = RelayRing(
+                {
+                    name: RelayMember(
+                        member.report.get("relay_address", ""),
+                        frozenset(member.report.get("unreachable", ())),
+                    )
+                    for name, member in self._members.items()
+                    if name not in self._left_members
+                }
+            )
             for waits in self._model_waits.values():
                 for model_ref in waits:
                     add_demand(self._totals.demand, model_ref, ModelDemand(0.0, 1.0))
@@ -300,6 +312,7 @@
             "leads": leads,
             "given": self._allocate(report["member"], report["usage"], now_s),
             "load": self.totals().load,
+            "relays": self._relay_ring.relays_of(report["member"]),
             "members": len(self._members),
             "period_s": self.report_period_s(),
             "topics": {
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -23,6 +23,7 @@
     Responder,
     ServerConnection,
     ServerContext,
+    ServerLimits,
 )
 from _pistachiopond.kernel.timer import RealTimer, every
 from _pistachiopond.observe.bounded_log_handler import (
@@ -45,9 +46,12 @@
 from _pistachiopond.vm.leader_client import LeaderClient, LeaderClientDependencies
 from _pistachiopond.vm.leader_election import LeaderElection
 from _pistachiopond.vm.leader_server import LeaderServer, LeaderServerDependencies
+from _pistachiopond.vm.peer_relays import PeerRelays
 from _pistachiopond.vm.placer import Placer, PlacerDependencies
+from _pistachiopond.vm.relay_handler import RelayHandler
 from _pistachiopond.vm.request_handler import RequestHandler, RequestMetrics
 from _pistachiopond.vm.server_pools import ServerPools
+from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.settings_watch import SettingsWatch, watch_signals
 from _pistachiopond.vm.shutdown import Shutdown
 from _pistachiopond.vm.store_calls import make_store_call
@@ -58,6 +62,9 @@
 METRICS_PORT: Final = 9464
 LOG_FLUSH_PERIOD_S: Final = 0.1
 MAINTENANCE_PERIOD_S: Final = 0.25
+PROBE_CHECK_PERIOD_S: Final = 0.1
+# Room for the header that a VM adds to a request that it passes on.
+MAX_RELAY_HEADER_BYTES: Final = 2_048
 LISTEN_BACKLOG: Final = 512
 # Every server heartbeat is a record. The pause between reads of the servers' topic
 # collects several heartbeats per call.
@@ -77,6 +84,8 @@
     state: ConfigurationState
     fleet: Fleet
     pools: ServerPools
+    reach: ServerReach
+    relays: PeerRelays
     usage: CustomerBalances
     retries: SharedRetryBudget
     leader_client: LeaderClient
@@ -85,6 +94,7 @@
     placer: Placer
     suspects: Suspects
     request_handler: RequestHandler
+    relay_handler: RelayHandler
     topic_caches: dict[str, TopicCache]
     followers: tuple[TopicFollower, ...]
     metrics: Metrics
@@ -97,7 +107,9 @@
     incarnation = secrets.token_hex(8)
     state = ConfigurationState(settings.bounds.revoke_s)
     fleet = Fleet(settings.data_centre, settings.heartbeat_s, settings.bounds.drain_s)
-    pools = ServerPools(timer.now_s)
+    reach = ServerReach(fleet)
+    pools = ServerPools(timer.now_s, reach.record_connect)
+    relays = PeerRelays(timer.now_s)
     usage = CustomerBalances()
     suspects = Suspects()
     retries = SharedRetryBudget(
@@ -139,6 +151,9 @@
             state.customers,
             topic_caches,
             suspects,
+            reach,
+            relays,
+            settings.relay_address,
         ),
         leadership,
     )
@@ -181,10 +196,20 @@
         model_load_s=model_load_s,
         suspects=suspects,
         pacing=leader_client.pacing,
+        reach=reach,
+        relays=relays,
+        relayed=metrics.counter(
+            "pond_requests_passed_on", "To other VMs.", ("outcome",)
+        ),
     )
     request_handler = RequestHandler(
         admission, forward_deps, RequestMetrics.make(metrics)
     )
+    relay_handler = RelayHandler(
+        state,
+        forward_deps,
+        metrics.counter("pond_requests_taken_over", "From other VMs."),
+    )
     followers = tuple(
         TopicFollower(
             store,
@@ -200,6 +225,8 @@
         state=state,
         fleet=fleet,
         pools=pools,
+        reach=reach,
+        relays=relays,
         usage=usage,
         retries=retries,
         leader_client=leader_client,
@@ -208,6 +235,7 @@
         placer=placer,
         suspects=suspects,
         request_handler=request_handler,
+        relay_handler=relay_handler,
         topic_caches=topic_caches,
         followers=followers,
         metrics=metrics,
@@ -234,40 +262,16 @@
     timer = RealTimer()
     stopping = anyio.Event()
     connections: set[ServerConnection] = set()
-    metrics.gauge(
-        "pond_log_lines_dropped", "Dropped lines.", lambda: log_handler.dropped
-    )
-    metrics.gauge(
-        "pond_open_connections",
-        "Of callers.",
-        lambda: len(connections),
-    )
-    metrics.gauge(
-        "pond_paused_servers",
-        "Servers that asked this VM for a pause.",
-        lambda: len(vm.fleet.paused()),
-    )
-    metrics.gauge(
-        "pond_leaving_servers",
-        "Servers that are shutting down.",
-        lambda: sum(server.is_leaving for server in vm.fleet.servers.values()),
-    )
-    metrics.gauge(
-        "pond_store_era",
-        "How often the store came back from an older copy.",
-        lambda: max(cache.proof()["era"] for cache in vm.topic_caches.values()),
-    )
-    metrics.gauge(
-        "pond_configuration_age_s",
-        "Proof's age.",
-        vm.state.age_s,
-    )
+    _register_gauges(vm, connections, log_handler)
 
     watch = SettingsWatch(path, settings, partial(apply_bounds, vm))
 
     async def flush(_: float) -> None:
         log_handler.flush_ready()
 
+    async def probe(_: float) -> None:
+        vm.reach.probe(vm.pools)
+
     async def maintain(now_s: float) -> None:
         for connection in list(connections):
             connection.enforce_timeouts(now_s)
@@ -277,6 +281,7 @@
         vm.pools.close_unused(
             vm.fleet.servers, services, vm.leader_client.member_count()
         )
+        vm.relays.close_unused()
         vm.fleet.remove_expired()
         vm.leader_server.drop_silent_members()
         vm.leader_server.confirm_crashes()
@@ -287,6 +292,7 @@
         group.start_soon(watch.run)
         group.start_soon(every, timer, LOG_FLUSH_PERIOD_S, flush)
         group.start_soon(every, timer, MAINTENANCE_PERIOD_S, maintain)
+        group.start_soon(every, timer, PROBE_CHECK_PERIOD_S, probe)
         for work in (
             *[f.run for f in vm.followers],
             vm.leader_client.run,
@@ -295,16 +301,7 @@
             group.start_soon(work)
         group.start_soon(vm.placer.run)
         group.start_soon(vm.leader_server.run, *settings.peer_address)
-        await _listen(
-            settings.caller_address,
-            ServerContext(
-                vm.request_handler.handle,
-                vm.state.limits,
-                timer.now_s,
-                stopping.is_set,
-                connections,
-            ),
-        )
+        await _listen_for_requests(vm, connections, stopping.is_set)
         await _listen_plain(settings.ready_address, _ready_handler(vm, stopping))
         metrics_address = HttpAddress(settings.ip, METRICS_PORT)
         await _listen_plain(metrics_address, _metrics_handler(metrics))
@@ -321,6 +318,45 @@
         group.cancel_scope.cancel()
 
 
+def _register_gauges(
+    vm: Vm, connections: set[ServerConnection], log_handler: BoundedLogHandler
+) -> None:
+    metrics = vm.metrics
+    metrics.gauge(
+        "pond_log_lines_dropped", "Dropped lines.", lambda: log_handler.dropped
+    )
+    metrics.gauge(
+        "pond_open_connections",
+        "Of callers.",
+        lambda: len(connections),
+    )
+    metrics.gauge(
+        "pond_paused_servers",
+        "Servers that asked this VM for a pause.",
+        lambda: len(vm.fleet.paused()),
+    )
+    metrics.gauge(
+        "pond_unreachable_services",
+        "Services whose servers this VM cannot reach.",
+        lambda: len(vm.reach.unreachable()),
+    )
+    metrics.gauge(
+        "pond_leaving_servers",
+        "Servers that are shutting down.",
+        lambda: sum(server.is_leaving for server in vm.fleet.servers.values()),
+    )
+    metrics.gauge(
+        "pond_store_era",
+        "How often the store came back from an older copy.",
+        lambda: max(cache.proof()["era"] for cache in vm.topic_caches.values()),
+    )
+    metrics.gauge(
+        "pond_configuration_age_s",
+        "Proof's age.",
+        vm.state.age_s,
+    )
+
+
 def apply_bounds(vm: Vm, bounds: VmBounds) -> None:
     """Apply changed bounds without a restart."""
     vm.state.set_revoke_s(bounds.revoke_s)
@@ -338,6 +374,27 @@
     return drawn if is_strong else 0.5 + drawn
 
 
+async def _listen_for_requests(
+    vm: Vm, connections: set[ServerConnection], is_stopping: Callable[[], bool]
+) -> None:
+    """Listen for the requests of callers and for those that other VMs pass on."""
+
+    def relay_limits() -> ServerLimits:
+        limits = vm.state.limits()
+        return limits._replace(
+            header_bytes=limits.header_bytes + MAX_RELAY_HEADER_BYTES
+        )
+
+    for address, handler, limits in (
+        (vm.settings.caller_address, vm.request_handler.handle, vm.state.limits),
+        (vm.settings.relay_address, vm.relay_handler.handle, relay_limits),
+    ):
+        await _listen(
+            address,
+            ServerContext(handler, limits, RealTimer().now_s, is_stopping, connections),
+        )
+
+
 async def _listen(address: HttpAddress, context: ServerContext) -> None:
     loop = asyncio.get_running_loop()
     await loop.create_server(
--- a/src/_pistachiopond/vm/refusals.py
+++ b/src/_pistachiopond/vm/refusals.py
@@ -8,6 +8,7 @@
 from _pistachiopond.http1.server import Responder
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.platform.requests import refusal_headers
+from _pistachiopond.vm.relay_messages import VERDICT_HEADER, verdict_of
 
 RETRY_SOON_S: Final = 0.2
 
@@ -46,5 +47,6 @@
     )
     headers = refusal_headers(attempt_id, refusal.retry_after_s)
     headers.append((b"Content-Type", b"application/json"))
+    headers.append((VERDICT_HEADER, verdict_of(refusal.status)))
     body = json.dumps({"code": refusal.code}).encode()
     await responder.respond(refusal.status, headers, body)
--- a/src/_pistachiopond/vm/server_pools.py
+++ b/src/_pistachiopond/vm/server_pools.py
@@ -1,6 +1,7 @@
 """Pools of persistent connections to the backend servers."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final, final
 
 from _pistachiopond.decisions.attempt_policy import is_repeatable
@@ -36,8 +37,22 @@
 class ServerPools:
     """One connection pool for each incarnation of a backend server."""
 
-    def __init__(self, now_s: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        now_s: Callable[[], float],
+        on_connect: Callable[[BackendServer, bool], None],
+    ) -> None:
+        """Start without pools.
+
+        Parameters
+        ----------
+        now_s : callable
+            The monotonic time in seconds.
+        on_connect : callable
+            Called with a server and whether a connection to it was opened.
+        """
         self._now_s = now_s
+        self._on_connect = on_connect
         self._pools: dict[tuple[str, int], ConnectionPool] = {}
         self._idle_limits_s: dict[str, float] = {}
 
@@ -46,7 +61,12 @@
         key = server.incarnation()
         pool = self._pools.get(key)
         if pool is None:
-            pool = ConnectionPool(server.address, self._now_s, CONNECT_TIMEOUT_S)
+            pool = ConnectionPool(
+                server.address,
+                self._now_s,
+                CONNECT_TIMEOUT_S,
+                partial(self._on_connect, server),
+            )
             self._pools[key] = pool
         return pool
 
--- a/testing/vm/deployment.py
+++ b/testing/vm/deployment.py
@@ -23,7 +23,7 @@
 from _pistachiopond.kernel.timer import RealTimer
 from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.schema.vm_settings import VmBounds, VmSettings
-from _pistachiopond.vm.program import Vm, make_vm
+from _pistachiopond.vm.program import PROBE_CHECK_PERIOD_S, Vm, make_vm
 from testing.vm.fake_server import FakeServer
 from testing.vm.fake_store import FakeStore
 
@@ -37,6 +37,7 @@
     retry_reserve=56.0,
 )
 HOST = "calls.example"
+ANY_PORT: Final = HttpAddress("127.0.0.1", 0)
 MODEL = {"name": "m1", "weightsMb": 60_000.0, "loadTimeS": 1.2, "adapters": 2}
 
 
@@ -197,9 +198,11 @@
 
 
 async def listen(
-    handler: Handler, connections: set[ServerConnection] | None = None
+    handler: Handler,
+    connections: set[ServerConnection] | None = None,
+    address: HttpAddress = ANY_PORT,
 ) -> tuple[asyncio.Server, HttpAddress]:
-    """Listen on a free port of the loopback address."""
+    """Listen on an address, by default on a free port of the loopback address."""
     context = ServerContext(
         handler,
         lambda: LIMITS,
@@ -208,7 +211,7 @@
         set() if connections is None else connections,
     )
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(lambda: ServerConnection(context), "127.0.0.1", 0)
+    server = await loop.create_server(lambda: ServerConnection(context), *address)
     return server, HttpAddress(*server.sockets[0].getsockname())
 
 
@@ -241,6 +244,7 @@
         caller_address=unused,
         ready_address=unused,
         peer_address=HttpAddress("127.0.0.1", free_port()),
+        relay_address=HttpAddress("127.0.0.1", free_port()),
         heartbeat_s=1.2,
         cpu_cores=1.0,
         link_mbps=1000.0,
@@ -254,9 +258,29 @@
     works: list[Coroutine[Any, Any, None]] = [f.run() for f in vm.followers]
     works += [vm.leader_client.run(), vm.election.run(), vm.placer.run()]
     works.append(vm.leader_server.run(*vm.settings.peer_address))
+    works += [_take_over_requests(vm), _probe_servers(vm)]
     return [asyncio.ensure_future(work) for work in works]
 
 
+async def _take_over_requests(vm: Vm) -> None:
+    connections: set[ServerConnection] = set()
+    server, _ = await listen(
+        vm.relay_handler.handle, connections, vm.settings.relay_address
+    )
+    try:
+        await asyncio.Event().wait()
+    finally:
+        server.close()
+        for connection in list(connections):
+            connection.abort()
+
+
+async def _probe_servers(vm: Vm) -> None:
+    while True:
+        vm.reach.probe(vm.pools)
+        await asyncio.sleep(PROBE_CHECK_PERIOD_S)
+
+
 async def _confirm_crashes(vm: Vm) -> None:
     while True:
         vm.leader_server.confirm_crashes()
--- a/testing/vm/fake_server.py
+++ b/testing/vm/fake_server.py
@@ -77,6 +77,19 @@
     return step
 
 
+def continue_or(first: Step) -> Step:
+    """Return a step that runs `first`, or resumes a stream up to event 3."""
+
+    async def step(request: Request, responder: Responder) -> None:
+        last_ids = request.head.values(b"last-event-id")
+        if not last_ids:
+            await first(request, responder)
+        else:
+            await stream(int(last_ids[0]) + 1, 3)(request, responder)
+
+    return step
+
+
 @final
 class FakeServer:
     """Records the requests and orders that it receives, and answers them."""
--- a/testing/vm/test_cut_from_servers.py
+++ b/testing/vm/test_cut_from_servers.py
@@ -17,6 +17,7 @@
     refusing_address,
     wait_until,
 )
+from testing.vm.fake_server import attempt_of, continue_or, hang, stream
 
 # The operators' stability window, after which callers must be served again.
 STABILITY_WINDOW_S = 3.0
@@ -57,7 +58,9 @@
 
 
 @asynccontextmanager
-async def running_cluster(servers: int) -> AsyncIterator[SingleVmDeployment]:
+async def running_cluster(
+    servers: int,
+) -> AsyncIterator[tuple[SingleVmDeployment, Cluster]]:
     """Run three VMs and servers, with callers at a VM that does not lead."""
     cluster = Cluster()
     await cluster.start(3)
@@ -69,7 +72,7 @@
     for vm in cluster.vms.values():
         await wait_until(lambda vm=vm: len(vm.fleet.servers) == servers)
     try:
-        yield deployment
+        yield deployment, cluster
     finally:
         callers.close()
         deployment.close()
@@ -96,7 +99,7 @@
 
         The other VMs serve all of theirs.
         """
-        async with running_cluster(servers=3) as deployment:
+        async with running_cluster(servers=3) as (deployment, _):
             cut_off(deployment.vm, address)
             began_s = asyncio.get_running_loop().time()
             await count_served(deployment, path)
@@ -119,6 +122,74 @@
             for path in ("/once/x", "/safe/x"):
                 await self.check_served(address, path)
 
+    async def test_a_request_that_may_run_once_runs_once_beside_a_cut(self) -> None:
+        with refusing_address() as address:
+            async with running_cluster(servers=3) as (deployment, _):
+                cut_off(deployment.vm, address)
+                for _ in range(10):
+                    response = await deployment.call("/once/x")
+                    self.assertEqual(response.head.status, 200)
+                servers = deployment.servers.values()
+                ids = [attempt_of(item) for s in servers for item in s.requests]
+                self.assertEqual(len(ids), 10)
+                self.assertEqual(len(set(ids)), 10)
+                tenants = {
+                    item.head.values(b"x-tenant")[0]
+                    for server in servers
+                    for item in server.requests
+                }
+                self.assertEqual(tenants, {b"office"})
+
+    async def test_a_stream_that_a_cut_breaks_goes_on_through_another_vm(self) -> None:
+        with refusing_address() as address:
+            async with running_cluster(servers=2) as (deployment, _):
+                breaks = asyncio.Event()
+                for server in deployment.servers.values():
+                    server.steps = [continue_or(stream(0, 2, breaks))] * 2
+                caller = asyncio.ensure_future(deployment.call("/resume/x"))
+                servers = deployment.servers.values()
+                await wait_until(lambda: any(server.requests for server in servers))
+                cut_off(deployment.vm, address)
+                breaks.set()
+                response = await caller
+                expected = [b"id: %d\ndata: x\n\n" % number for number in range(4)]
+                self.assertEqual(response.body, b"".join(expected))
+
+    async def test_a_vm_uses_its_own_connections_again_after_the_cut(self) -> None:
+        with refusing_address() as address:
+            async with running_cluster(servers=2) as (deployment, _):
+                reach = deployment.vm.reach
+                heal = cut_off(deployment.vm, address)
+                await deployment.call("/once/x")
+                self.assertTrue(reach.is_unreachable("plain"))
+                heal()
+                await wait_until(lambda: not reach.is_unreachable("plain"), 2.0)
+
+    async def test_a_closed_caller_cancels_the_request_at_the_server(self) -> None:
+        with refusing_address() as address:
+            async with running_cluster(servers=2) as (deployment, _):
+                cut_off(deployment.vm, address)
+                servers = deployment.servers.values()
+                for server in servers:
+                    server.steps = [hang]
+                connection = await deployment.send("/once/x")
+                await wait_until(lambda: any(server.requests for server in servers))
+                connection.close()
+                await wait_until(lambda: any(s.cancelled for s in servers), 0.5)
+
+    async def test_requests_are_refused_at_once_where_no_vm_reaches_the_servers(
+        self,
+    ) -> None:
+        with refusing_address() as address:
+            async with running_cluster(servers=2) as (deployment, cluster):
+                for vm in cluster.vms.values():
+                    cut_off(vm, address)
+                for _ in range(3):
+                    await deployment.call("/once/x")
+                response = await deployment.call("/once/x")
+                self.assertEqual(response.head.status, 503)
+                self.assertIsNotNone(response.head.value(b"retry-after"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -15,9 +15,9 @@
 )
 from testing.vm.fake_server import (
     RepeatingServer,
-    Step,
     attempt_of,
     break_connection,
+    continue_or,
     hang,
     respond_error,
     respond_not_run,
@@ -26,19 +26,6 @@
 )
 
 
-def continue_or(first: Step) -> Step:
-    """Return a step that runs `first`, or resumes a stream up to event 3."""
-
-    async def step(request: Request, responder: Responder) -> None:
-        last_ids = request.head.values(b"last-event-id")
-        if not last_ids:
-            await first(request, responder)
-        else:
-            await stream(int(last_ids[0]) + 1, 3)(request, responder)
-
-    return step
-
-
 async def add_raw_server(
     deployment: SingleVmDeployment, server: RepeatingServer
 ) -> None:
--- a/testing/vm/test_server_pools.py
+++ b/testing/vm/test_server_pools.py
@@ -17,7 +17,7 @@
 
 class IdleLimitTests(unittest.TestCase):
     def setUp(self) -> None:
-        self.pools = ServerPools(lambda: 0.0)
+        self.pools = ServerPools(lambda: 0.0, lambda server, is_connected: None)
 
     def limit_s(self, service: str = "s") -> float | None:
         return self.pools.max_idle_s(ROUTE, service)
@@ -51,7 +51,7 @@
 class ConnectionLimitTests(unittest.IsolatedAsyncioTestCase):
     async def test_all_vms_together_open_at_most_the_allowed_overcommit(self) -> None:
         server = decode_server("s1", server_entry("plain", "10.0.0.1:80")).unwrap()
-        pools = ServerPools(lambda: 0.0)
+        pools = ServerPools(lambda: 0.0, lambda server, is_connected: None)
         pool = pools.pool_of(server)
         members, accepted = 8, 110
         service = ServiceSpec("plain", accepted, None)
