--- a/testing/vm/test_cut_from_servers.py
+++ b/testing/vm/test_cut_from_servers.py
@@ -4,8 +4,9 @@
 import socket
 import unittest
 from collections.abc import AsyncIterator, Callable, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager, contextmanager, suppress
 
+from _pistachiopond.http1.client import ExchangeError
 from _pistachiopond.http1.messages import HttpAddress
 from _pistachiopond.http1.pool import ConnectionPool
 from _pistachiopond.schema.deployment import BackendServer
@@ -177,6 +178,22 @@
                 connection.close()
                 await wait_until(lambda: any(s.cancelled for s in servers), 0.5)
 
+    async def test_the_lead_leaves_a_vm_that_cannot_reach_the_servers(self) -> None:
+        with refusing_address() as address:
+            async with running_cluster(servers=2) as (deployment, cluster):
+                name = cluster.leader()
+                leader = cluster.vms[name]
+                cut_off(leader, address)
+                for server in leader.fleet.servers.values():
+                    with suppress(ExchangeError):
+                        await leader.pools.pool_of(server).acquire()
+                await wait_until(lambda: cluster.leader() != name, STABILITY_WINDOW_S)
+                others = [other for other in cluster.vms if other != name]
+                await wait_until(lambda: cluster.all_have_replies(others))
+                await asyncio.sleep(STABILITY_WINDOW_S)
+                self.assertNotEqual(cluster.leader(), name)
+                self.assertEqual((await deployment.call("/once/x")).head.status, 200)
+
     async def test_requests_are_refused_at_once_where_no_vm_reaches_the_servers(
         self,
     ) -> None:
