Election: a leader that cannot reach the servers gives up the lead

What callers saw: at VMs that reach the servers too, requests refused for lack of a model that a server had. The leader had lost its links to the servers; its orders got no answer, and what it was about to unload counted as gone on all VMs.

Cause: authority to lead was tied to the store only, not to reaching what the leader orders about. The same class as the requests: no VM concluded that it was cut off.

--- a/src/_pistachiopond/decisions/leadership.py
+++ b/src/_pistachiopond/decisions/leadership.py
@@ -91,11 +91,16 @@
         self._denied_fence = -1
         self._renewed_fence = -1
         self._spread_s = CLAIM_SPREAD_S
+        self._handicap_s = 0.0
 
     def set_members(self, members: int) -> None:
         """Set the number of VMs, which determines how far claims are spread."""
         self._spread_s = max(CLAIM_SPREAD_S, CLAIM_SPREAD_PER_VM_S * members)
 
+    def set_handicap_s(self, handicap_s: float) -> None:
+        """Set how much later than the others this VM claims a free lead."""
+        self._handicap_s = handicap_s
+
     def read(self, claim: Claim | None, end: StorePosition, sent_s: float) -> None:
         """Process a read of the claims.
 
@@ -205,7 +210,7 @@
             return self.is_void()
         if now_s - self._claimed_s < self._claim_pause_s:
             return False
-        spread_s = self._preference * self._spread_s
+        spread_s = self._preference * self._spread_s + self._handicap_s
         if self.claim is None or has_resigned:
             since_s = self._leader_lost_s if self._leader_lost_s is not None else now_s
             return now_s - since_s >= spread_s
--- a/src/_pistachiopond/decisions/server_reachability.py
+++ b/src/_pistachiopond/decisions/server_reachability.py
@@ -25,9 +25,13 @@
 class _ServiceState:
     def __init__(self) -> None:
         self.failed_s: dict[str, float] = {}
-        self.is_unreachable = False
+        self.unreachable_since_s: float | None = None
         self.probed_s = float("-inf")
 
+    def is_unreachable(self) -> bool:
+        """Return whether the service is unreachable."""
+        return self.unreachable_since_s is not None
+
 
 @final
 class Reachability:
@@ -65,27 +69,36 @@
         state.failed_s[server_id] = now_s
         self._forget_old(state, now_s)
         required = min(MIN_FAILED_SERVERS, max(1, server_count))
-        if state.is_unreachable or len(state.failed_s) < required:
+        if state.is_unreachable() or len(state.failed_s) < required:
             return False
-        state.is_unreachable = True
+        state.unreachable_since_s = now_s
         return True
 
     def connected(self, service: str) -> bool:
         """Record a new connection; return whether the service was unreachable."""
         state = self._services.pop(service, None)
-        return state is not None and state.is_unreachable
+        return state is not None and state.is_unreachable()
 
     def is_unreachable(self, service: str) -> bool:
         """Return whether requests for the service should go through another VM."""
         state = self._services.get(service)
-        return state is not None and state.is_unreachable
+        return state is not None and state.is_unreachable()
 
     def unreachable(self) -> frozenset[str]:
         """Return the services that are unreachable."""
         return frozenset(
-            name for name, state in self._services.items() if state.is_unreachable
+            name for name, state in self._services.items() if state.is_unreachable()
         )
 
+    def unreachable_for_s(self, now_s: float) -> float:
+        """Return for how long some service has been unreachable; 0 if none is."""
+        since_s = [
+            state.unreachable_since_s
+            for state in self._services.values()
+            if state.unreachable_since_s is not None
+        ]
+        return now_s - min(since_s) if since_s else 0.0
+
     def start_probes(self, now_s: float) -> dict[str, frozenset[str]]:
         """Return the services to probe now, each with its servers that have failed.
 
@@ -95,7 +108,7 @@
         due: dict[str, frozenset[str]] = {}
         for service, state in list(self._services.items()):
             self._forget_old(state, now_s)
-            if not state.failed_s and not state.is_unreachable:
+            if not state.failed_s and not state.is_unreachable():
                 del self._services[service]
             elif now_s - state.probed_s >= PROBE_PERIOD_S:
                 state.probed_s = now_s
--- a/src/_pistachiopond/vm/leader_election.py
+++ b/src/_pistachiopond/vm/leader_election.py
@@ -15,12 +15,14 @@
 
 import anyio
 
+from _pistachiopond.decisions.leader_reach import claim_handicap_s, should_hand_over
 from _pistachiopond.decisions.leadership import Claim, Leadership
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.store import OWN_TOPIC, KeyedRecord, StoreClient
 from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.schema.vm_settings import VmSettings
 from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.topic_follower import page_current_as_of_s
 
 LEADER_KEY: Final = "leader"
@@ -52,6 +54,8 @@
         is_connection_refused: Callable[[], bool],
         on_change: Callable[[], None],
         member_count: Callable[[], int],
+        reach: ServerReach,
+        members_unreachable: Callable[[], list[frozenset[str]]],
     ) -> None:
         self._store = store
         self._leadership = leadership
@@ -61,13 +65,18 @@
         self._is_connection_refused = is_connection_refused
         self._on_change = on_change
         self._member_count = member_count
+        self._reach = reach
+        self._members_unreachable = members_unreachable
         self._claims_read_s = float("-inf")
         self.is_stopping = False
 
     async def run(self) -> None:
         """Take part in the election until cancelled."""
         while True:
+            self._leadership.set_handicap_s(claim_handicap_s(self._reach.unreachable()))
             if self._leadership.is_leading(boot_s()) and not self.is_stopping:
+                if self._hand_over_if_cut_off():
+                    continue
                 await self._renew_authority()
                 if self._leadership.is_void():
                     await self._claim_if_due()
@@ -89,6 +98,18 @@
             self._leadership.resign()
             log_change("lead given up", fence=self._fence())
 
+    def _hand_over_if_cut_off(self) -> bool:
+        unreachable = self._reach.unreachable()
+        if not should_hand_over(
+            unreachable, self._reach.unreachable_for_s(), self._members_unreachable()
+        ):
+            return False
+        self._leadership.resign()
+        log_change(
+            "lead given up", fence=self._fence(), unreachable=sorted(unreachable)
+        )
+        return True
+
     async def _read_claims(self) -> None:
         sent_s = self._claims_read_s = boot_s()
         result = await self._store.read_newest(OWN_TOPIC, STORE_TIMEOUT_S)
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -163,6 +163,14 @@
                     self._allocator.forget_member(name)
                 log_change("member silent", member=name, members=len(self._members))
 
+    def members_unreachable(self) -> list[frozenset[str]]:
+        """Return the services that each connected member cannot reach."""
+        return [
+            frozenset(member.report.get("unreachable", ()))
+            for name, member in self._members.items()
+            if name not in self._left_members
+        ]
+
     def confirm_crashes(self) -> None:
         """Count crashes confirmed by a server's restart or removal.
 
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -158,16 +158,6 @@
         leadership,
     )
     store = make_store_client(make_store_call(settings.store_address, timer.now_s))
-    election = LeaderElection(
-        store,
-        leadership,
-        settings,
-        incarnation,
-        leader_client.has_resigned,
-        leader_client.is_connection_refused,
-        leader_client.claim_changed,
-        leader_client.member_count,
-    )
     placer = Placer(
         PlacerDependencies(settings.name, leadership, fleet, pools, state.deployment)
     )
@@ -182,6 +172,18 @@
         )
     )
     placer.leader_server = leader_server
+    election = LeaderElection(
+        store,
+        leadership,
+        settings,
+        incarnation,
+        leader_client.has_resigned,
+        leader_client.is_connection_refused,
+        leader_client.claim_changed,
+        leader_client.member_count,
+        reach,
+        leader_server.members_unreachable,
+    )
     for topic, cache in topic_caches.items():
         cache.on_change = partial(leader_server.push_records, topic)
     shutdown = Shutdown(settings.bounds.stop_grace_s, timer.now_s)
--- a/src/_pistachiopond/vm/server_reach.py
+++ b/src/_pistachiopond/vm/server_reach.py
@@ -51,6 +51,10 @@
         """Return the services that this VM does not reach."""
         return self._reachability.unreachable()
 
+    def unreachable_for_s(self) -> float:
+        """Return for how long some service has been unreachable; 0 if none is."""
+        return self._reachability.unreachable_for_s(boot_s())
+
     def probe(self, pools: ServerPools) -> None:
         """Open a connection to a server of each service that has failed recently."""
         for service, failed in self._reachability.start_probes(boot_s()).items():
--- a/testing/decisions/test_server_reachability.py
+++ b/testing/decisions/test_server_reachability.py
@@ -3,6 +3,8 @@
 import unittest
 from collections import Counter
 
+from _pistachiopond.decisions.leader_reach import claim_handicap_s, should_hand_over
+from _pistachiopond.decisions.leadership import CLAIM_SPREAD_S, Leadership
 from _pistachiopond.decisions.relay_choice import (
     ANY_SERVICE,
     MAX_RELAYS,
@@ -14,6 +16,7 @@
     PROBE_PERIOD_S,
     Reachability,
 )
+from _pistachiopond.schema.store_position import StorePosition
 
 
 class ReachabilityTests(unittest.TestCase):
@@ -71,6 +74,35 @@
         self.assertEqual(self.reachability.start_probes(FAILURE_MEMORY_S + 0.1), {})
 
 
+class LeaderReachTests(unittest.TestCase):
+    def test_the_lead_moves_only_to_a_vm_that_reaches_more(self) -> None:
+        a, none = frozenset({"a"}), frozenset[str]()
+        both = frozenset({"a", "b"})
+        for own, for_s, members, moves in (
+            (a, 1.0, [none, a], True),
+            (a, 0.1, [none, a], False),
+            (a, 1.0, [a, frozenset({"b"})], False),
+            (both, 1.0, [a], True),
+            (none, 0.0, [none], False),
+        ):
+            self.assertEqual(should_hand_over(own, for_s, members), moves)
+
+    def test_a_vm_that_reaches_the_servers_claims_before_one_that_does_not(
+        self,
+    ) -> None:
+        now_s = 100.0
+        early, late = Leadership("e", 1.0), Leadership("l", 0.0)
+        late.set_handicap_s(claim_handicap_s(frozenset({"a"})))
+        for leadership in (early, late):
+            leadership.read(None, StorePosition(0, 0), now_s)
+            leadership.leader_lost(now_s)
+        now_s += CLAIM_SPREAD_S + 0.01
+        self.assertTrue(early.may_claim(now_s, has_resigned=True))
+        self.assertFalse(late.may_claim(now_s, has_resigned=True))
+        now_s += claim_handicap_s(frozenset({"a"})) + 0.01
+        self.assertTrue(late.may_claim(now_s, has_resigned=True))
+
+
 def make_members(count: int, lacking: dict[str, frozenset[str]]) -> RelayRing:
     return RelayRing(
         {
