Responses: a trailer is not a header

What callers saw: 503 "not run" for a request that a server had run, if the server's chunked response ended with a trailer X-Not-Executed; with other trailers, two ids or two seals.

Evidence: test_a_trailer_does_not_mark_a_run_request_as_not_run got 503 in each run before and 200 with the whole body now. The list of headers is replaced when the head is complete, so nothing later can change it.

--- a/src/_pistachiopond/http1/client.py
+++ b/src/_pistachiopond/http1/client.py
@@ -135,6 +135,8 @@
         of the latter, the connection is not reused.
         """
         head = ResponseHead(self._parser.get_status_code(), self._headers)
+        # Trailers, which come after the body, are not headers of the response.
+        self._headers = []
         if self._is_skipping or self._is_expected is None:
             return
         if head.status < 200:
--- a/testing/vm/fake_server.py
+++ b/testing/vm/fake_server.py
@@ -161,9 +161,7 @@
         late = b""
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = re.search(rb"Content-Length: (\d+)", head)
-                await reader.readexactly(int(length[1]) if length else 0)
+                head = await read_request(reader)
                 self.requests += 1
                 answer = self._encode(head)
                 if self.requests == 1:
@@ -180,11 +178,52 @@
 
     def _encode(self, head: bytes) -> bytes:
         status, headers, body = self._first if self.requests == 1 else self._others
-        echoed = re.search(rb"X-Attempt-Id: [^\r]*\r\n", head)
         return b"HTTP/1.1 %b\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
             status,
             headers,
-            echoed[0] if echoed else b"",
+            echoed_id(head),
             len(body),
             body,
         )
+
+
+@final
+class RawServer:
+    """Answers each request with a 200, its attempt id and then the given bytes."""
+
+    def __init__(self, rest: bytes, *, ends_connection: bool = False) -> None:
+        self._rest = rest
+        self._ends_connection = ends_connection
+
+    async def listen(self) -> HttpAddress:
+        """Listen on a free port until the event loop ends, and return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return HttpAddress(*self._server.sockets[0].getsockname())
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await read_request(reader)
+                writer.write(b"HTTP/1.1 200 OK\r\n" + echoed_id(head) + self._rest)
+                await writer.drain()
+                if self._ends_connection:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        writer.close()
+
+
+async def read_request(reader: asyncio.StreamReader) -> bytes:
+    """Read a request and return its head."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"Content-Length: (\d+)", head)
+    await reader.readexactly(int(length[1]) if length else 0)
+    return head
+
+
+def echoed_id(head: bytes) -> bytes:
+    """Return the header line with the attempt id of a request, if it has one."""
+    found = re.search(rb"X-Attempt-Id: [^\r]*\r\n", head)
+    return found[0] if found else b""
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -14,6 +14,7 @@
     wait_until,
 )
 from testing.vm.fake_server import (
+    RawServer,
     RepeatingServer,
     attempt_of,
     break_connection,
@@ -27,7 +28,7 @@
 
 
 async def add_raw_server(
-    deployment: SingleVmDeployment, server: RepeatingServer
+    deployment: SingleVmDeployment, server: RawServer | RepeatingServer
 ) -> None:
     """Register the server as ``s1`` and wait until the VM knows it."""
     deployment.write_entry("s1", "plain", await server.listen())
@@ -92,6 +93,17 @@
             self.assertEqual((response.head.status, response.body), (200, b"done"))
             self.assertEqual(server.requests, 2)
 
+    async def test_a_trailer_does_not_mark_a_run_request_as_not_run(self) -> None:
+        async with running_deployment() as deployment:
+            server = RawServer(
+                b"Transfer-Encoding: chunked\r\n\r\n"
+                b"4\r\ndone\r\n0\r\nX-Not-Executed: 1\r\n\r\n"
+            )
+            await add_raw_server(deployment, server)
+            response = await deployment.call("/once/x")
+            self.assertEqual((response.head.status, response.body), (200, b"done"))
+            self.assertIsNone(response.head.value(b"x-not-executed"))
+
     async def test_a_late_second_answer_is_not_taken_for_a_servers_report(self) -> None:
         async with running_deployment() as deployment:
             server = RepeatingServer((b"200 OK", b"", b"done"), (b"200 OK", b"", b"{}"))
