Requests: a trailer is not a header

A trailer of a caller's chunked request counted as one of its headers, so an id, a key or a customer's name in a trailer was read as if it stood in the head.

Evidence: test_a_trailer_of_a_request_is_not_one_of_its_headers found the trailer among the headers in each run before.

--- a/src/_pistachiopond/http1/server.py
+++ b/src/_pistachiopond/http1/server.py
@@ -228,8 +228,9 @@
         self._add_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers.append((name, value))
+        """Store a header; trailers, which come after the body, are ignored."""
+        if not self._is_in_body:
+            self._headers.append((name, value))
         self._add_header_bytes(len(name) + len(value) + 4)
         if len(self._headers) > MAX_HEADER_COUNT:
             self._abort_parsing(431)
--- a/testing/http1/test_connections.py
+++ b/testing/http1/test_connections.py
@@ -179,6 +179,25 @@
         self.assertEqual([r.head.target for r in self.requests], [b"/x"])
         self.assertEqual(self.requests[0].body, body)
 
+    async def test_a_trailer_of_a_request_is_not_one_of_its_headers(self) -> None:
+        heads = []
+
+        async def handle(request: Request, responder: Responder) -> None:
+            heads.append(request.head)
+            await responder.respond(200, [], b"")
+
+        server, address = await listen(handle)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\nb\r\n0\r\nX-Late: 1\r\n\r\n"
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(heads[0].values(b"x-late"), [])
+        self.assertEqual(heads[0].values(b"host"), [b"a"])
+        writer.close()
+        server.close()
+
     async def test_ambiguous_framing_is_refused(self) -> None:
         for framing in (
             b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
