100 Continue waits for the answers before it

What callers saw: bytes of an interim response within the body of an answer. A caller that sends a request with Expect: 100-continue behind one that is being answered got the interim response in the middle of that answer: `halfHTTP` for `halfdone`.

Cause: the interim response was written as soon as the head had been read.

It is written now once no request before it is unanswered.

--- a/src/_pistachiopond/http1/server.py
+++ b/src/_pistachiopond/http1/server.py
@@ -169,6 +169,7 @@
         self._can_write.set()
         self._is_closing = False
         self._phase_started_s = 0.0
+        self._owes_continue = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
@@ -236,11 +237,15 @@
             self._abort_parsing(431)
 
     def on_headers_complete(self) -> None:
-        """Send ``100 Continue`` if the client expects it."""
+        """Send ``100 Continue`` if the client expects it.
+
+        It is held back while an earlier request is being answered.
+        """
         self._is_in_head, self._is_in_body = False, True
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._owes_continue = True
+        self._send_continue_if_owed()
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -251,7 +256,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the request, and start it if no other is in progress."""
-        self._is_in_head = self._is_in_body = False
+        self._is_in_head = self._is_in_body = self._owes_continue = False
         head = RequestHead(self._parser.get_method(), self._target, self._headers)
         close = not self._parser.should_keep_alive()
         self._queue.append((Request(head, b"".join(self._body)), close))
@@ -334,11 +339,20 @@
         loop = asyncio.get_running_loop()
         loop.call_later(LINGER_S, self._transport.close)
 
+    def _send_continue_if_owed(self) -> None:
+        is_answering = self._task is not None or bool(self._queue)
+        if not self._owes_continue or is_answering or self._is_closing:
+            return
+        self._owes_continue = False
+        if self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _start_next(self) -> None:
         if self._task is not None or self._is_closing:
             return
         if not self._queue:
             self._send_refusal()
+            self._send_continue_if_owed()
             return
         request, close = self._queue.popleft()
         responder = Responder(self, close=close)
--- a/testing/http1/test_connections.py
+++ b/testing/http1/test_connections.py
@@ -198,6 +198,33 @@
         writer.close()
         server.close()
 
+    async def test_an_interim_response_is_not_written_into_another_response(
+        self,
+    ) -> None:
+        async def handle(request: Request, responder: Responder) -> None:
+            await responder.start_response(200, [], 8)
+            await responder.send(b"half")
+            await asyncio.sleep(0.1)
+            await responder.send(b"done")
+            await responder.end()
+
+        server, address = await listen(handle)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        self.assertEqual(await reader.readexactly(8), b"halfdone")
+        interim = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 100 ", interim)
+        writer.write(b"b")
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 200 ", head)
+        writer.close()
+        server.close()
+
     async def test_ambiguous_framing_is_refused(self) -> None:
         for framing in (
             b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
