Pools: an idle connection that may not be used makes room for a new one

What callers saw: 503 where a server had room. Since attempts of one request no longer share a connection, an idle connection that a request may not use still counted against the pool's bound, and the failure was held against the server. The same held before for connections that were idle for too long to send a request that may run only once.

Evidence: test_a_retry_after_a_pause_finds_room_in_a_full_pool got 503 in each run before and 200 now.

--- a/src/_pistachiopond/http1/pool.py
+++ b/src/_pistachiopond/http1/pool.py
@@ -108,7 +108,10 @@
         if found is not None:
             found.idle_duration_s = now_s - found.idle_since_s
             return found
-        if self.max_open is not None and self.open_connections >= self.max_open:
+        if self._is_full() and self._idle:
+            # An idle connection that may not be used takes the place of a new one.
+            self.discard(self._idle.pop(0))
+        if self._is_full():
             raise ExchangeError(
                 "connect",
                 f"{self.open_connections} connections are open, of {self.max_open} "
@@ -128,6 +131,9 @@
         connection.idle_since_s = self._now_s()
         self._idle.append(connection)
 
+    def _is_full(self) -> bool:
+        return self.max_open is not None and self.open_connections >= self.max_open
+
     async def _open(self) -> ClientConnection:
         self.open_connections += 1
         self.opened_total += 1
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -93,6 +93,16 @@
             self.assertEqual((response.head.status, response.body), (200, b"done"))
             self.assertEqual(server.requests, 2)
 
+    async def test_a_retry_after_a_pause_finds_room_in_a_full_pool(self) -> None:
+        async with running_deployment() as deployment:
+            busy = (b"503 Busy", b"X-Not-Executed: 1\r\nRetry-After: 0.1\r\n", b"")
+            server = RepeatingServer(busy, (b"200 OK", b"", b"done"))
+            await add_raw_server(deployment, server)
+            known = deployment.vm.fleet.servers["s1"]
+            deployment.vm.pools.pool_of(known).max_open = 1
+            response = await deployment.call("/once/x")
+            self.assertEqual((response.head.status, response.body), (200, b"done"))
+
     async def test_a_trailer_does_not_mark_a_run_request_as_not_run(self) -> None:
         async with running_deployment() as deployment:
             server = RawServer(
