Streams: an invalid event does not move the last id

An event with two ids, of which the second is not above the first, was not returned but had already moved the id at which the next attempt resumes, so the events between would be missing at the caller.

Evidence: test_an_invalid_event_with_two_ids_does_not_move_the_last_id got 5 instead of 1 before. Also a test that a restart forgets the problem of the attempt before, which no test held.

--- a/src/_pistachiopond/decisions/event_splitter.py
+++ b/src/_pistachiopond/decisions/event_splitter.py
@@ -67,6 +67,7 @@
         self.problem = None
 
     def _check(self, block: bytes) -> str | None:
+        last_id = self.last_id
         for line in block.split(b"\n"):
             if not line.startswith(b"id:"):
                 continue
@@ -74,7 +75,8 @@
             if not text.isdigit():
                 continue
             event_id = int(text)
-            if self.last_id is not None and event_id <= self.last_id:
-                return f"event id {event_id} is not above the last id {self.last_id}"
-            self.last_id = event_id
+            if last_id is not None and event_id <= last_id:
+                return f"event id {event_id} is not above the last id {last_id}"
+            last_id = event_id
+        self.last_id = last_id
         return None
--- a/testing/decisions/test_forwarding.py
+++ b/testing/decisions/test_forwarding.py
@@ -149,6 +149,19 @@
         self.assertIsNotNone(splitter.problem)
         self.assertEqual(splitter.last_id, 4)
 
+    def test_an_invalid_event_with_two_ids_does_not_move_the_last_id(self) -> None:
+        splitter = EventSplitter()
+        events = b"id: 1\n\nid: 5\nid: 3\n\n"
+        self.assertEqual(splitter.feed(events), b"id: 1\n\n")
+        self.assertEqual(splitter.last_id, 1)
+
+    def test_a_restart_forgets_the_problem_of_the_attempt_before(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\n\nid: 1\n\n")
+        splitter.restart()
+        self.assertEqual(splitter.feed(b"id: 2\nda"), b"")
+        self.assertIsNone(splitter.problem)
+
     def test_an_event_without_an_end_breaks_the_stream(self) -> None:
         with self.assertRaises(BrokenStreamError):
             EventSplitter().feed(b"x" * (MAX_EVENT_BYTES + 1))
