Streams: one that ends within an event does not look complete

What callers saw: a stream of a route that may not be resumed ends as complete with a part of an event, if its server gave no length and closed the connection there. Only resumable streams were split into events; the others were relayed as they came.

Evidence: test_a_stream_that_ends_within_an_event_does_not_look_complete got a whole answer in each run before, and a broken one now.

--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -63,7 +63,7 @@
     responder : Responder
         Writes the response to the caller.
     splitter : EventSplitter or None
-        Splits a resumable stream into events; None for all other responses.
+        Splits a stream into events; None for all other responses.
     arrival_s : float
         When the request arrived, on the event loop's clock.
     used_connections : set of ClientConnection
@@ -242,6 +242,7 @@
         head_s = last_s = loop.time()
         longest_pause_s = 0.0
         prompt_tokens = self._admitted.caller.prompt_tokens
+        splitter = self._splitter_for(head)
         while chunk := await connection.read_chunk():
             now_s = loop.time()
             if prompt_tokens:
@@ -250,8 +251,8 @@
             if responder.has_started:
                 longest_pause_s = max(longest_pause_s, now_s - last_s)
             last_s = now_s
-            if self._splitter is not None:
-                chunk = self._splitter.feed(chunk)
+            if splitter is not None:
+                chunk = splitter.feed(chunk)
             if chunk:
                 if not responder.has_started:
                     self._first_event_s = now_s - self._arrival_s
@@ -261,9 +262,9 @@
                 await responder.send(chunk)
             # Raised after the events before the invalid one have been sent, since the
             # stream is resumed after them.
-            if self._splitter is not None and self._splitter.problem is not None:
-                raise BrokenStreamError(self._splitter.problem)
-        if self._splitter is not None and self._splitter.has_incomplete_event():
+            if splitter is not None and splitter.problem is not None:
+                raise BrokenStreamError(splitter.problem)
+        if splitter is not None and splitter.has_incomplete_event():
             raise BrokenStreamError("the stream ended in the middle of an event")
         if not responder.has_started:
             await responder.start_response(head.status, response_headers(head), None)
@@ -271,6 +272,14 @@
         self._log_if_late(longest_pause_s, head_s)
         return DELIVERED
 
+    def _splitter_for(self, head: ResponseHead) -> EventSplitter | None:
+        """Return the splitter, unless the response is not one of events."""
+        content_type = (head.value(b"content-type") or b"").lower()
+        is_event_stream = content_type.startswith(b"text/event-stream")
+        if is_event_stream or self._admitted.route.is_resumable:
+            return self._splitter
+        return None
+
     def _log_if_late(self, longest_pause_s: float, head_s: float) -> None:
         route = self._admitted.route
         is_late = self._first_event_s > route.latency_objective_s
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -174,12 +174,14 @@
         self._pause_retry_after_s: float | None = None
         caller = admitted.caller
         self._model_ref = ModelRef(admitted.service, caller.model, caller.adapter)
-        is_resumed = admitted.route.kind == "stream" and admitted.route.is_resumable
-        self._splitter = EventSplitter(_last_event_id(request)) if is_resumed else None
+        is_stream = admitted.route.kind == "stream"
+        self._is_resumable_stream = is_stream and admitted.route.is_resumable
+        last_id = _last_event_id(request) if self._is_resumable_stream else None
+        splitter = EventSplitter(last_id) if is_stream else None
         self._attempt: Attempt | None = None
         self._arrival_s = asyncio.get_running_loop().time()
         self._exchange = Exchange(
-            request, admitted, responder, self._splitter, self._arrival_s, set()
+            request, admitted, responder, splitter, self._arrival_s, set()
         )
 
     async def run(self) -> None:
@@ -448,7 +450,7 @@
         assert kind is not None
         if kind in ("connect", "withdrawn", "not_run", "not_here"):
             self._not_run_count += 1
-        if kind == "broken" and self._splitter is not None:
+        if kind == "broken" and self._is_resumable_stream:
             # The caller has received only complete events, so another server can
             # resume the stream after the last one.
             kind = "unclear"
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -214,6 +214,16 @@
             ran = sum(len(server.requests) for server in deployment.servers.values())
             self.assertEqual(ran, 1)
 
+    async def test_a_stream_that_ends_within_an_event_does_not_look_complete(
+        self,
+    ) -> None:
+        async with running_deployment() as deployment:
+            rest = b"Content-Type: text/event-stream\r\n\r\nid: 0\ndata: x\n\nid: 1\nda"
+            server = RawServer(rest, ends_connection=True)
+            await add_raw_server(deployment, server)
+            with self.assertRaises(ExchangeError):
+                await deployment.call("/stream/x")
+
     async def test_a_broken_stream_that_is_not_resumable_is_aborted(self) -> None:
         async with running_deployment() as deployment:
             breaks = asyncio.Event()
