Streams: a second response within a stream is not relayed

A server that gives no length and answers twice sends the second response, of this or an earlier request, where the stream still goes on: its head and events were relayed as an event with a higher id.

Without a length only the connection's end delimits a body, so the client cannot tell; the splitter can, since a status line is no line of an event.

Evidence: test_a_response_head_within_a_stream_breaks_it got both before. Bodies that are not event streams stay as they are: in these nothing tells a second response from the body.

--- a/src/_pistachiopond/decisions/event_splitter.py
+++ b/src/_pistachiopond/decisions/event_splitter.py
@@ -1,9 +1,13 @@
 """Splits a server-sent event stream into complete events, so that it can resume."""
 
+import re
 from typing import Final, final
 
 MAX_EVENT_BYTES: Final = 1024 * 1024
 EVENT_END: Final = b"\n\n"
+# A server may answer twice. Within a stream whose length is not announced, only this
+# line tells the second response from an event.
+RESPONSE_START: Final = re.compile(rb"HTTP/1\.[01] \d{3} ")
 
 
 class BrokenStreamError(ValueError):
@@ -69,6 +73,8 @@
     def _check(self, block: bytes) -> str | None:
         last_id = self.last_id
         for line in block.split(b"\n"):
+            if RESPONSE_START.match(line):
+                return "a response to another request begins within the stream"
             if not line.startswith(b"id:"):
                 continue
             text = line[3:].strip()
--- a/testing/decisions/test_forwarding.py
+++ b/testing/decisions/test_forwarding.py
@@ -162,6 +162,14 @@
         self.assertEqual(splitter.feed(b"id: 2\nda"), b"")
         self.assertIsNone(splitter.problem)
 
+    def test_a_response_head_within_a_stream_breaks_it(self) -> None:
+        splitter = EventSplitter()
+        extra = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n\r\nid: 9\ndata: y\n\n"
+        events = b"id: 1\ndata: x\n\n"
+        self.assertEqual(splitter.feed(events + extra), events)
+        self.assertIsNotNone(splitter.problem)
+        self.assertEqual(splitter.last_id, 1)
+
     def test_an_event_without_an_end_breaks_the_stream(self) -> None:
         with self.assertRaises(BrokenStreamError):
             EventSplitter().feed(b"x" * (MAX_EVENT_BYTES + 1))
