Limits: a short time without a leader's allocation refuses no modest customer

Callers saw: 429 rate_exceeded for customers far below their limits, from some 0.5 s before to some 0.9 s after the return of a store that was away for 2.5 s or more.

Cause: a leader that loses the store resigns after 1.3 s but goes on allocating while no member has left it, since no VM can claim then. Members that were told of it closed the connection and tried again each 0.1 s. The members' own small allowance was lost too: the next report returned it to that leader.

Change: a member stays connected to a leader that has resigned until it sees another VM's claim, so that a closed connection again means a member that may follow another leader. A leader that may not allocate suspends its buckets, and goes on with at most the share that a successor starts with. What a VM may spend by itself is a reserve apart from the balance: neither reported nor returned, spent only while no leader allocates, and bounded in each window of 10 s. It is a part by the highest number of VMs of the last minute, and none while that is unknown; so far a VM without any reply took it for 1. A leader without the store no longer resumes once a silent member has been removed.

The test of the allowance is replaced by a stricter one of the reserve: in any window, for 2 to 195 VMs, and not only after 2 s. Two leaders with all reserves are bounded for 2 to 195 VMs as well; a leader that resumes after the removal of a member failed before.

--- a/src/_pistachiopond/decisions/shared_limits.py
+++ b/src/_pistachiopond/decisions/shared_limits.py
@@ -5,8 +5,13 @@
 the total over all VMs never exceeds the limit, whatever messages or VMs are lost,
 restarted or partitioned. A new leader starts with a small part of the bucket and
 fills it only up to the burst less the balances that members report.
+
+While no leader allocates, each VM may spend a small reserve by itself, so that a
+customer far below its limit is not refused. All reserves together are less than
+operators tolerate above the limit.
 """
 
+from collections import deque
 from collections.abc import Mapping
 from typing import Final, NamedTuple, final
 
@@ -24,10 +29,12 @@
 # small for a request.
 BALANCE_HORIZON_S: Final = 0.5
 KEPT_HORIZONS: Final = 2.0
-# While no leader replies, all members together may spend this share of the limit in
-# each period; it is less than operators tolerate above the limit.
-ISOLATED_SHARE: Final = 0.04
-ISOLATED_PERIOD_S: Final = 10.0
+# While no leader allocates, all members together may spend this share of the limit in
+# any window of that length; it is less than operators tolerate above the limit.
+RESERVE_LIMIT_SHARE: Final = 0.04
+RESERVE_WINDOW_S: Final = 10.0
+# Spending from a reserve is summed over slots of this length.
+RESERVE_SLOT_S: Final = 0.5
 MIN_WAIT_S: Final = 0.05
 MAX_WAIT_S: Final = 3.0
 
@@ -67,6 +74,7 @@
 
     def __init__(self, now_s: float) -> None:
         self._started_s = now_s
+        self._suspended_until_s = float("-inf")
         self._buckets: dict[str, _Bucket] = {}
         self._reports: dict[str, dict[str, UsageReport]] = {}
 
@@ -110,6 +118,20 @@
         reports[member] = report._replace(balance=report.balance + allocated)
         return allocated
 
+    def suspend(
+        self, member: str, customer: CustomerSpec, report: UsageReport, now_s: float
+    ) -> None:
+        """Process a report without allocating, since another VM may lead.
+
+        No bucket fills until then. A bucket that is used again has at most what a new
+        leader starts with, since the other one may have allocated the rest.
+        """
+        self._suspended_until_s = max(self._suspended_until_s, now_s)
+        self._reports.setdefault(customer.name, {})[member] = report
+        bucket = self._buckets.get(customer.name)
+        if bucket is not None:
+            bucket.level += report.returned
+
     def _refill(
         self, customer: CustomerSpec, outstanding: float, now_s: float
     ) -> _Bucket:
@@ -117,6 +139,9 @@
         if bucket is None:
             bucket = _Bucket(self._started_s, INITIAL_SHARE * customer.burst)
             self._buckets[customer.name] = bucket
+        if bucket.updated_s < self._suspended_until_s:
+            bucket.level = min(bucket.level, INITIAL_SHARE * customer.burst)
+            bucket.updated_s = self._suspended_until_s
         refilled = bucket.level + customer.rate_per_s * max(
             0.0, now_s - bucket.updated_s
         )
@@ -146,13 +171,18 @@
         self.window_start_s = now_s
 
 
+class _SpentSlot(NamedTuple):
+    started_s: float
+    cost: float
+
+
 @final
 class CustomerBalances:
     """The balances from which one VM admits requests, by customer."""
 
     def __init__(self) -> None:
         self._balances: dict[str, _Balance] = {}
-        self._last_isolated_s: dict[str, float] = {}
+        self._reserve_spent: dict[str, deque[_SpentSlot]] = {}
 
     def try_spend(self, customer: CustomerSpec, cost: float, now_s: float) -> bool:
         """Deduct the cost of a request; return whether the balance sufficed."""
@@ -199,6 +229,7 @@
             spec = customers.get(name)
             if spec is None:
                 del self._balances[name]
+                self._reserve_spent.pop(name, None)
             else:
                 balance.amount = min(balance.amount, spec.burst)
 
@@ -223,30 +254,43 @@
         balance = self._balance(customer, now_s)
         return UsageReport(balance.amount, balance.demand_per_s, balance.missing)
 
-    def add_isolated_allowance(
-        self, customers: Mapping[str, CustomerSpec], members: int, now_s: float
-    ) -> None:
-        """Add a small allowance while no leader replies.
+    def try_spend_reserve(
+        self, customer: CustomerSpec, cost: float, members: int, now_s: float
+    ) -> bool:
+        """Deduct a request's cost from this VM's reserve, while no leader allocates.
 
         Parameters
         ----------
-        customers : mapping of str to CustomerSpec
-            The customers with their limits.
+        customer : CustomerSpec
+            The customer and its limits.
+        cost : float
+            The tokens of the request.
         members : int
-            The number of VMs, each of which may add the same allowance.
+            The number of VMs, each of which has the same reserve; 0 if unknown, which
+            leaves none.
         now_s : float
             The time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the reserve sufficed.
         """
-        for name, balance in self._balances.items():
-            spec = customers.get(name)
-            last_s = self._last_isolated_s.get(name)
-            if spec is None or (
-                last_s is not None and now_s - last_s < ISOLATED_PERIOD_S
-            ):
-                continue
-            self._last_isolated_s[name] = now_s
-            window = spec.rate_per_s * ISOLATED_PERIOD_S + spec.burst
-            balance.amount += ISOLATED_SHARE * window / max(1, members)
+        if members <= 0:
+            return False
+        spent = self._reserve_spent.setdefault(customer.name, deque())
+        while spent and now_s - spent[0].started_s > RESERVE_WINDOW_S + RESERVE_SLOT_S:
+            spent.popleft()
+        window = customer.rate_per_s * RESERVE_WINDOW_S + customer.burst
+        reserve = RESERVE_LIMIT_SHARE * window / members
+        if sum(slot.cost for slot in spent) + cost > reserve:
+            return False
+        if spent and now_s - spent[-1].started_s < RESERVE_SLOT_S:
+            last = spent.pop()
+            spent.append(last._replace(cost=last.cost + cost))
+        else:
+            spent.append(_SpentSlot(now_s, cost))
+        return True
 
     def _balance(self, customer: str, now_s: float) -> _Balance:
         balance = self._balances.get(customer)
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -67,12 +67,14 @@
 
     `given` has the tokens to add to each customer's balance, and `load` the requests of
     all VMs at each server. `period_s` is the time until the next report. `topics` says
-    how fresh each topic's relayed records are.
+    how fresh each topic's relayed records are. `is_allocating` says whether parts of
+    the customers' whole rates are allocated; older builds send none.
     """
 
     number: int
     leads: bool
     given: dict[str, float]
+    is_allocating: NotRequired[bool]
     load: dict[str, int]
     members: int
     period_s: float
--- a/src/_pistachiopond/vm/admission.py
+++ b/src/_pistachiopond/vm/admission.py
@@ -14,6 +14,7 @@
 from _pistachiopond.decisions.shared_limits import CustomerBalances, retry_delay_s
 from _pistachiopond.schema.caller_request import CallerRequest
 from _pistachiopond.schema.deployment import CustomerSpec, Route
+from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.configuration_state import ConfigurationState
 from _pistachiopond.vm.leader_client import LeaderClient
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal
@@ -155,6 +156,11 @@
         self._usage.record_demand(customer.name, cost, loop.time())
         if self._usage.try_spend(customer, cost, loop.time()):
             return Ok(charged)
+        started_s = boot_s()
+        if self._leader_client.is_allocation_paused() and self._spend_reserve(
+            customer, cost
+        ):
+            return Ok(charged)
         wait_until_s = min(loop.time() + MAX_TOKEN_WAIT_S, admitted.end_s)
         self._usage.add_shortfall(customer.name, cost, loop.time())
         try:
@@ -165,6 +171,11 @@
                     return Ok(charged)
         finally:
             self._usage.remove_shortfall(customer.name, cost)
+        if (
+            self._leader_client.is_allocation_paused()
+            or not self._leader_client.has_replied_since(started_s)
+        ) and self._spend_reserve(customer, cost):
+            return Ok(charged)
         log_fields: dict[str, object] = {
             "customer": customer.name,
             "cost": cost,
@@ -172,6 +183,11 @@
             "burst": customer.burst,
             "balance": round(self._usage.balance(customer.name), 1),
             "leader_age_s": round(self._leader_client.reply_age_s(), 2),
+            "is_paused": self._leader_client.is_allocation_paused(),
         }
         wait_s = retry_delay_s(customer, cost)
         return Err(Refusal(429, "rate_exceeded", wait_s, log_fields))
+
+    def _spend_reserve(self, customer: CustomerSpec, cost: float) -> bool:
+        members = self._leader_client.reserve_member_count()
+        return self._usage.try_spend_reserve(customer, cost, members, boot_s())
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -42,6 +42,12 @@
 # A VM reads the store itself after this many report periods without a leader's reply
 # that confirms the relayed topics.
 RELAY_TIMEOUT_PERIODS: Final = 2.5
+# A leader's count of the VMs is used for reserves only once it has replied for this
+# long, since a new leader counts only those that have reported to it.
+MEMBER_COUNT_SETTLE_S: Final = 2.0
+# The highest count within this time is used for reserves, since the VMs on one side of
+# a partition count only each other.
+MEMBER_COUNT_MEMORY_S: Final = 60.0
 MAX_LINE_BYTES: Final = 16 * 1024 * 1024
 
 
@@ -93,6 +99,11 @@
         self._connected_fence = -1
         self._report_period_s = INITIAL_REPORT_PERIOD_S
         self._member_count = 1
+        self._replies_since_s = float("inf")
+        self._peak_member_count = 0
+        self._peak_member_count_s = float("-inf")
+        self._is_allocating = False
+        self._tokens_reply_s = float("-inf")
         self._writer: asyncio.StreamWriter | None = None
         self._tokens_requested_s: dict[str, float] = {}
         self.model_usage = ModelUsage(self._send_model_wait)
@@ -112,15 +123,28 @@
         self._tokens_requested_s[customer] = now_s
         deps = self._deps
         usage = deps.usage.report_of(customer, now_s)
-        self._send(
-            {
-                "tokens": {
-                    "member": deps.name,
-                    "customer": customer,
-                    "usage": tuple(usage),
-                }
+        message: MemberMessage = {
+            "tokens": {
+                "member": deps.name,
+                "customer": customer,
+                "usage": tuple(usage),
             }
-        )
+        }
+        # A leader that has resigned still allocates while no member has left it.
+        if self._writer is not None:
+            self._writer.write(encode_line(message))
+
+    def is_allocation_paused(self) -> bool:
+        """Return whether no leader allocates this VM parts of the whole rates."""
+        return self._writer is None or not self._is_allocating
+
+    def has_replied_since(self, at_s: float) -> bool:
+        """Return whether the leader has replied on tokens since `at_s`, by `boot_s`."""
+        return self._tokens_reply_s >= at_s
+
+    def reserve_member_count(self) -> int:
+        """Return the number of VMs that share the reserves; 0 if unknown."""
+        return self._peak_member_count
 
     def _send_model_wait(self, model_ref: ModelRef) -> None:
         self._send(
@@ -172,9 +196,6 @@
                     continue
             self._leadership.leader_lost(boot_s())
             self._deps.fleet.peer_load.clear()
-            self._deps.usage.add_isolated_allowance(
-                self._deps.customers(), self._member_count, boot_s()
-            )
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
     def claim_changed(self) -> None:
@@ -194,6 +215,8 @@
     async def _run_connection(self, claim: Claim) -> None:
         address = parse_address(claim.address)
         self._connected_fence = claim.fence
+        self._is_allocating = False
+        self._replies_since_s = float("inf")
         self._deps.suspects.leader_changed()
         writer: asyncio.StreamWriter | None = None
         try:
@@ -235,7 +258,9 @@
                 async with asyncio.timeout(REPLY_TIMEOUT_S):
                     await self._reply_received.wait()
                 if self.has_resigned():
-                    return
+                    # The connection stays open until another VM's claim is seen: a
+                    # leader that has resigned allocates only while no member leaves.
+                    self._leadership.leader_lost(boot_s())
                 await asyncio.sleep(self._report_period_s)
         finally:
             reading.cancel()
@@ -316,6 +341,8 @@
         self._reply_received_s = now_s
         self._report_period_s = reply["period_s"]
         self._member_count = max(1, reply["members"])
+        self._is_allocating = reply.get("is_allocating", reply["leads"])
+        self._count_members(now_s)
         deps.retries.set_members(self._member_count)
         self._leadership.set_members(self._member_count)
         if reply["leads"] and not self._leadership.is_mine():
@@ -327,8 +354,17 @@
             for name, total in reply["load"].items()
         }
 
+    def _count_members(self, now_s: float) -> None:
+        self._replies_since_s = min(self._replies_since_s, now_s)
+        if now_s - self._replies_since_s < MEMBER_COUNT_SETTLE_S:
+            return
+        is_old = now_s - self._peak_member_count_s > MEMBER_COUNT_MEMORY_S
+        if self._member_count >= self._peak_member_count or is_old:
+            self._peak_member_count = self._member_count
+            self._peak_member_count_s = now_s
+
     def _add_tokens(self, given: dict[str, float]) -> None:
-        now_s = boot_s()
+        now_s = self._tokens_reply_s = boot_s()
         for name, amount in given.items():
             self._deps.usage.add(name, amount, now_s)
 
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -94,6 +94,7 @@
         self._deps = deps
         self._members: dict[str, _Member] = {}
         self._left_members: set[str] = set()
+        self._has_removed_member = False
         self._writers: set[asyncio.StreamWriter] = set()
         self._allocator: UsageAllocator | None = None
         self._allocator_fence = -1
@@ -146,6 +147,7 @@
             if now_s - member.reported_s > MEMBER_TIMEOUT_S:
                 del self._members[name]
                 self._left_members.discard(name)
+                self._has_removed_member = True
                 self._model_waits.pop(name, None)
                 if self._allocator is not None:
                     self._allocator.forget_member(name)
@@ -299,6 +301,8 @@
             "number": report["number"],
             "leads": leads,
             "given": self._allocate(report["member"], report["usage"], now_s),
+            "is_allocating": leadership.has_taken_over(now_s)
+            and self._may_allocate(now_s),
             "load": self.totals().load,
             "members": len(self._members),
             "period_s": self.report_period_s(),
@@ -328,20 +332,15 @@
             customer = customers.get(name)
             if customer is None or customer.rate_per_s <= 0:
                 continue
+            report = UsageReport(*usage)
             if not leadership.has_taken_over(now_s):
                 # The predecessor may still allocate the rate, so only the bucket that a
                 # new leader starts with is allocated.
                 customer = customer._replace(rate_per_s=0.0)
             elif not may_allocate:
-                # A rate and burst of 0 allocate nothing, and the customer's bucket does
-                # not fill until allocation is allowed again.
-                customer = customer._replace(rate_per_s=0.0, burst=0.0)
-            amount = self._allocator.allocate(
-                member,
-                customer,
-                UsageReport(*usage),
-                now_s,
-            )
+                self._allocator.suspend(member, customer, report, now_s)
+                continue
+            amount = self._allocator.allocate(member, customer, report, now_s)
             if amount > 0:
                 given[name] = round(amount, 1)
         return given
@@ -354,8 +353,9 @@
         then unless all members are connected and have reported recently.
         """
         if self._deps.leadership.may_act(now_s):
+            self._has_removed_member = False
             return True
-        if self._left_members:
+        if self._left_members or self._has_removed_member:
             return False
         return all(
             now_s - m.reported_s < RECENT_REPORT_S for m in self._members.values()
--- a/testing/decisions/test_shared_limits.py
+++ b/testing/decisions/test_shared_limits.py
@@ -8,7 +8,8 @@
 
 from _pistachiopond.decisions.shared_limits import (
     INITIAL_SHARE,
-    ISOLATED_PERIOD_S,
+    RESERVE_LIMIT_SHARE,
+    RESERVE_WINDOW_S,
     CustomerBalances,
     UsageAllocator,
     UsageReport,
@@ -120,15 +121,55 @@
         second = allocator.allocate("b", CUSTOMER, UsageReport(0.0, 1000.0, 600.0), 0.0)
         self.assertLessEqual(first + second, INITIAL_SHARE * CUSTOMER.burst)
 
-    def test_members_without_a_leader_get_one_small_allowance_per_period(self) -> None:
+    def test_reserves_together_stay_within_a_small_share_in_any_window(self) -> None:
+        window = CUSTOMER.rate_per_s * RESERVE_WINDOW_S + CUSTOMER.burst
+        for count in (2, 6, 79, 195):
+            balances = CustomerBalances()
+            spent: list[tuple[float, float]] = []
+            for step in range(3000):
+                now_s = step * 0.01
+                # Nothing at first, so that an unused reserve could accumulate.
+                if step > 1100 and balances.try_spend_reserve(
+                    CUSTOMER, 0.5, count, now_s
+                ):
+                    spent.append((now_s, 0.5 * count))
+            for start_s, _ in spent:
+                end_s = start_s + RESERVE_WINDOW_S
+                inside = sum(cost for at_s, cost in spent if start_s <= at_s < end_s)
+                self.assertLessEqual(inside, RESERVE_LIMIT_SHARE * window)
+            self.assertGreater(len(spent), 0)
+
+    def test_a_vm_that_does_not_know_the_number_of_vms_has_no_reserve(self) -> None:
+        balances = CustomerBalances()
+        self.assertFalse(balances.try_spend_reserve(CUSTOMER, 1.0, 0, 0.0))
+
+    def test_a_reserve_is_neither_reported_nor_returned(self) -> None:
         balances = CustomerBalances()
         balances.record_demand(CUSTOMER.name, 1.0, 0.0)
-        for step in range(20):
-            balances.add_isolated_allowance({CUSTOMER.name: CUSTOMER}, 8, step * 0.1)
-        allowed = 8 * balances.balance(CUSTOMER.name)
-        window = CUSTOMER.rate_per_s * ISOLATED_PERIOD_S + CUSTOMER.burst
-        self.assertLess(allowed, 0.1 * window)
-        self.assertGreater(allowed, 0.0)
+        self.assertEqual(balances.reports(1.0)[CUSTOMER.name].returned, 0.0)
+        self.assertTrue(balances.try_spend_reserve(CUSTOMER, 1.0, 8, 1.0))
+
+    def test_a_suspended_bucket_goes_on_with_a_successors_share(self) -> None:
+        allocator = UsageAllocator(0.0)
+        idle = UsageReport(0.0, 0.0, 0.0)
+        allocator.allocate("a", CUSTOMER, idle, 2.0)
+        for step in range(30):
+            allocator.suspend("a", CUSTOMER, idle, 2.0 + step * 0.1)
+        short = UsageReport(0.0, 0.0, 10_000.0)
+        still = CUSTOMER._replace(rate_per_s=0.0)
+        amount = allocator.allocate("a", still, short, 5.0)
+        self.assertEqual(amount, INITIAL_SHARE * CUSTOMER.burst)
+
+    def test_no_bucket_fills_during_a_suspension(self) -> None:
+        allocator = UsageAllocator(0.0)
+        other = CUSTOMER._replace(name="other")
+        short = UsageReport(0.0, 0.0, 10_000.0)
+        for customer in (CUSTOMER, other):
+            allocator.allocate("a", customer, short, 0.0)
+        # Only one of the customers is in the reports.
+        allocator.suspend("a", CUSTOMER, short, 10.0)
+        for customer in (CUSTOMER, other):
+            self.assertEqual(allocator.allocate("a", customer, short, 10.0), 0.0)
 
     def test_balances_follow_lowered_limits(self) -> None:
         balances = CustomerBalances()
--- a/testing/vm/cluster.py
+++ b/testing/vm/cluster.py
@@ -2,33 +2,45 @@
 
 import asyncio
 import json
+from typing import Any
 
-from _pistachiopond.http1.messages import HttpAddress
+from _pistachiopond.http1.client import connect
+from _pistachiopond.http1.messages import HttpAddress, encode_request
 from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.vm.program import Vm, make_vm
 from testing.vm.deployment import (
+    MAX_BODY_BYTES,
     configuration,
     listen,
     make_settings,
+    request_head,
+    server_entry,
     start_vm,
     wait_until,
 )
+from testing.vm.fake_server import FakeServer
 from testing.vm.fake_store import FakeStore
 
 
 class Cluster:
-    """Several VMs with a fake store, without callers."""
+    """Several VMs with a fake store."""
 
     def __init__(self) -> None:
         self.store = FakeStore()
         self.vms: dict[str, Vm] = {}
         self.tasks: dict[str, list[asyncio.Task]] = {}
+        self._call_count = 0
+        self._caller_addresses: dict[str, HttpAddress] = {}
+        self._listening: list[asyncio.Server] = []
 
-    async def start(self, count: int) -> None:
-        """Start the store and the VMs, and wait for a leader."""
+    async def start(self, count: int, **more: Any) -> None:
+        """Start the store and the VMs, and wait for a leader.
+
+        Further arguments replace parts of the configuration.
+        """
         self.server, address = await listen(self.store.handle)
 
-        value = json.dumps(configuration(1)).encode()
+        value = json.dumps(configuration(1, **more)).encode()
         self.store.put("keyed.op", "config", value)
         for number in range(count):
             self.launch(f"vm-{number}", address)
@@ -40,6 +52,30 @@
         self.tasks[name] = start_vm(vm)
         self.vms[name] = vm
 
+    async def accept_callers(self, service: str) -> None:
+        """Start a server of the service, and listen for callers on all VMs."""
+        server = FakeServer("s1")
+        listening, address = await listen(server.handle)
+        self._listening.append(listening)
+        entry = server_entry(service, f"{address.ip}:{address.port}")
+        self.store.put("keyed.servers", "s1", entry)
+        for name, vm in self.vms.items():
+            listening, address = await listen(vm.request_handler.handle)
+            self._listening.append(listening)
+            self._caller_addresses[name] = address
+        vms = self.vms.values()
+        await wait_until(lambda: all("s1" in vm.fleet.servers for vm in vms))
+
+    async def call(self, name: str, path: str) -> int:
+        """Send a request to a VM on a new connection; return the status."""
+        self._call_count += 1
+        connection = await connect(self._caller_addresses[name], 1.0)
+        connection.send(encode_request(request_head(path, self._call_count), b"body"))
+        head = await connection.read_head()
+        await connection.read_body(MAX_BODY_BYTES)
+        connection.close()
+        return head.status
+
     def all_have_replies(self, names: list[str]) -> bool:
         """Return whether all of these VMs have had a recent reply of a leader."""
         return all(self.vms[name].leader_client.reply_age_s() < 0.5 for name in names)
@@ -61,5 +97,7 @@
         """End all VMs and the store."""
         for name in list(self.tasks):
             await self.kill(name)
+        for listening in self._listening:
+            listening.close()
         self.server.close()
         await asyncio.sleep(0.05)
--- a/testing/vm/deployment.py
+++ b/testing/vm/deployment.py
@@ -123,6 +123,19 @@
     return json.dumps(entry).encode()
 
 
+def request_head(path: str, number: int, **headers: str) -> RequestHead:
+    """Return the head of a caller's request; further headers are added or replaced."""
+    plain = {
+        "Host": HOST,
+        "X-Attempt-Id": f"request-{number}",
+        "X-Deadline-Ms": "1000",
+        "X-Key": "office-key",
+    }
+    plain |= {name.replace("_", "-"): value for name, value in headers.items()}
+    encoded = [(name.encode(), value.encode()) for name, value in plain.items()]
+    return RequestHead(b"POST", path.encode(), encoded)
+
+
 @final
 class SingleVmDeployment:
     """One VM with a fake store and fake backend servers."""
@@ -167,19 +180,8 @@
     async def send(self, path: str, **headers: str) -> ClientConnection:
         """Send a request and return its connection."""
         self._count += 1
-        plain = {
-            "Host": HOST,
-            "X-Attempt-Id": f"request-{self._count}",
-            "X-Deadline-Ms": "1000",
-            "X-Key": "office-key",
-        }
-        plain |= {name.replace("_", "-"): value for name, value in headers.items()}
         connection = await connect(self.address, 1.0)
-        head = RequestHead(
-            b"POST",
-            path.encode(),
-            [(name.encode(), value.encode()) for name, value in plain.items()],
-        )
+        head = request_head(path, self._count, **headers)
         connection.send(encode_request(head, b"body"))
         return connection
 
--- a/testing/vm/test_leader_server.py
+++ b/testing/vm/test_leader_server.py
@@ -4,13 +4,17 @@
 from unittest.mock import patch
 
 from _pistachiopond.decisions.leadership import HANDOVER_S, Claim, Leadership
-from _pistachiopond.decisions.shared_limits import INITIAL_SHARE
+from _pistachiopond.decisions.shared_limits import INITIAL_SHARE, CustomerBalances
 from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import CustomerSpec
 from _pistachiopond.schema.peer_messages import MemberReport
 from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm import leader_server as leader_server_module
-from _pistachiopond.vm.leader_server import LeaderServer, LeaderServerDependencies
+from _pistachiopond.vm.leader_server import (
+    MEMBER_TIMEOUT_S,
+    LeaderServer,
+    LeaderServerDependencies,
+)
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
 
 CUSTOMER = CustomerSpec("office", None, True, 10.0, 1000.0, 1000.0)
@@ -129,6 +133,53 @@
                 # members without a leader spend.
                 self.assertLessEqual(spent, allowed * 1.075)
 
+    def test_two_leaders_and_all_reserves_stay_within_the_tolerated_excess(
+        self,
+    ) -> None:
+        for count in (2, 6, 79, 195):
+            vms = [f"vm-{number}" for number in range(count)]
+            is_cut = {name: number < count / 2 for number, name in enumerate(vms)}
+            old, new = Leader(vms[0]), Leader(vms[-1])
+            old.claim(0, 0.0)
+            balances = {name: CustomerBalances() for name in vms}
+            given: list[tuple[float, float]] = []
+            for step in range(30, 130):
+                now_s = round(step * 0.1, 1)
+                if now_s == 5.4:
+                    new.claim(1, now_s)
+                    for name in vms:
+                        if not is_cut[name]:
+                            old.leader_server._member_left(name)
+                for name in vms:
+                    leader = new if now_s >= 5.4 and not is_cut[name] else old
+                    has_store = leader is new or now_s < 4.0
+                    amount = leader.allocate(name, now_s, has_store=has_store)
+                    # Members spend all that they get, and whatever their reserves have.
+                    while balances[name].try_spend_reserve(CUSTOMER, 1.0, count, now_s):
+                        amount += 1.0
+                    given.append((now_s, amount))
+            for start_s in sorted({at_s for at_s, _ in given}):
+                spent = sum(a for t, a in given if start_s <= t < start_s + 8.0)
+                allowed = CUSTOMER.rate_per_s * 8.0 + CUSTOMER.burst
+                self.assertLessEqual(spent, allowed * 1.1)
+
+    def test_a_leader_without_the_store_stops_once_a_member_has_been_removed(
+        self,
+    ) -> None:
+        leader = Leader("vm-0")
+        leader.claim(0, 0.0)
+        for member in VMS:
+            leader.allocate(member, 0.0, has_store=True)
+        given = 0.0
+        for step in range(10, 300):
+            now_s = step * 0.1
+            for member in VMS[:-1]:
+                amount = leader.allocate(member, now_s, has_store=False)
+                given += amount if now_s > MEMBER_TIMEOUT_S else 0.0
+            with patch.object(leader_server_module, "boot_s", lambda at=now_s: at):
+                leader.leader_server.drop_silent_members()
+        self.assertEqual(given, 0.0)
+
     def test_a_successor_allocates_little_until_its_predecessor_has_stopped(
         self,
     ) -> None:
--- a/testing/vm/test_store_restore.py
+++ b/testing/vm/test_store_restore.py
@@ -151,6 +151,38 @@
         self.assertLessEqual(len(snapshots), 6)
 
 
+class CustomerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_customer_far_below_its_limit_is_not_refused(self) -> None:
+        """Two VMs, 10 requests a second of 1,000, and a store away for 3 s."""
+        cluster = Cluster()
+        customer = configuration(1)["tenants"][0] | {"plainTokens": 1}
+        await cluster.start(2, tenants=[customer])
+        self.addAsyncCleanup(cluster.close)
+        await cluster.accept_callers("plain")
+        store = cluster.store
+        calls: list[asyncio.Task[int]] = []
+
+        async def send_for(seconds: float) -> None:
+            for _ in range(round(seconds * 10)):
+                name = list(cluster.vms)[len(calls) % 2]
+                calls.append(asyncio.ensure_future(cluster.call(name, "/once/x")))
+                await asyncio.sleep(0.1)
+
+        await send_for(2.5)
+        copy = store.copy()
+        store.refuses = lambda path: True
+        await send_for(3.0)
+        store.restore(copy)
+        store.refuses = lambda path: False
+        # Until the proof that no key was withdrawn is too old.
+        await send_for(1.5)
+        statuses = await asyncio.gather(*calls)
+        self.assertEqual(
+            [at for at, status in enumerate(statuses) if status == 429], []
+        )
+        self.assertIn(200, statuses[-15:])
+
+
 class ServerTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_draining_server_is_not_taken_for_ready_again(self) -> None:
         async with running_deployment() as deployment:
