--- a/testing/vm/test_leader_election.py
+++ b/testing/vm/test_leader_election.py
@@ -4,8 +4,15 @@
 import json
 import unittest
 
+from _pistachiopond.http1.messages import HttpAddress
+from _pistachiopond.observe.metrics import Metrics
+from _pistachiopond.vm.leader_client import (
+    MEMBER_COUNT_MEMORY_S,
+    MEMBER_COUNT_SETTLE_S,
+)
+from _pistachiopond.vm.program import make_vm
 from testing.vm.cluster import Cluster
-from testing.vm.deployment import configuration, wait_until
+from testing.vm.deployment import configuration, make_settings, wait_until
 
 
 class LeaderTests(unittest.IsolatedAsyncioTestCase):
@@ -81,5 +88,27 @@
         )
 
 
+class MemberCountTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        store_address = HttpAddress("127.0.0.1", 1)
+        self.client = make_vm(make_settings(store_address), Metrics()).leader_client
+
+    def count(self, members: int, now_s: float) -> int:
+        self.client._member_count = members
+        self.client._count_members(now_s)
+        return self.client.reserve_member_count()
+
+    async def test_the_first_replies_of_a_new_leader_do_not_size_reserves(self) -> None:
+        self.assertEqual(self.count(1, 0.0), 0)
+        self.assertEqual(self.count(150, 0.5 * MEMBER_COUNT_SETTLE_S), 0)
+        self.assertEqual(self.count(195, MEMBER_COUNT_SETTLE_S), 195)
+
+    async def test_one_side_of_a_partition_keeps_the_earlier_number(self) -> None:
+        self.count(6, 0.0)
+        self.count(6, 10.0)
+        self.assertEqual(self.count(3, 20.0), 6)
+        self.assertEqual(self.count(3, 11.0 + MEMBER_COUNT_MEMORY_S), 3)
+
+
 if __name__ == "__main__":
     unittest.main()
