--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -73,12 +73,14 @@
     all VMs at each server. `period_s` is the time until the next report. `topics` says
     how fresh each topic's relayed records are. `relays` lists the addresses of VMs
     that forward requests for the member: for each service that it cannot reach, and
-    under an empty name for all services. It is missing from older builds.
+    under an empty name for all services. `is_allocating` says whether parts of the
+    customers' whole rates are allocated. Older builds send neither.
     """
 
     number: int
     leads: bool
     given: dict[str, float]
+    is_allocating: NotRequired[bool]
     load: dict[str, int]
     members: int
     period_s: float
