Decode servers' software version and callers' resumptions

The version of a server's software was dropped at the adapter, and nothing read which attempt of a caller had brought the first event of a stream that it takes up again. Both are needed to keep a stream at the version that began it.

The version is an opaque string whatever JSON type states it; servers that state none count as one version of their own. A resumption is a request with a Last-Event-Id; a first attempt that is missing, repeated with different values or not legible is decoded with the reason, and is no malformed request, since the request may still be answered where only one version serves.

--- a/src/_pistachiopond/platform/requests.py
+++ b/src/_pistachiopond/platform/requests.py
@@ -17,9 +17,14 @@
     ForwardContext,
     PromptPart,
     ResponseKind,
+    ResumedStream,
 )
 
 ATTEMPT_ID: Final = b"x-attempt-id"
+_LAST_EVENT_ID: Final = b"last-event-id"
+_RESUMES: Final = b"resumes"
+# Attempt ids are short; a longer value is not one.
+_MAX_ATTEMPT_ID_BYTES: Final = 256
 RETRY_AFTER: Final = b"Retry-After"
 # Removed from callers' requests, since only this system may send them to servers.
 _SYSTEM_HEADERS: Final = frozenset(
@@ -85,9 +90,28 @@
         prompt_tokens=tokens[0] if tokens else None,
         max_output_tokens=tokens[1] if tokens else None,
         prompt=_decode_prompt(values.get(b"x-prompt-prefix", "")),
+        resumed=_decode_resumed(head),
     )
 
 
+def _decode_resumed(head: RequestHead) -> ResumedStream | None:
+    event_ids = [value.strip() for value in head.values(_LAST_EVENT_ID)]
+    if not any(event_ids):
+        return None
+    is_number = len(event_ids) == 1 and event_ids[0].isdigit()
+    last_event_id = int(event_ids[0]) if is_number else None
+    names = [value.strip() for value in head.values(_RESUMES)]
+    if not names:
+        return ResumedStream(None, "no first attempt named", last_event_id)
+    if len(set(names)) > 1:
+        return ResumedStream(None, "several first attempts named", last_event_id)
+    name = names[0]
+    is_legible = name.isascii() and name.decode("latin-1").isprintable()
+    if not name or len(name) > _MAX_ATTEMPT_ID_BYTES or not is_legible:
+        return ResumedStream(None, "first attempt not legible", last_event_id)
+    return ResumedStream(name.decode("ascii"), "", last_event_id)
+
+
 def _decode_prompt(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(",") if text else ():
@@ -104,7 +128,7 @@
         if name.lower() not in _SYSTEM_HEADERS
     ]
     if context.resume_after is not None:
-        headers = [item for item in headers if item[0].lower() != b"last-event-id"]
+        headers = [item for item in headers if item[0].lower() != _LAST_EVENT_ID]
         headers.append((b"Last-Event-Id", context.resume_after.encode()))
     headers.append((b"X-Expect-Instance", context.server_id.encode()))
     headers.append((b"X-Deadline-Ms", b"%d" % max(1, context.deadline_s * MS_PER_S)))
--- a/src/_pistachiopond/platform/servers.py
+++ b/src/_pistachiopond/platform/servers.py
@@ -56,9 +56,17 @@
         models=_decode_models(plain.get("models") or []),
         models_in_memory=_decode_names(local_weights.get("inMemory")),
         models_on_disk=_decode_names(local_weights.get("onDisk")),
+        software_version=_decode_software_version(plain.get("version")),
     )
 
 
+def _decode_software_version(value: Any) -> str:
+    """Return the version as an opaque string; 3 and "3" are the same version."""
+    if value is None:
+        return ""
+    return value if isinstance(value, str) else json.dumps(value, sort_keys=True)
+
+
 def _decode_models(plain: list[dict[str, Any]]) -> dict[str, tuple[str, ...]]:
     return {item["name"]: _decode_names(item.get("adapters")) for item in plain}
 
--- a/src/_pistachiopond/schema/caller_request.py
+++ b/src/_pistachiopond/schema/caller_request.py
@@ -18,6 +18,25 @@
     tokens: int
 
 
+class ResumedStream(NamedTuple):
+    """A stream that a caller takes up again after it has received events.
+
+    Attributes
+    ----------
+    first_attempt_id : str or None
+        The caller's attempt that brought the first event; None if the request does
+        not say so legibly.
+    problem : str
+        Why the attempt is unknown; empty if it is known.
+    last_event_id : int or None
+        The last event that the caller has received; None if its id is not a number.
+    """
+
+    first_attempt_id: str | None
+    problem: str
+    last_event_id: int | None
+
+
 class CallerRequest(NamedTuple):
     """The data from the headers of a request.
 
@@ -37,6 +56,8 @@
         None if the request has no token counts.
     prompt : tuple of PromptPart
         The parts in order; the last one belongs to a session.
+    resumed : ResumedStream or None
+        Set if the caller has received events of the stream before.
     """
 
     attempt_id: str
@@ -49,6 +70,7 @@
     prompt_tokens: int | None
     max_output_tokens: int | None
     prompt: tuple[PromptPart, ...]
+    resumed: ResumedStream | None = None
 
 
 class ForwardContext(NamedTuple):
--- a/src/_pistachiopond/schema/deployment.py
+++ b/src/_pistachiopond/schema/deployment.py
@@ -208,6 +208,10 @@
         The loaded adapters of each loaded model.
     models_in_memory, models_on_disk : tuple of str
         Models whose weights it has in memory or on disk, and so loads faster.
+    software_version : str
+        The version of the software that it runs, without any order; not that of
+        weights or of the configuration. Empty if it states none: such servers count
+        as running one and the same version.
     """
 
     server_id: str
@@ -220,6 +224,7 @@
     models: dict[str, tuple[str, ...]]
     models_in_memory: tuple[str, ...]
     models_on_disk: tuple[str, ...]
+    software_version: str = ""
 
     def incarnation(self) -> tuple[str, int]:
         """Return the identifier of this start of the server."""
--- a/testing/platform_adapter/test_decoding.py
+++ b/testing/platform_adapter/test_decoding.py
@@ -20,7 +20,7 @@
 from _pistachiopond.platform.servers import decode_report, decode_server, encode_order
 from _pistachiopond.platform.settings import read_vm_settings
 from _pistachiopond.platform.store import decode_tail, encode_record
-from _pistachiopond.schema.caller_request import ForwardContext
+from _pistachiopond.schema.caller_request import ForwardContext, ResumedStream
 from _pistachiopond.schema.model_orders import ModelOrder
 from _pistachiopond.schema.store_position import StorePosition
 from testing.vm.deployment import configuration
@@ -81,6 +81,22 @@
         decode_report(value)
         decode_deployment(value)
 
+    def test_a_software_version_is_an_opaque_string_whatever_its_type(self) -> None:
+        for stated, expected in (
+            ("2024.1-rc", "2024.1-rc"),
+            (3, "3"),
+            ("3", "3"),
+            (1.5, "1.5"),
+            (["a", 1], '["a", 1]'),
+            (None, ""),
+        ):
+            entry = json.dumps(ENTRY | {"version": stated}).encode()
+            server = decode_server("s1", entry).ok()
+            self.assertEqual(server.software_version, expected)
+        without = {key: value for key, value in ENTRY.items() if key != "version"}
+        server = decode_server("s1", json.dumps(without).encode()).ok()
+        self.assertEqual(server.software_version, "")
+
     def test_sequence_is_the_order_count_in_reports_but_not_in_entries(self) -> None:
         report = decode_report(
             b'{"models":[],"busy":false,"sequence":3,"running":1}'
@@ -128,6 +144,45 @@
         self.assertEqual((caller.prompt_tokens, caller.max_output_tokens), (1460, 80))
         self.assertEqual([part.tokens for part in caller.prompt], [800, 410])
 
+    def test_a_resumption_names_the_attempt_that_brought_its_first_event(self) -> None:
+        head = make_head(Resumes=" a1 ", Last_Event_Id="7")
+        resumed = ResumedStream("a1", "", 7)
+        self.assertEqual(decode_request(head).ok().resumed, resumed)
+
+    def test_a_resumption_without_a_legible_first_attempt_says_so(self) -> None:
+        for headers, problem in (
+            ([], "no first attempt named"),
+            ([b"a1", b"a2"], "several first attempts named"),
+            ([b""], "first attempt not legible"),
+            ([b"a\xff"], "first attempt not legible"),
+            ([b"a" * 300], "first attempt not legible"),
+        ):
+            head = make_head(Last_Event_Id="7")
+            head.headers.extend((b"Resumes", value) for value in headers)
+            resumed = ResumedStream(None, problem, 7)
+            self.assertEqual(decode_request(head).ok().resumed, resumed)
+
+    def test_a_caller_without_an_event_resumes_nothing(self) -> None:
+        for head in (
+            make_head(Resumes="a1"),
+            make_head(Resumes="a1", Last_Event_Id=""),
+        ):
+            self.assertIsNone(decode_request(head).ok().resumed)
+
+    def test_an_event_id_that_is_no_number_still_means_that_events_came(self) -> None:
+        resumed = (
+            decode_request(make_head(Resumes="a1", Last_Event_Id="x")).ok().resumed
+        )
+        self.assertEqual(resumed, ResumedStream("a1", "", None))
+
+    def test_resumption_headers_are_forwarded_as_sent(self) -> None:
+        head = make_head(Resumes="a1", Last_Event_Id="7", X_Other="o")
+        context = ForwardContext("s1", None, 1.0, 1, None)
+        sent = encode_forwarded(Request(head, b""), context).head
+        for name, value in ((b"resumes", b"a1"), (b"last-event-id", b"7")):
+            self.assertEqual(sent.values(name), [value])
+        self.assertEqual(sent.values(b"x-other"), [b"o"])
+
     def test_duplicated_headers_are_refused(self) -> None:
         head = make_head()
         head.headers.append((b"x-attempt-id", b"r2"))
