--- /dev/null
+++ b/src/_pistachiopond/decisions/stream_versions.py
@@ -0,0 +1,376 @@
+"""Decides which software version of a service may run a resumable stream.
+
+Servers of several software versions may serve side by side, and what two versions
+write does not fit together. A stream that breaks may be taken up again at any VM, so
+the version of a new stream is mostly a pure function of its first attempt's id and of
+the versions in service: no message and no state are needed to know it elsewhere. Only
+streams for which the function fails, since they began at another version or since the
+versions in service changed, are recorded at other VMs.
+
+The load is every resumable stream of a VM, some hundred a second at most, and the
+changes of the servers that hold a model. One evaluation costs a hash for each version.
+"""
+
+import math
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, Literal, NamedTuple, final
+
+from _pistachiopond.decisions.rendezvous import score
+
+# For how long a stream's version is remembered after the last sign of the stream.
+# Streams end within their routes' time limits, which are shorter.
+STREAM_MEMORY_S: Final = 60.0
+# Callers take a stream up again within this time of its break, or give it up. A VM
+# that has known the servers for less lacks sets of versions that may matter.
+RESUMPTION_GAP_S: Final = 10.0
+# Bounds on memory, for each VM. At 200 streams a second, 60 s are 12,000.
+MAX_STARTED: Final = 20_000
+MAX_RECORDS: Final = 20_000
+# A leader's successor has told all VMs again of records younger than this.
+RELAY_AGAIN_S: Final = 6.0
+# Bound on the earlier sets of versions of one model.
+MAX_EARLIER_SETS: Final = 32
+_SCORE_RANGE: Final = 2.0**64
+
+OriginBasis = Literal["remembered", "recorded", "only_version", "computed", "ambiguous"]
+
+
+class ServedModel(NamedTuple):
+    """A model of a service; `model` is empty for services without models."""
+
+    service: str
+    model: str
+
+
+class StreamRecord(NamedTuple):
+    """The version that began a stream, as sent between VMs.
+
+    Attributes
+    ----------
+    stream_id : str
+        The caller's attempt that brought the first event.
+    version : str
+        The software version.
+    age_s : float
+        The time since the last sign of the stream.
+    """
+
+    stream_id: str
+    version: str
+    age_s: float
+
+
+class Origin(NamedTuple):
+    """The version that began a stream, and how that is known.
+
+    Attributes
+    ----------
+    version : str or None
+        None if it is unknown.
+    basis : str
+        ``remembered`` (the stream ran at this VM), ``recorded`` (another VM told),
+        ``only_version`` (the service has had no other one for `STREAM_MEMORY_S`),
+        ``computed`` (all sets of versions in force meanwhile yield it), ``ambiguous``
+        (they yield different versions, or none).
+    """
+
+    version: str | None
+    basis: OriginBasis
+
+
+def preferred_version(stream_id: str, weights: Mapping[str, int]) -> str | None:
+    """Return the version for a new stream, or None if none is in service.
+
+    This is weighted rendezvous hashing: versions get streams in proportion to their
+    weights, and a change of one weight moves only streams from or to that version.
+    """
+
+    def rank(version: str) -> tuple[float, str]:
+        drawn = (score(stream_id, version) + 0.5) / _SCORE_RANGE
+        return (-weights[version] / math.log(min(drawn, 1.0 - 2.0**-53)), version)
+
+    return max(weights, key=rank, default=None)
+
+
+class _VersionSet(NamedTuple):
+    """Versions with their weights, and since when they are in force."""
+
+    weights: Mapping[str, int]
+    since_s: float
+
+
+class _Served(NamedTuple):
+    """When a version was first and last in service."""
+
+    first_s: float
+    last_s: float
+
+
+class _Started(NamedTuple):
+    served_model: ServedModel
+    version: str
+    seen_s: float
+    is_recorded: bool
+    is_complete: bool
+
+
+class _Recorded(NamedTuple):
+    version: str
+    seen_s: float
+
+
+@final
+class VersionSets:
+    """The software versions in service, now and within `STREAM_MEMORY_S`."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, dict[str, _Served]] = {}
+        self._sets: dict[ServedModel, list[_VersionSet]] = {}
+        self._several: frozenset[str] = frozenset()
+        self._known_since_s = float("inf")
+
+    def update(
+        self,
+        versions: Mapping[str, Iterable[str]],
+        weights: Callable[[frozenset[str]], Mapping[ServedModel, Mapping[str, int]]],
+        now_s: float,
+    ) -> frozenset[ServedModel]:
+        """Set what is in service; return the models whose weights have changed.
+
+        Parameters
+        ----------
+        versions : mapping of str to iterable of str
+            The versions of each service.
+        weights : callable
+            Returns the weight of each version for each model of these services. It
+            is asked only for services that have had several versions lately.
+        now_s : float
+            The present time.
+        """
+        self._known_since_s = min(self._known_since_s, now_s)
+        several = self._update_services(versions, now_s)
+        for served_model, sets in list(self._sets.items()):
+            if served_model.service not in several:
+                del self._sets[served_model]
+                continue
+            while len(sets) > 1 and sets[1].since_s < now_s - STREAM_MEMORY_S:
+                del sets[0]
+        new_services, self._several = several - self._several, several
+        if not several:
+            return frozenset()
+        return self._update_models(weights(several), new_services, now_s)
+
+    def _update_services(
+        self, versions_by_service: Mapping[str, Iterable[str]], now_s: float
+    ) -> frozenset[str]:
+        """Set the versions of each service; return services with several lately."""
+        for service, versions in versions_by_service.items():
+            served = self._services.setdefault(service, {})
+            for version in versions:
+                first_s = served[version].first_s if version in served else now_s
+                served[version] = _Served(first_s, now_s)
+        for service, served in list(self._services.items()):
+            for version, times in list(served.items()):
+                if now_s - times.last_s > STREAM_MEMORY_S:
+                    del served[version]
+            if not served:
+                del self._services[service]
+        return frozenset(
+            service for service, served in self._services.items() if len(served) > 1
+        )
+
+    def _update_models(
+        self,
+        weights: Mapping[ServedModel, Mapping[str, int]],
+        new_services: frozenset[str],
+        now_s: float,
+    ) -> frozenset[ServedModel]:
+        changed = set()
+        for served_model in weights.keys() | self._sets.keys():
+            new = weights.get(served_model, {})
+            sets = self._sets.get(served_model)
+            if sets is None:
+                is_new = served_model.service in new_services
+                sets = self._earlier_sets(served_model.service) if is_new else []
+                self._sets[served_model] = sets
+            if sets and sets[-1].weights == new:
+                continue
+            changed.add(served_model)
+            sets.append(_VersionSet(dict(new), now_s if sets else float("-inf")))
+            while len(sets) > MAX_EARLIER_SETS + 1:
+                del sets[0]
+        return frozenset(changed)
+
+    def only_version(self, service: str) -> str | None:
+        """Return the version of a service that has had no other one lately."""
+        served = self._services.get(service, {})
+        return next(iter(served)) if len(served) == 1 else None
+
+    def known_s(self, now_s: float) -> float:
+        """Return for how long the servers have been known."""
+        return max(0.0, now_s - self._known_since_s)
+
+    def preferred(self, stream_id: str, served_model: ServedModel) -> str | None:
+        """Return the version for a new stream, or None if no server is known."""
+        sets = self._sets.get(served_model)
+        return preferred_version(stream_id, sets[-1].weights) if sets else None
+
+    def possible(
+        self, stream_id: str, served_model: ServedModel, since_s: float
+    ) -> frozenset[str]:
+        """Return the versions by the function, over all sets in force since then."""
+        versions = set()
+        for item in reversed(self._sets.get(served_model, ())):
+            versions.add(preferred_version(stream_id, item.weights))
+            if item.since_s <= since_s:
+                break
+        return frozenset(version for version in versions if version is not None)
+
+    def _earlier_sets(self, service: str) -> list[_VersionSet]:
+        """Return the one version that a service had before it had several."""
+        served = self._services[service]
+        first_s = min(times.first_s for times in served.values())
+        before = [name for name, times in served.items() if times.first_s == first_s]
+        if len(before) > 1:
+            return []
+        return [_VersionSet({before[0]: 1}, float("-inf"))]
+
+
+@final
+class StreamVersions:
+    """The versions of the streams that this VM began or was told of.
+
+    Time complexity is that of a hash for each version, except for
+    `streams_to_record`, which looks at all streams that this VM remembers.
+    """
+
+    def __init__(self) -> None:
+        self.sets = VersionSets()
+        self._started: OrderedDict[str, _Started] = OrderedDict()
+        self._records: OrderedDict[str, _Recorded] = OrderedDict()
+
+    def must_record(
+        self, stream_id: str, served_model: ServedModel, version: str, now_s: float
+    ) -> bool:
+        """Return whether other VMs must be told if the stream begins at `version`.
+
+        That is so where they may compute another version, and where an earlier record
+        of the same stream names one.
+        """
+        known = self._started.get(stream_id)
+        if known is not None and known.is_recorded:
+            return True
+        if self.sets.only_version(served_model.service) is not None:
+            return False
+        if self.sets.known_s(now_s) < RESUMPTION_GAP_S:
+            return True
+        since_s = now_s - STREAM_MEMORY_S
+        return self.sets.possible(stream_id, served_model, since_s) != {version}
+
+    def record_start(
+        self, stream_id: str, served_model: ServedModel, version: str, now_s: float
+    ) -> StreamRecord | None:
+        """Remember a stream that begins or goes on; return what others must be told."""
+        is_recorded = self.must_record(stream_id, served_model, version, now_s)
+        self._started.pop(stream_id, None)
+        self._started[stream_id] = _Started(
+            served_model, version, now_s, is_recorded, is_complete=False
+        )
+        while len(self._started) > MAX_STARTED:
+            self._started.popitem(last=False)
+        return StreamRecord(stream_id, version, 0.0) if is_recorded else None
+
+    def record_end(self, stream_id: str) -> None:
+        """Record that the caller has been sent the whole stream."""
+        started = self._started.get(stream_id)
+        if started is not None:
+            self._started[stream_id] = started._replace(is_complete=True)
+
+    def streams_to_record(
+        self, changed: frozenset[ServedModel], now_s: float
+    ) -> list[StreamRecord]:
+        """Return streams that others can't compute since the versions changed."""
+        records = []
+        since_s = now_s - STREAM_MEMORY_S
+        for stream_id, started in self._started.items():
+            if started.is_recorded or started.is_complete:
+                continue
+            served_model, version = started.served_model, started.version
+            if served_model not in changed:
+                continue
+            if self.sets.possible(stream_id, served_model, since_s) != {version}:
+                self._started[stream_id] = started._replace(is_recorded=True)
+                age_s = now_s - started.seen_s
+                records.append(StreamRecord(stream_id, version, age_s))
+        return records
+
+    def add_records(
+        self, records: Iterable[StreamRecord], now_s: float
+    ) -> list[StreamRecord]:
+        """Keep other VMs' records; return those that a leader relays.
+
+        A record that is known already is relayed only while it is new: a leader that
+        has gone may have told this VM, but not all others.
+        """
+        relayed = []
+        for record in records:
+            seen_s = now_s - record.age_s
+            known = self._records.get(record.stream_id)
+            is_newer = known is None or seen_s > known.seen_s
+            is_known = known is not None and known.version == record.version
+            if is_newer:
+                self._records[record.stream_id] = _Recorded(record.version, seen_s)
+                self._records.move_to_end(record.stream_id)
+            if record.age_s < RELAY_AGAIN_S or (is_newer and not is_known):
+                relayed.append(record)
+        while len(self._records) > MAX_RECORDS:
+            self._records.popitem(last=False)
+        return relayed
+
+    def own_records(self, now_s: float) -> list[StreamRecord]:
+        """Return the records of this VM's own streams, for a new leader."""
+        return [
+            StreamRecord(stream_id, started.version, now_s - started.seen_s)
+            for stream_id, started in self._started.items()
+            if started.is_recorded
+        ]
+
+    def recent_records(self, max_age_s: float, now_s: float) -> list[StreamRecord]:
+        """Return the records up to an age, for a VM that may have missed them."""
+        return [
+            StreamRecord(stream_id, recorded.version, now_s - recorded.seen_s)
+            for stream_id, recorded in self._records.items()
+            if now_s - recorded.seen_s <= max_age_s
+        ]
+
+    def resolve(
+        self, stream_id: str, served_model: ServedModel, now_s: float
+    ) -> Origin:
+        """Return the version that began a stream, as far as this VM knows."""
+        started = self._started.get(stream_id)
+        if started is not None and now_s - started.seen_s <= STREAM_MEMORY_S:
+            return Origin(started.version, "remembered")
+        recorded = self._records.get(stream_id)
+        if recorded is not None and now_s - recorded.seen_s <= STREAM_MEMORY_S:
+            return Origin(recorded.version, "recorded")
+        only = self.sets.only_version(served_model.service)
+        if only is not None:
+            return Origin(only, "only_version")
+        possible = self.sets.possible(stream_id, served_model, now_s - STREAM_MEMORY_S)
+        if len(possible) == 1:
+            return Origin(next(iter(possible)), "computed")
+        return Origin(None, "ambiguous")
+
+    def forget_old(self, now_s: float) -> None:
+        """Drop streams that no caller takes up again."""
+        for entries in (self._started, self._records):
+            while entries:
+                stream_id, entry = next(iter(entries.items()))
+                if now_s - entry.seen_s <= STREAM_MEMORY_S:
+                    break
+                del entries[stream_id]
+
+    def count(self) -> tuple[int, int]:
+        """Return how many streams are remembered and how many records are kept."""
+        return len(self._started), len(self._records)
--- a/src/_pistachiopond/schema/caller_request.py
+++ b/src/_pistachiopond/schema/caller_request.py
@@ -72,6 +72,12 @@
     prompt: tuple[PromptPart, ...]
     resumed: ResumedStream | None = None
 
+    def stream_id(self) -> str:
+        """Return the id that all requests for one stream have in common."""
+        if self.resumed is None or self.resumed.first_attempt_id is None:
+            return self.attempt_id
+        return self.resumed.first_attempt_id
+
 
 class ForwardContext(NamedTuple):
     """Data about a request that is forwarded to a backend server.
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -37,6 +37,11 @@
     era: NotRequired[int]
 
 
+# The id of a stream, the software version that began it, and the time since it was
+# last seen, in seconds.
+StreamOrigin = tuple[str, str, float]
+
+
 class MemberReport(TypedDict):
     """A VM's report to the leader.
 
@@ -67,7 +72,9 @@
 
     `given` has the tokens to add to each customer's balance, and `load` the requests of
     all VMs at each server. `period_s` is the time until the next report. `topics` says
-    how fresh each topic's relayed records are.
+    how fresh each topic's relayed records are. `origins_known_s` is for how long the
+    leader has known the servers' software versions; older builds, which do not relay
+    stream origins, send none.
     """
 
     number: int
@@ -77,6 +84,7 @@
     members: int
     period_s: float
     topics: dict[str, TopicProof]
+    origins_known_s: NotRequired[float]
 
 
 class LoadedModelsUpdate(TypedDict):
@@ -126,11 +134,14 @@
 
     `known` is the first message of a connection. It has the next offset that the
     member has to read of each store topic, or -1 if it has read none; `known_eras` has
-    the eras of these offsets.
+    the eras of these offsets, and `origins_age_s` how long ago a leader last replied.
+    `origins` are streams whose version other VMs can't compute.
     """
 
     known: dict[str, int]
     known_eras: dict[str, int]
+    origins_age_s: float
+    origins: list[StreamOrigin]
     report: MemberReport
     pace: PacingRequest
     lack: ModelWait
@@ -166,6 +177,7 @@
     suspects: SuspectList
     paced: PacingReply
     given: dict[str, float]
+    origins: list[StreamOrigin]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/admission.py
+++ b/src/_pistachiopond/vm/admission.py
@@ -105,7 +105,7 @@
         admitted = Admitted(
             caller=caller,
             route=route,
-            service=choose_service(route, caller.attempt_id),
+            service=choose_service(route, caller.stream_id()),
             customer=customer,
             cost=0.0,
             rank=urgency_rank(route, customer),
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -1,7 +1,7 @@
 """The backend servers known to this VM, with their load and health."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import Final, NamedTuple, final
 
 import anyio
@@ -90,6 +90,8 @@
         self.ejector = Ejector()
         self.is_loaded = False
         self.change_count = 0
+        # Changes of servers and of their loaded models.
+        self.version_change_count = 0
         self.changed = anyio.Event()
         self._rng = random.Random()
         self._current_as_of_s = boot_s()
@@ -184,33 +186,59 @@
     def set_loaded_models(self, server_id: str, loaded: LoadedModels) -> None:
         """Set the models loaded on a server."""
         self._loaded_models[server_id] = loaded
+        self.version_change_count += 1
         self._wake_waiters()
 
     def clear_loaded_models(self) -> None:
         """Discard the leader's announcements and use the servers' own entries."""
         self._loaded_models.clear()
+        self.version_change_count += 1
 
     # Queries and load accounting for requests.
 
-    def servers_of(self, service: str) -> Iterable[BackendServer]:
-        """Return the servers of a service."""
-        return self._by_service.get(service, {}).values()
+    def servers_of(
+        self, service: str, software_version: str | None = None
+    ) -> Iterable[BackendServer]:
+        """Return the servers of a service, or only those of one software version."""
+        servers = self._by_service.get(service, {}).values()
+        if software_version is None:
+            return servers
+        return [item for item in servers if item.software_version == software_version]
+
+    def software_versions(self) -> dict[str, frozenset[str]]:
+        """Return the software versions of each service's servers."""
+        return {
+            service: frozenset(server.software_version for server in servers.values())
+            for service, servers in self._by_service.items()
+        }
+
+    def models_of(self, server: BackendServer) -> Iterable[str]:
+        """Return the models that the server has loaded."""
+        return self._adapters_by_model(server)
+
+    def _adapters_by_model(
+        self, server: BackendServer
+    ) -> Mapping[str, Collection[str]]:
+        loaded = self._loaded_models.get(server.server_id)
+        if loaded is not None and loaded.started_ms == server.started_ms:
+            return loaded.models
+        return server.models
 
     def can_run(self, server: BackendServer, model_ref: ModelRef) -> bool:
         """Return whether the server can run requests for the model and adapter."""
         if not model_ref.model:
             return True
-        loaded = self._loaded_models.get(server.server_id)
-        if loaded is not None and loaded.started_ms == server.started_ms:
-            adapters = loaded.models.get(model_ref.model)
-        else:
-            adapters = server.models.get(model_ref.model)
+        adapters = self._adapters_by_model(server).get(model_ref.model)
         if adapters is None:
             return False
         return not model_ref.adapter or model_ref.adapter in adapters
 
     def rank(
-        self, model_ref: ModelRef, tried: frozenset[str], prompt_id: str | None
+        self,
+        model_ref: ModelRef,
+        tried: frozenset[str],
+        prompt_id: str | None,
+        software_version: str | None = None,
     ) -> list[RankedServer]:
         """Return the best servers for a request, or an empty list.
 
@@ -222,11 +250,13 @@
             Servers to leave out, since the request has been sent to them.
         prompt_id : str or None
             Id of the prompt's first part, for prefix cache affinity.
+        software_version : str or None
+            The only version whose servers may be used; None for any.
         """
         now_s = boot_s()
         staying: list[Candidate] = []
         leaving: list[Candidate] = []
-        for server in self.servers_of(model_ref.service):
+        for server in self.servers_of(model_ref.service, software_version):
             name = server.server_id
             if name in tried or not self.can_run(server, model_ref):
                 continue
@@ -243,14 +273,16 @@
         is_current = known is not None and known.incarnation() == server.incarnation()
         return is_current and self._is_open(known, boot_s())
 
-    def resume_s(self, model_ref: ModelRef) -> float | None:
+    def resume_s(
+        self, model_ref: ModelRef, software_version: str | None = None
+    ) -> float | None:
         """Return when the first server takes requests again, if all are paused.
 
         None if no server can run the request, or one of them takes requests now.
         """
         now_s = boot_s()
         first_s: float | None = None
-        for server in self.servers_of(model_ref.service):
+        for server in self.servers_of(model_ref.service, software_version):
             if server.is_leaving or not self.can_run(server, model_ref):
                 continue
             if self._has_room(server, now_s):
@@ -268,11 +300,13 @@
         """Return the start time of each server, in Unix milliseconds."""
         return {name: server.started_ms for name, server in self.servers.items()}
 
-    def has_server_for(self, model_ref: ModelRef) -> bool:
+    def has_server_for(
+        self, model_ref: ModelRef, software_version: str | None = None
+    ) -> bool:
         """Return whether a server that is not draining can run the model."""
         return any(
             not server.is_leaving and self.can_run(server, model_ref)
-            for server in self.servers_of(model_ref.service)
+            for server in self.servers_of(model_ref.service, software_version)
         )
 
     def load(self, server_id: str) -> int:
@@ -383,6 +417,7 @@
 
     def _servers_changed(self) -> None:
         self.change_count += 1
+        self.version_change_count += 1
         self.ejector.set_servers(
             {name: frozenset(items) for name, items in self._by_service.items()}
         )
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
+from prometheus_client import Counter
+
 from _pistachiopond.decisions.attempt_policy import (
     AttemptState,
     final_step,
@@ -26,7 +28,9 @@
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, send_refusal
 from _pistachiopond.vm.server_pools import ServerPools
 from _pistachiopond.vm.shutdown import Shutdown
+from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects, make_fingerprint
+from _pistachiopond.vm.version_binding import VersionBinding
 
 # A request for a model that no server has loaded waits for at most this share of the
 # time left until its deadline, and for at most a share of the time that its caller is
@@ -69,6 +73,10 @@
         Requests that may have crashed their servers.
     pacing : PromptPacing
         Spreads prompts over time.
+    origins : StreamOrigins
+        The software versions at which streams began.
+    resumptions : Counter
+        Counts resumptions by callers, by outcome and basis.
     """
 
     fleet: Fleet
@@ -80,6 +88,8 @@
     model_load_s: Callable[[ModelRef], float]
     suspects: Suspects
     pacing: PromptPacing
+    origins: StreamOrigins
+    resumptions: Counter
 
 
 async def forward(
@@ -124,8 +134,14 @@
         self._pause_retry_after_s: float | None = None
         caller = admitted.caller
         self._model_ref = ModelRef(admitted.service, caller.model, caller.adapter)
-        is_resumed = admitted.route.kind == "stream" and admitted.route.is_resumable
-        self._splitter = EventSplitter(_last_event_id(request)) if is_resumed else None
+        is_resumable = admitted.route.kind == "stream" and admitted.route.is_resumable
+        last_event_id = caller.resumed.last_event_id if caller.resumed else None
+        self._splitter = EventSplitter(last_event_id) if is_resumable else None
+        self._binding: VersionBinding | None = None
+        if is_resumable:
+            self._binding = VersionBinding(
+                admitted, deps.fleet, deps.origins, deps.resumptions
+            )
         self._attempt: Attempt | None = None
         self._arrival_s = asyncio.get_running_loop().time()
         self._exchange = Exchange(
@@ -135,12 +151,9 @@
     async def run(self) -> None:
         """Try servers until one answers or no further attempt is allowed."""
         deps = self._deps
-        refused_for_s = self._refused_for_s()
-        if refused_for_s > 0.0:
-            log_fields = {"service": self._admitted.service}
-            await self._refuse(
-                Refusal(503, "crashes_servers", refused_for_s, log_fields)
-            )
+        refusal = self._early_refusal()
+        if refusal is not None:
+            await self._refuse(refusal)
             return
         deps.retries.record_request(self._admitted.service)
         has_reached_server = False
@@ -149,11 +162,12 @@
             if server is None:
                 await self._finish(Outcome("not_run", "no server available"))
                 return
+            if self._binding is not None and not self._binding.may_start(server):
+                await self._finish(Outcome("not_run", "version would be unrecorded"))
+                return
             outcome = await self._run_attempt(server)
             if outcome.kind is None:
-                deps.fleet.ejector.succeeded(server.server_id)
-                if not deps.suspects.is_empty():
-                    deps.suspects.record_success(self._fingerprint())
+                self._record_success(server)
                 return
             state = self._record_failure(server, outcome)
             if not may_retry(self._admitted.route, state):
@@ -167,6 +181,21 @@
                 await self._finish(outcome._replace(detail="retry budget exhausted"))
                 return
 
+    def _early_refusal(self) -> Refusal | None:
+        """Return the refusal of a request that no server may be sent."""
+        refused_for_s = self._refused_for_s()
+        if refused_for_s > 0.0:
+            log_fields = {"service": self._admitted.service}
+            return Refusal(503, "crashes_servers", refused_for_s, log_fields)
+        return None if self._binding is None else self._binding.resolve()
+
+    def _record_success(self, server: BackendServer) -> None:
+        self._deps.fleet.ejector.succeeded(server.server_id)
+        if not self._deps.suspects.is_empty():
+            self._deps.suspects.record_success(self._fingerprint())
+        if self._binding is not None:
+            self._binding.completed()
+
     def _refused_for_s(self) -> float:
         suspects = self._deps.suspects
         if not suspects.has_refused():
@@ -211,12 +240,17 @@
         prompt = admitted.caller.prompt
         prompt_id = prompt[0].part_id if prompt else None
         while True:
-            ranked = fleet.rank(self._model_ref, frozenset(self._tried), prompt_id)
-            resume_s = None if ranked else fleet.resume_s(self._model_ref)
+            ranked = self._rank(frozenset(self._tried), prompt_id)
+            version = None if self._binding is None else self._binding.version
+            resume_s = None if ranked else fleet.resume_s(self._model_ref, version)
             if resume_s is not None:
                 if not await self._wait_for_pause(resume_s):
                     return None
                 continue
+            if not ranked and version is not None:
+                assert self._binding is not None
+                if not self._binding.has_server(version):
+                    return None
             if not ranked and self._model_ref.model:
                 ranked = await self._wait_for_model(prompt_id)
             if not ranked:
@@ -230,6 +264,13 @@
                 return server
             # It asked for a pause or said that it leaves while the prompt was delayed.
 
+    def _rank(self, tried: frozenset[str], prompt_id: str | None) -> list[RankedServer]:
+        def rank(version: str | None) -> list[RankedServer]:
+            fleet = self._deps.fleet
+            return fleet.rank(self._model_ref, tried, prompt_id, version)
+
+        return rank(None) if self._binding is None else self._binding.rank(rank)
+
     def _latest_start_s(self) -> float:
         """Return until when the request may wait for a server."""
         loop = asyncio.get_running_loop()
@@ -273,7 +314,7 @@
         with self._deps.model_usage.count_waiting(self._model_ref):
             while loop.time() < wait_until_s:
                 changed = fleet.changed
-                ranked = fleet.rank(self._model_ref, frozenset(), prompt_id)
+                ranked = self._rank(frozenset(), prompt_id)
                 if ranked:
                     self._log_wait(loop.time() - began_s)
                     self._tried.clear()
@@ -325,6 +366,8 @@
         assert kind is not None
         if kind in ("connect", "withdrawn", "not_run", "not_here"):
             self._not_run_count += 1
+        if self._binding is not None and self._responder.has_started:
+            self._binding.events_delivered(server)
         if kind == "broken" and self._splitter is not None:
             # The caller has received only complete events, so another server can
             # resume the stream after the last one.
@@ -408,8 +451,3 @@
     "unclear": "reset",
     "broken": "reset",
 }
-
-
-def _last_event_id(request: Request) -> int | None:
-    values = request.head.values(b"last-event-id")
-    return int(values[0]) if values and values[0].isdigit() else None
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -7,6 +7,7 @@
 from _pistachiopond.decisions.leadership import Claim, Leadership
 from _pistachiopond.decisions.shared_limits import CustomerBalances
 from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
+from _pistachiopond.decisions.stream_versions import STREAM_MEMORY_S
 from _pistachiopond.http1.messages import parse_address
 from _pistachiopond.observe.logs import log_warning
 from _pistachiopond.schema.deployment import CustomerSpec
@@ -17,6 +18,7 @@
     MemberReport,
     PacingRequest,
     RelayedRecord,
+    StreamOrigin,
     decode_line,
     encode_line,
 )
@@ -24,6 +26,7 @@
 from _pistachiopond.vm.fleet import Fleet, LoadedModels, ModelRef
 from _pistachiopond.vm.model_usage import ModelUsage
 from _pistachiopond.vm.pacing import PromptPacing
+from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.topic_cache import TopicCache, from_relayed
 
@@ -97,6 +100,9 @@
         self._tokens_requested_s: dict[str, float] = {}
         self.model_usage = ModelUsage(self._send_model_wait)
         self.pacing = PromptPacing(deps.fleet, self._send_pacing_request)
+        self._relays_origins = False
+        self._origins_fence = -1
+        self.origins = StreamOrigins(deps.fleet, self._send_origins, self.reply_age_s)
 
     def request_tokens(self, customer: str) -> None:
         """Request the tokens that the customer's waiting requests are short of.
@@ -137,6 +143,13 @@
     def _send_pacing_request(self, request: PacingRequest) -> bool:
         return self._send({"pace": request})
 
+    def _send_origins(self, origins: list[StreamOrigin]) -> bool:
+        # A leader that can't prove its lead still relays.
+        if self._writer is None or not self._relays_origins:
+            return False
+        self._writer.write(encode_line({"origins": origins}))
+        return True
+
     def _send(self, message: MemberMessage) -> bool:
         """Send a message; return whether there is a connection to a live leader."""
         if self._writer is None or self._leadership.is_leader_lost():
@@ -217,6 +230,7 @@
             self._connection_lost(claim, errors.exceptions[0])
         finally:
             self._writer = None
+            self._relays_origins = False
             if writer is not None:
                 writer.transport.abort()
 
@@ -256,6 +270,8 @@
                 self.pacing.take_reply(message["paced"])
             if "suspects" in message:
                 self._deps.suspects.apply_list(message["suspects"])
+            if "origins" in message:
+                self.origins.apply(message["origins"])
             if "answer" in message:
                 self._take_reply(message["answer"])
         raise ConnectionResetError("the leader closed the connection")
@@ -267,6 +283,7 @@
         return {
             "known": {topic: proof["next_offset"] for topic, proof in proofs.items()},
             "known_eras": {topic: proof["era"] for topic, proof in proofs.items()},
+            "origins_age_s": min(STREAM_MEMORY_S, self.reply_age_s()),
         }
 
     def _make_report(self) -> MemberReport:
@@ -314,6 +331,12 @@
             # the resignation is recorded for the claim that the connection is for.
             self._resigned_fence = self._connected_fence
         self._reply_received_s = now_s
+        known_s = reply.get("origins_known_s")
+        self._relays_origins = known_s is not None
+        self.origins.set_leader_known_s(known_s or 0.0)
+        if self._relays_origins and self._origins_fence != self._connected_fence:
+            self._origins_fence = self._connected_fence
+            self.origins.leader_changed()
         self._report_period_s = reply["period_s"]
         self._member_count = max(1, reply["members"])
         deps.retries.set_members(self._member_count)
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -29,6 +29,7 @@
     ModelWait,
     PacingReply,
     PacingRequest,
+    StreamOrigin,
     SuspectList,
     TokenRequest,
     decode_line,
@@ -38,6 +39,11 @@
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import ModelRef
 from _pistachiopond.vm.report_totals import Totals, add_demand, sum_reports
+from _pistachiopond.vm.stream_origins import (
+    LEADER_CHANGE_S,
+    RecordBatch,
+    StreamOrigins,
+)
 from _pistachiopond.vm.topic_cache import TopicCache, to_relayed
 
 # Members that have not reported for this long are removed.
@@ -71,6 +77,8 @@
         This VM's caches of the store's topics.
     incarnations : callable
         Returns the start time of each server.
+    origins : StreamOrigins or None
+        Relayed to all members; None relays nothing.
     """
 
     leadership: Leadership
@@ -79,6 +87,7 @@
     on_model_wait: Callable[[], None]
     topic_caches: dict[str, TopicCache]
     incarnations: Callable[[], dict[str, int]]
+    origins: StreamOrigins | None = None
 
 
 class _Member(NamedTuple):
@@ -102,6 +111,7 @@
         self._model_waits: dict[str, list[ModelRef]] = {}
         self._crashes = CrashCounts()
         self._prompt_pacer = PromptPacer()
+        self._origins_batch = RecordBatch(self._push_origins)
 
     async def run(self, ip: str, port: int) -> None:
         """Listen until cancelled."""
@@ -122,6 +132,10 @@
         if self._deps.leadership.is_mine():
             self._broadcast({"records": [to_relayed(topic, item) for item in records]})
 
+    def _push_origins(self, origins: list[StreamOrigin]) -> bool:
+        self._broadcast({"origins": origins})
+        return True
+
     def _broadcast(self, message: LeaderMessage) -> None:
         line = encode_line(message)
         for writer in self._writers:
@@ -218,6 +232,10 @@
         message: MemberMessage = plain  # type: ignore[assignment]
         if "known" in message:
             return self._initial_state(message)
+        if "origins" in message:
+            if self._deps.origins is not None:
+                self._origins_batch.add(self._deps.origins.apply(message["origins"]))
+            return {}
         if "pace" in message:
             return {"paced": self._pace_prompt(message["pace"])}
         if "tokens" in message:
@@ -275,11 +293,16 @@
             or record.position >= known[topic]
             or record.position.era != known[topic].era
         ]
-        return {
+        reply: LeaderMessage = {
             "held": self._deps.loaded_models(),
             "records": records,
             "suspects": self._suspect_list([]),
         }
+        if self._deps.origins is not None and "origins_age_s" in message:
+            # Other VMs' records of that time may still be on their way.
+            max_age_s = message["origins_age_s"] + LEADER_CHANGE_S
+            reply["origins"] = self._deps.origins.recent_records(max_age_s)
+        return reply
 
     def _reply_to_report(self, report: MemberReport) -> LeaderReply:
         now_s = boot_s()
@@ -295,7 +318,7 @@
             leadership.deny(report["fence"])
         if any(use["waiting"] for use in report["models"]):
             self._deps.on_model_wait()
-        return {
+        reply: LeaderReply = {
             "number": report["number"],
             "leads": leads,
             "given": self._allocate(report["member"], report["usage"], now_s),
@@ -306,6 +329,9 @@
                 topic: cache.proof() for topic, cache in self._deps.topic_caches.items()
             },
         }
+        if self._deps.origins is not None:
+            reply["origins_known_s"] = round(self._deps.origins.known_s(), 1)
+        return reply
 
     def _allocate(
         self,
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -51,6 +51,7 @@
 from _pistachiopond.vm.settings_watch import SettingsWatch, watch_signals
 from _pistachiopond.vm.shutdown import Shutdown
 from _pistachiopond.vm.store_calls import make_store_call
+from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
 from _pistachiopond.vm.topic_follower import FollowedTopic, TopicFollower
@@ -164,9 +165,11 @@
             placer.wake,
             topic_caches,
             fleet.incarnations,
+            leader_client.origins,
         )
     )
     placer.leader_server = leader_server
+    _add_stream_gauges(metrics, leader_client.origins)
     for topic, cache in topic_caches.items():
         cache.on_change = partial(leader_server.push_records, topic)
     shutdown = Shutdown(settings.bounds.stop_grace_s, timer.now_s)
@@ -181,6 +184,10 @@
         model_load_s=model_load_s,
         suspects=suspects,
         pacing=leader_client.pacing,
+        origins=leader_client.origins,
+        resumptions=metrics.counter(
+            "pond_resumptions", "Streams taken up again.", ("outcome", "basis")
+        ),
     )
     request_handler = RequestHandler(
         admission, forward_deps, RequestMetrics.make(metrics)
@@ -215,6 +222,19 @@
     )
 
 
+def _add_stream_gauges(metrics: Metrics, origins: StreamOrigins) -> None:
+    metrics.gauge(
+        "pond_streams_remembered",
+        "Streams of this VM whose software version is remembered.",
+        lambda: origins.counts()[0],
+    )
+    metrics.gauge(
+        "pond_stream_records",
+        "Streams whose software version another VM has recorded.",
+        lambda: origins.counts()[1],
+    )
+
+
 async def run_vm(
     settings: VmSettings, path: Path, log_handler: BoundedLogHandler
 ) -> None:
@@ -278,6 +298,7 @@
             vm.fleet.servers, services, vm.leader_client.member_count()
         )
         vm.fleet.remove_expired()
+        vm.leader_client.origins.refresh()
         vm.leader_server.drop_silent_members()
         vm.leader_server.confirm_crashes()
         vm.usage.cap(vm.state.customers())
--- /dev/null
+++ b/src/_pistachiopond/vm/stream_origins.py
@@ -0,0 +1,222 @@
+"""Tracks at which software version streams began, here and at the other VMs."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, final
+
+from _pistachiopond.decisions.stream_versions import (
+    RESUMPTION_GAP_S,
+    STREAM_MEMORY_S,
+    Origin,
+    ServedModel,
+    StreamRecord,
+    StreamVersions,
+)
+from _pistachiopond.schema.peer_messages import StreamOrigin
+from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.fleet import Fleet
+
+# Records are sent in batches, so that messages do not grow with streams. A first event
+# mostly comes later than this, and no caller can resume a stream before it.
+BATCH_PERIOD_S: Final = 0.1
+# A leader is replaced within this time. A VM without a leader for longer is cut off:
+# its records reach nobody, and those of others do not reach it.
+LEADER_CHANGE_S: Final = 4.0
+MAX_RECORDS_PER_LINE: Final = 1_000
+
+
+@final
+class RecordBatch:
+    """Collects records and sends them after `BATCH_PERIOD_S`."""
+
+    def __init__(self, send: Callable[[list[StreamOrigin]], bool]) -> None:
+        """Start without records.
+
+        Parameters
+        ----------
+        send : callable
+            Sends one line of records; returns False if it can't be sent now.
+        """
+        self._send = send
+        self._records: dict[str, StreamRecord] = {}
+        self._added_s: dict[str, float] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def add(self, records: Iterable[StreamRecord]) -> None:
+        """Send these records with the next batch."""
+        now_s = boot_s()
+        for record in records:
+            self._records[record.stream_id] = record
+            self._added_s[record.stream_id] = now_s
+        if self._records and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(BATCH_PERIOD_S, self._flush)
+
+    def _flush(self) -> None:
+        self._timer = None
+        now_s = boot_s()
+        for stream_id in [
+            name
+            for name, added_s in self._added_s.items()
+            if now_s - added_s > STREAM_MEMORY_S
+        ]:
+            self._remove(stream_id)
+        while self._records:
+            names = list(self._records)[:MAX_RECORDS_PER_LINE]
+            line = [
+                encode_record(self._records[name], now_s - self._added_s[name])
+                for name in names
+            ]
+            if not self._send(line):
+                self.add([])
+                return
+            for name in names:
+                self._remove(name)
+
+    def _remove(self, stream_id: str) -> None:
+        del self._records[stream_id], self._added_s[stream_id]
+
+
+@final
+class StreamOrigins:
+    """A VM's knowledge of streams' versions, fed by its fleet and the leader."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        send: Callable[[list[StreamOrigin]], bool],
+        leader_age_s: Callable[[], float],
+    ) -> None:
+        """Start without any streams.
+
+        Parameters
+        ----------
+        fleet : Fleet
+            The backend servers.
+        send : callable
+            Sends records to the leader; returns False if none is connected.
+        leader_age_s : callable
+            Returns the time since the leader's last reply.
+        """
+        self._fleet = fleet
+        self._leader_age_s = leader_age_s
+        self._batch = RecordBatch(send)
+        self._versions = StreamVersions()
+        self._leader_known_s = 0.0
+        self._seen_changes = -1
+        self._refreshed_s = float("-inf")
+
+    def refresh(self) -> None:
+        """Apply changes of the servers; cheap if there are none."""
+        fleet, now_s = self._fleet, boot_s()
+        if not fleet.is_loaded:
+            return
+        is_changed = fleet.version_change_count != self._seen_changes
+        if not is_changed and now_s - self._refreshed_s < 1.0:
+            return
+        self._seen_changes, self._refreshed_s = fleet.version_change_count, now_s
+        changed = self._versions.sets.update(
+            fleet.software_versions(), self._weights, now_s
+        )
+        self._versions.forget_old(now_s)
+        if changed:
+            self._batch.add(self._versions.streams_to_record(changed, now_s))
+
+    def _weights(
+        self, services: frozenset[str]
+    ) -> Mapping[ServedModel, Mapping[str, int]]:
+        return weigh_versions(self._fleet, services)
+
+    def preferred(self, stream_id: str, served_model: ServedModel) -> str | None:
+        """Return the version at which a new stream should begin; None for any."""
+        self.refresh()
+        return self._versions.sets.preferred(stream_id, served_model)
+
+    def may_start(
+        self, stream_id: str, served_model: ServedModel, version: str
+    ) -> bool:
+        """Return whether other VMs will know the version if a stream begins there."""
+        if self._leader_age_s() < LEADER_CHANGE_S:
+            return True
+        versions = self._versions
+        return not versions.must_record(stream_id, served_model, version, boot_s())
+
+    def started(self, stream_id: str, served_model: ServedModel, version: str) -> None:
+        """Remember a stream that begins or goes on, and tell others if needed."""
+        record = self._versions.record_start(stream_id, served_model, version, boot_s())
+        if record is not None:
+            self._batch.add([record])
+
+    def completed(self, stream_id: str) -> None:
+        """Record that the caller has been sent the whole stream."""
+        self._versions.record_end(stream_id)
+
+    def resolve(self, stream_id: str, served_model: ServedModel) -> Origin:
+        """Return the version that began a stream."""
+        self.refresh()
+        return self._versions.resolve(stream_id, served_model, boot_s())
+
+    def only_version(self, service: str) -> str | None:
+        """Return the version of a service that has had no other one lately."""
+        self.refresh()
+        return self._versions.sets.only_version(service)
+
+    def is_behind(self) -> bool:
+        """Return whether other VMs may know more of streams and versions.
+
+        That is so for a VM that is cut off from the leader, or younger than it.
+        """
+        is_young = self.known_s() < RESUMPTION_GAP_S <= self._leader_known_s
+        return is_young or self._leader_age_s() >= LEADER_CHANGE_S
+
+    def known_s(self) -> float:
+        """Return for how long this VM has known the servers."""
+        return self._versions.sets.known_s(boot_s())
+
+    def set_leader_known_s(self, known_s: float) -> None:
+        """Set for how long the leader has known the servers."""
+        self._leader_known_s = known_s
+
+    # Messages from and to other VMs.
+
+    def leader_changed(self) -> None:
+        """Send all records of this VM's streams to the new leader."""
+        self._batch.add(self._versions.own_records(boot_s()))
+
+    def apply(self, plain: Iterable[StreamOrigin]) -> list[StreamRecord]:
+        """Keep other VMs' records; return those that a leader relays."""
+        records = [StreamRecord(*item) for item in plain]
+        return self._versions.add_records(records, boot_s())
+
+    def recent_records(self, max_age_s: float) -> list[StreamOrigin]:
+        """Return the records of the last seconds, for a VM that connects."""
+        records = self._versions.recent_records(max_age_s, boot_s())
+        return [encode_record(record, 0.0) for record in records]
+
+    def counts(self) -> tuple[int, int]:
+        """Return how many streams are remembered and how many records are kept."""
+        return self._versions.count()
+
+
+def encode_record(record: StreamRecord, waited_s: float) -> StreamOrigin:
+    """Return a record in the form in which VMs send it."""
+    return (record.stream_id, record.version, round(record.age_s + waited_s, 1))
+
+
+def weigh_versions(
+    fleet: Fleet, services: frozenset[str]
+) -> dict[ServedModel, dict[str, int]]:
+    """Return the slots of each version's servers for each model of these services.
+
+    Servers that are shutting down count only where no other server has the model.
+    """
+    staying: dict[ServedModel, dict[str, int]] = {}
+    leaving: dict[ServedModel, dict[str, int]] = {}
+    for service in services:
+        for server in fleet.servers_of(service):
+            weights_by_model = leaving if server.is_leaving else staying
+            for model in ("", *fleet.models_of(server)):
+                weights = weights_by_model.setdefault(ServedModel(service, model), {})
+                version = server.software_version
+                weights[version] = weights.get(version, 0) + max(1, server.slots)
+    return leaving | staying
--- /dev/null
+++ b/src/_pistachiopond/vm/version_binding.py
@@ -0,0 +1,164 @@
+"""Keeps one resumable stream at the software version that began it."""
+
+from collections.abc import Callable
+from typing import Final, final
+
+from prometheus_client import Counter
+
+from _pistachiopond.decisions.stream_versions import Origin, ServedModel
+from _pistachiopond.observe.logs import log_change
+from _pistachiopond.schema.deployment import BackendServer
+from _pistachiopond.vm.admission import Admitted
+from _pistachiopond.vm.fleet import Fleet, ModelRef, RankedServer
+from _pistachiopond.vm.refusals import Refusal
+from _pistachiopond.vm.stream_origins import StreamOrigins
+
+# Retry-After of a VM that lacks other VMs' records; another VM has them.
+OTHER_VM_RETRY_AFTER_S: Final = 0.1
+
+Rank = Callable[[str | None], list[RankedServer]]
+
+
+@final
+class VersionBinding:
+    """The software version that one resumable stream is bound to, if any.
+
+    Attributes
+    ----------
+    version : str or None
+        The only version at which the stream may run; None while the caller has
+        received no event, so that the stream may begin anew at any version.
+    """
+
+    def __init__(
+        self,
+        admitted: Admitted,
+        fleet: Fleet,
+        origins: StreamOrigins,
+        resumptions: Counter,
+    ) -> None:
+        """Prepare for a request.
+
+        Parameters
+        ----------
+        admitted : Admitted
+            The request for a resumable stream.
+        fleet : Fleet
+            The backend servers.
+        origins : StreamOrigins
+            What is known of the versions of streams.
+        resumptions : Counter
+            Counts resumptions by outcome.
+        """
+        caller = admitted.caller
+        self._attempt_id = caller.attempt_id
+        self._resumed = caller.resumed
+        self._model_ref = ModelRef(admitted.service, caller.model, "")
+        self._served_model = ServedModel(admitted.service, caller.model)
+        self._fleet = fleet
+        self._origins = origins
+        self._resumptions = resumptions
+        self._stream_id = caller.stream_id()
+        self.version: str | None = None
+
+    def resolve(self) -> Refusal | None:
+        """Bind a resumption to the version that began it, or return a refusal."""
+        resumed = self._resumed
+        if resumed is None:
+            return None
+        if resumed.first_attempt_id is None:
+            only = self._origins.only_version(self._served_model.service)
+            origin = Origin(only, "ambiguous" if only is None else "only_version")
+        else:
+            origin = self._origins.resolve(self._stream_id, self._served_model)
+        refusal = self._check(origin)
+        code = "goes_on" if refusal is None else refusal.code
+        self._resumptions.labels(code, origin.basis).inc()
+        log_change("stream taken up again", outcome=code, **self._facts(origin))
+        if refusal is None:
+            self.version = origin.version
+        return refusal
+
+    def _check(self, origin: Origin) -> Refusal | None:
+        facts = self._facts(origin)
+        is_named = self._resumed is not None and self._resumed.first_attempt_id
+        is_proved = origin.basis not in ("computed", "ambiguous")
+        if is_named and not is_proved and self._origins.is_behind():
+            return Refusal(503, "version_unproved", OTHER_VM_RETRY_AFTER_S, facts)
+        if origin.version is None:
+            # A retry can't find out more, so the status promises nothing.
+            return Refusal(502, "version_unknown", None, facts)
+        if not self.has_server(origin.version):
+            return Refusal(502, "version_gone", None, facts)
+        return None
+
+    def _facts(self, origin: Origin) -> dict[str, object]:
+        resumed = self._resumed
+        assert resumed is not None
+        return {
+            "attempt": self._attempt_id,
+            "first_attempt": resumed.first_attempt_id,
+            "problem": resumed.problem,
+            "last_event_id": resumed.last_event_id,
+            "service": self._served_model.service,
+            "model": self._served_model.model,
+            "software_version": origin.version,
+            "basis": origin.basis,
+            "is_behind": self._origins.is_behind(),
+        }
+
+    def has_server(self, version: str) -> bool:
+        """Return whether a server of the version has the model, also if it leaves."""
+        servers = self._fleet.servers_of(self._served_model.service, version)
+        return any(self._fleet.can_run(server, self._model_ref) for server in servers)
+
+    def rank(self, rank: Rank) -> list[RankedServer]:
+        """Return candidates of one version only.
+
+        Parameters
+        ----------
+        rank : callable
+            Returns the candidates of a version, or of all for None, the best first.
+        """
+        if self.version is not None:
+            return rank(self.version)
+        ranked = rank(None)
+        if not ranked:
+            return []
+        preferred = self._origins.preferred(self._stream_id, self._served_model)
+        if preferred is not None:
+            of_preferred = rank(preferred)
+            if of_preferred and not self._is_overloaded(of_preferred, ranked):
+                return of_preferred
+        version = ranked[0].server.software_version
+        return [item for item in ranked if item.server.software_version == version]
+
+    def _is_overloaded(
+        self, preferred: list[RankedServer], others: list[RankedServer]
+    ) -> bool:
+        """Return whether requests queue at the preferred servers, and only there."""
+
+        def has_queue(server: BackendServer) -> bool:
+            return self._fleet.load(server.server_id) >= server.slots
+
+        return has_queue(preferred[0].server) and not has_queue(others[0].server)
+
+    def may_start(self, server: BackendServer) -> bool:
+        """Return whether the stream may run at a server; remember it if so."""
+        version = server.software_version
+        if self.version is not None:
+            if version == self.version:
+                self._origins.started(self._stream_id, self._served_model, version)
+            return version == self.version
+        if not self._origins.may_start(self._stream_id, self._served_model, version):
+            return False
+        self._origins.started(self._stream_id, self._served_model, version)
+        return True
+
+    def events_delivered(self, server: BackendServer) -> None:
+        """Bind the stream to the version of the server that sent events."""
+        self.version = server.software_version
+
+    def completed(self) -> None:
+        """Record that the caller has been sent the whole stream."""
+        self._origins.completed(self._stream_id)
--- a/testing/vm/deployment.py
+++ b/testing/vm/deployment.py
@@ -135,13 +135,13 @@
         self._count = 0
         self._listening: list[asyncio.Server] = []
 
-    async def add_server(self, server_id: str, service: str) -> FakeServer:
+    async def add_server(self, server_id: str, service: str, **more: Any) -> FakeServer:
         """Start a server, register it, and wait until the VM knows it."""
         server = FakeServer(server_id)
         listening, address = await listen(server.handle)
         self._listening.append(listening)
         self.servers[server_id] = server
-        self.write_entry(server_id, service, address)
+        self.write_entry(server_id, service, address, **more)
         await wait_until(lambda: server_id in self.vm.fleet.servers)
         return server
 
--- /dev/null
+++ b/testing/vm/test_stream_versions.py
@@ -0,0 +1,420 @@
+"""Tests that a stream goes on only at the software version that began it."""
+
+import asyncio
+import unittest
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any, Final, NamedTuple
+from unittest.mock import patch
+
+from _pistachiopond.decisions.stream_versions import preferred_version
+from _pistachiopond.http1.client import ExchangeError, connect
+from _pistachiopond.http1.messages import (
+    HttpAddress,
+    Request,
+    RequestHead,
+    encode_request,
+)
+from _pistachiopond.http1.server import Responder
+from _pistachiopond.vm import stream_origins
+from testing.vm.cluster import Cluster
+from testing.vm.deployment import (
+    HOST,
+    listen,
+    running_deployment,
+    server_entry,
+    wait_until,
+)
+from testing.vm.fake_server import FakeServer, Step, attempt_of
+
+EVENTS: Final = 8
+PATH: Final = "/resume/x"
+
+
+def versioned_stream(version: str, breaks_after: int | None = None) -> Step:
+    """Return a step that goes on after Last-Event-Id and names its version."""
+
+    async def step(request: Request, responder: Responder) -> None:
+        values = request.head.values(b"last-event-id")
+        first = int(values[0]) + 1 if values else 0
+        headers = [
+            (b"X-Attempt-Id", attempt_of(request)),
+            (b"X-Server-Seal", b"seal"),
+            (b"Content-Type", b"text/event-stream"),
+        ]
+        await responder.start_response(200, headers, None)
+        for number in range(first, EVENTS):
+            if breaks_after is not None and number - first == breaks_after:
+                responder.abort()
+                return
+            await responder.send(b"id: %d\ndata: %s\n\n" % (number, version.encode()))
+            await asyncio.sleep(0.002)
+        await responder.end()
+
+    return step
+
+
+class Answer(NamedTuple):
+    """What a caller got; `status` is 0 if there was no response head."""
+
+    status: int
+    retry_after: bytes | None
+    versions: list[str]
+    is_whole: bool
+
+
+def versions_in(body: bytes) -> list[str]:
+    """Return the version in each complete event."""
+    return [
+        block.rpartition(b"data: ")[2].decode()
+        for block in body.split(b"\n\n")
+        if b"data: " in block
+    ]
+
+
+async def call(address: HttpAddress, attempt_id: str, **headers: str) -> Answer:
+    """Send a request for a stream and return what arrived of the answer."""
+    connection = await connect(address, 1.0)
+    plain = {
+        "Host": HOST,
+        "X-Attempt-Id": attempt_id,
+        "X-Deadline-Ms": "1400",
+        "X-Key": "office-key",
+    } | {name.replace("_", "-"): value for name, value in headers.items()}
+    head = RequestHead(
+        b"POST", PATH.encode(), [(n.encode(), v.encode()) for n, v in plain.items()]
+    )
+    connection.send(encode_request(head, b"body"))
+    body, status, retry_after, is_whole = b"", 0, None, False
+    try:
+        response = await connection.read_head()
+        status, retry_after = response.status, response.value(b"retry-after")
+        while chunk := await connection.read_chunk():
+            body += chunk
+        is_whole = True
+    except ExchangeError:
+        pass
+    finally:
+        connection.close()
+    return Answer(status, retry_after, versions_in(body), is_whole)
+
+
+class SingleVmTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_broken_stream_goes_on_at_no_other_version(self) -> None:
+        async with running_deployment() as deployment:
+            first = await deployment.add_server("s1", "plain", version="old")
+            second = await deployment.add_server("s2", "plain", version="new")
+            for number in range(6):
+                first.steps = [versioned_stream("old", 3)]
+                second.steps = [versioned_stream("new", 3)]
+                answer = await call(deployment.address, f"a{number}")
+                self.assertEqual(len(set(answer.versions)), 1)
+                self.assertFalse(answer.is_whole)
+
+    async def test_a_broken_stream_goes_on_at_another_server_of_its_version(
+        self,
+    ) -> None:
+        async with running_deployment() as deployment:
+            for name, version in (("s1", "old"), ("s2", "new"), ("s3", "old")):
+                server = await deployment.add_server(name, "plain", version=version)
+                server.steps = [versioned_stream(version, 3)] if name == "s1" else []
+                server.steps += [versioned_stream(version)] * 20
+            server = deployment.servers["s1"]
+            number = 0
+            while not server.requests:
+                answer = await call(deployment.address, f"a{number}")
+                number += 1
+            self.assertEqual(answer.versions, ["old"] * EVENTS)
+            self.assertTrue(answer.is_whole)
+
+    async def test_without_an_event_a_stream_begins_anew_at_any_version(self) -> None:
+        async with running_deployment() as deployment:
+            first = await deployment.add_server("s1", "plain", version="old")
+            second = await deployment.add_server("s2", "plain", version="new")
+            first.steps = [versioned_stream("old", 0)]
+            second.steps = [versioned_stream("new")]
+            answer = Answer(0, None, [], False)
+            for number in range(20):
+                answer = await call(deployment.address, f"a{number}")
+                if first.requests:
+                    break
+                second.steps = [versioned_stream("new")]
+            self.assertEqual(answer.versions, ["new"] * EVENTS)
+
+    async def test_a_resumption_that_names_no_first_attempt(self) -> None:
+        async with running_deployment() as deployment:
+            server = await deployment.add_server("s1", "plain", version="old")
+            server.steps = [versioned_stream("old")] * 2
+            answer = await call(deployment.address, "a1", Last_Event_Id="3")
+            self.assertEqual(answer.versions, ["old"] * (EVENTS - 4))
+            await deployment.add_server("s2", "plain", version="new")
+            for resumes in ({}, {"Resumes": "\t"}, {"Resumes": "x" * 300}):
+                answer = await call(
+                    deployment.address, "a2", Last_Event_Id="3", **resumes
+                )
+                self.assertEqual((answer.status, answer.retry_after), (502, None))
+
+    async def test_a_caller_without_an_event_begins_anew(self) -> None:
+        async with running_deployment() as deployment:
+            for name, version in (("s1", "old"), ("s2", "new")):
+                server = await deployment.add_server(name, "plain", version=version)
+                server.steps = [versioned_stream(version)]
+            answer = await call(deployment.address, "a2", Resumes="a1")
+            self.assertEqual(len(answer.versions), EVENTS)
+
+    async def test_an_unknown_first_attempt_goes_on_where_all_vms_compute_it(
+        self,
+    ) -> None:
+        async with running_deployment() as deployment:
+            for name, version in (("s1", "old"), ("s2", "new")):
+                server = await deployment.add_server(name, "plain", version=version)
+                server.steps = [versioned_stream(version)] * 20
+            for number in range(10):
+                answer = await call(
+                    deployment.address,
+                    f"b{number}",
+                    Resumes=f"a{number}",
+                    Last_Event_Id="3",
+                )
+                expected = preferred_version(f"a{number}", {"old": 4, "new": 4})
+                self.assertEqual(answer.versions, [expected] * (EVENTS - 4))
+
+    async def test_a_version_without_a_server_is_refused_at_once(self) -> None:
+        async with running_deployment() as deployment:
+            server = await deployment.add_server("s1", "plain", version="old")
+            server.steps = [versioned_stream("old", 3)]
+            broken = await call(deployment.address, "a1")
+            self.assertEqual(broken.versions, ["old"] * 3)
+            second = await deployment.add_server("s2", "plain", version="new")
+            deployment.store.put("keyed.servers", "s1", b"")
+            await wait_until(lambda: "s1" not in deployment.vm.fleet.servers)
+            answer = await call(
+                deployment.address, "a2", Resumes="a1", Last_Event_Id="2"
+            )
+            self.assertEqual((answer.status, answer.retry_after), (502, None))
+            self.assertEqual(second.requests, [])
+
+    async def test_a_server_restarted_with_another_version_gets_no_resumption(
+        self,
+    ) -> None:
+        async with running_deployment() as deployment:
+            server = await deployment.add_server("s1", "plain", version="old")
+            server.steps = [versioned_stream("old", 3)]
+            await call(deployment.address, "a1")
+            known = deployment.vm.fleet.servers["s1"]
+            deployment.write_entry(
+                "s1", "plain", known.address, version="new", born=2_000
+            )
+            await wait_until(
+                lambda: deployment.vm.fleet.servers["s1"].started_ms == 2_000
+            )
+            answer = await call(
+                deployment.address, "a2", Resumes="a1", Last_Event_Id="2"
+            )
+            self.assertEqual(answer.status, 502)
+            self.assertEqual(len(server.requests), 1)
+
+    async def test_a_vm_cut_off_from_the_others_computes_no_version(self) -> None:
+        async with running_deployment() as deployment:
+            for name, version in (("s1", "old"), ("s2", "new")):
+                server = await deployment.add_server(name, "plain", version=version)
+                server.steps = [versioned_stream(version, 3), versioned_stream(version)]
+            own = await call(deployment.address, "a1")
+            with patch.object(stream_origins, "LEADER_CHANGE_S", 0.0):
+                unknown = await call(
+                    deployment.address, "b2", Resumes="b1", Last_Event_Id="2"
+                )
+                self.assertEqual(unknown.status, 503)
+                self.assertIsNotNone(unknown.retry_after)
+                known = await call(
+                    deployment.address, "a2", Resumes="a1", Last_Event_Id="2"
+                )
+                self.assertEqual(set(known.versions), set(own.versions))
+
+
+class VersionCluster(Cluster):
+    """VMs with callers' listeners, and fake servers that they share."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.addresses: dict[str, HttpAddress] = {}
+        self.servers: dict[str, FakeServer] = {}
+        self._listening: list[asyncio.Server] = []
+
+    async def open(self, name: str) -> None:
+        """Let a VM take callers."""
+        listening, address = await listen(self.vms[name].request_handler.handle)
+        self._listening.append(listening)
+        self.addresses[name] = address
+
+    async def add_server(self, server_id: str, version: str, **more: Any) -> None:
+        """Start a server and wait until all VMs know it."""
+        server = self.servers[server_id] = FakeServer(server_id)
+        listening, address = await listen(server.handle)
+        self._listening.append(listening)
+        entry = server_entry(
+            "plain", f"{address.ip}:{address.port}", version=version, **more
+        )
+        self.store.put("keyed.servers", server_id, entry)
+        await self.wait_until_known(server_id, is_present=True)
+
+    async def remove_server(self, server_id: str) -> None:
+        """Remove a server's entry and wait until all VMs know."""
+        self.store.put("keyed.servers", server_id, b"")
+        await self.wait_until_known(server_id, is_present=False)
+
+    async def wait_until_known(self, server_id: str, *, is_present: bool) -> None:
+        """Wait until all running VMs know that a server is there or has gone."""
+        await wait_until(
+            lambda: all(
+                (server_id in self.vms[name].fleet.servers) == is_present
+                for name in self.tasks
+            )
+        )
+
+    async def begin(self, vm: str, attempt_id: str) -> str:
+        """Begin a stream that breaks, and return its version."""
+        for server_id, server in self.servers.items():
+            version = self.version_of(server_id)
+            server.steps = [versioned_stream(version, 2)] * 4
+        answer = await call(self.addresses[vm], attempt_id)
+        assert answer.versions, answer
+        assert len(set(answer.versions)) == 1, answer
+        return answer.versions[0]
+
+    async def resume(self, vm: str, attempt_id: str, first: str) -> Answer:
+        """Take a stream up again."""
+        for server_id, server in self.servers.items():
+            server.steps = [versioned_stream(self.version_of(server_id))] * 4
+        return await call(
+            self.addresses[vm], attempt_id, Resumes=first, Last_Event_Id="1"
+        )
+
+    def version_of(self, server_id: str) -> str:
+        """Return the version that a server's newest entry has stated."""
+        known = [
+            vm.fleet.servers[server_id].software_version
+            for vm in self.vms.values()
+            if server_id in vm.fleet.servers
+        ]
+        return known[0] if known else "gone"
+
+    async def close(self) -> None:
+        """End all VMs, servers and the store."""
+        for listening in self._listening:
+            listening.close()
+        await super().close()
+
+
+@asynccontextmanager
+async def running_cluster(count: int) -> AsyncIterator[VersionCluster]:
+    """Run VMs that take callers."""
+    cluster = VersionCluster()
+    await cluster.start(count)
+    try:
+        for name in list(cluster.vms):
+            await cluster.open(name)
+        await wait_until(
+            lambda: all(vm.state.table is not None for vm in cluster.vms.values())
+        )
+        yield cluster
+    finally:
+        await cluster.close()
+
+
+class SeveralVmTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_stream_goes_on_at_its_version_at_any_vm_any_number_of_times(
+        self,
+    ) -> None:
+        async with running_cluster(3) as cluster:
+            for name, version in (("s1", "old"), ("s2", "new"), ("s3", "new")):
+                await cluster.add_server(name, version)
+            seen = set()
+            for number in range(12):
+                version = await cluster.begin("vm-0", f"a{number}")
+                seen.add(version)
+                await asyncio.sleep(0.02)
+                for vm in ("vm-1", "vm-2"):
+                    await wait_until(self._is_known(cluster, vm, f"a{number}"))
+                    answer = await cluster.resume(vm, f"{vm}-{number}", f"a{number}")
+                    self.assertEqual(set(answer.versions), {version})
+            self.assertEqual(seen, {"old", "new"})
+
+    def _is_known(
+        self, cluster: VersionCluster, vm: str, first: str
+    ) -> Callable[[], bool]:
+        origins = cluster.vms[vm].leader_client.origins
+        model = stream_origins.ServedModel("plain", "")
+        return lambda: origins.resolve(first, model).version is not None
+
+    async def test_a_stream_begun_before_a_version_came_goes_on_without_its_vm(
+        self,
+    ) -> None:
+        async with running_cluster(3) as cluster:
+            await cluster.add_server("s1", "old")
+            begun_at = next(name for name in cluster.vms if name != cluster.leader())
+            for number in range(12):
+                self.assertEqual(await cluster.begin(begun_at, f"a{number}"), "old")
+            await cluster.add_server("s2", "new")
+            cluster.vms[begun_at].leader_client.origins.refresh()
+            await asyncio.sleep(0.5)
+            await cluster.kill(begun_at)
+            for number in range(12):
+                vm = next(name for name in cluster.tasks)
+                answer = await cluster.resume(vm, f"b{number}", f"a{number}")
+                self.assertEqual(set(answer.versions), {"old"}, number)
+
+    async def test_the_versions_of_a_killed_leaders_streams_are_known_at_once(
+        self,
+    ) -> None:
+        async with running_cluster(3) as cluster:
+            await cluster.add_server("s1", "old")
+            leader = cluster.leader()
+            for number in range(12):
+                await cluster.begin(leader, f"a{number}")
+            await cluster.add_server("s2", "new")
+            cluster.vms[leader].leader_client.origins.refresh()
+            await asyncio.sleep(0.5)
+            await cluster.kill(leader)
+            for number in range(12):
+                vm = next(name for name in cluster.tasks)
+                answer = await cluster.resume(vm, f"b{number}", f"a{number}")
+                self.assertEqual(set(answer.versions), {"old"}, number)
+
+    async def test_a_vm_that_starts_learns_the_records_of_the_last_minute(
+        self,
+    ) -> None:
+        async with running_cluster(2) as cluster:
+            await cluster.add_server("s1", "old")
+            for number in range(12):
+                await cluster.begin("vm-0", f"a{number}")
+            await cluster.add_server("s2", "new")
+            cluster.vms["vm-0"].leader_client.origins.refresh()
+            await asyncio.sleep(0.5)
+            address = cluster.vms["vm-0"].settings.store_address
+            cluster.launch("vm-9", address)
+            await cluster.open("vm-9")
+            await wait_until(
+                lambda: (
+                    cluster.all_have_replies(["vm-9"])
+                    and cluster.vms["vm-9"].state.table is not None
+                    and "s2" in cluster.vms["vm-9"].fleet.servers
+                )
+            )
+            for number in range(12):
+                answer = await cluster.resume("vm-9", f"b{number}", f"a{number}")
+                self.assertEqual(set(answer.versions), {"old"}, number)
+
+    async def test_nothing_is_recorded_where_one_version_serves(self) -> None:
+        async with running_cluster(2) as cluster:
+            await cluster.add_server("s1", "old")
+            await cluster.add_server("s2", "old")
+            for number in range(6):
+                await cluster.begin("vm-0", f"a{number}")
+            await asyncio.sleep(0.3)
+            for vm in cluster.vms.values():
+                self.assertEqual(vm.leader_client.origins.counts()[1], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
