--- a/testing/vm/test_stream_versions.py
+++ b/testing/vm/test_stream_versions.py
@@ -17,7 +17,11 @@
     encode_request,
 )
 from _pistachiopond.http1.server import Responder
+from _pistachiopond.platform.store import KeyedRecord
+from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm import stream_origins
+from _pistachiopond.vm.fleet import Fleet
+from _pistachiopond.vm.stream_origins import weigh_versions
 from testing.vm.cluster import Cluster
 from testing.vm.deployment import (
     HOST,
@@ -194,6 +198,10 @@
             )
             self.assertEqual((answer.status, answer.retry_after), (502, None))
             self.assertEqual(second.requests, [])
+            labels = {"outcome": "version_gone", "basis": "remembered"}
+            registry = deployment.vm.metrics.registry
+            count = registry.get_sample_value("pond_resumptions_total", labels)
+            self.assertEqual(count, 1.0)
 
     async def test_a_server_restarted_with_another_version_gets_no_resumption(
         self,
@@ -252,6 +260,30 @@
                 self.assertEqual(set(known.versions), set(own.versions))
 
 
+class FleetTests(unittest.TestCase):
+    def test_versions_weigh_by_the_slots_of_staying_servers_with_the_model(
+        self,
+    ) -> None:
+        models = [{"name": "m1", "adapters": []}]
+        fleet = Fleet("here", 1.2, 2.0)
+        for number, more in enumerate(
+            (
+                {"version": "old", "models": models},
+                {"version": "new", "models": models, "slots": 6},
+                {"version": "new", "models": models, "state": "draining"},
+                {"version": "new"},
+            )
+        ):
+            entry = server_entry("engines", "127.0.0.1:1", **more)
+            position = StorePosition(0, number)
+            fleet.apply(KeyedRecord(position, f"s{number}", entry))
+        weights = weigh_versions(fleet, frozenset({"engines"}))
+        expected = {"old": 4, "new": 6}
+        self.assertEqual(weights[ServedModel("engines", "m1")], expected)
+        expected = {"old": 4, "new": 10}
+        self.assertEqual(weights[ServedModel("engines", "")], expected)
+
+
 class VersionCluster(Cluster):
     """VMs with callers' listeners, and fake servers that they share."""
 
@@ -425,6 +457,23 @@
                 answer = await cluster.resume("vm-9", f"b{number}", f"a{number}")
                 self.assertEqual(set(answer.versions), {"old"}, number)
 
+    async def test_records_wait_for_a_leader_that_relays_them(self) -> None:
+        async with running_cluster(2) as cluster:
+            await cluster.add_server("s1", "old")
+            follower = next(name for name in cluster.vms if name != cluster.leader())
+            for number in range(12):
+                await cluster.begin(follower, f"a{number}")
+            client = cluster.vms[follower].leader_client
+            with patch.object(client, "_send_origins", return_value=False) as send:
+                client.origins._batch._send = send
+                await cluster.add_server("s2", "new")
+                client.origins.refresh()
+                await wait_until(lambda: send.call_count > 1)
+            leader = cluster.vms[cluster.leader()].leader_client.origins
+            self.assertEqual(leader.counts()[1], 0)
+            client.origins._batch._send = client._send_origins
+            await wait_until(lambda: leader.counts()[1] > 0)
+
     async def test_nothing_is_recorded_where_one_version_serves(self) -> None:
         async with running_cluster(2) as cluster:
             await cluster.add_server("s1", "old")
