--- a/src/_pistachiopond/http1/pool.py
+++ b/src/_pistachiopond/http1/pool.py
@@ -1,10 +1,16 @@
 """A pool of persistent connections to one server."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final, final
 
-from _pistachiopond.http1.client import ClientConnection, ExchangeError, connect
+from _pistachiopond.http1.client import (
+    ClientConnection,
+    ExchangeError,
+    IsExpected,
+    accept_any_response,
+    connect,
+)
 from _pistachiopond.http1.messages import (
     CompleteResponse,
     HttpAddress,
@@ -21,6 +27,13 @@
 MIN_IDLE_LIMIT_S: Final = 0.5
 # Larger than any response to this software's own API calls.
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
+# A reachable server accepts within milliseconds, and TCP sends a lost SYN again after
+# one second.
+SLOW_CONNECT_S: Final = 0.3
+
+
+def ignore_outcome(is_connected: bool) -> None:
+    """Ignore whether a connection was opened."""
 
 
 @final
@@ -28,17 +41,40 @@
     """Connections to one server; the most recently used one is reused first."""
 
     def __init__(
-        self, address: HttpAddress, now_s: Callable[[], float], connect_timeout_s: float
+        self,
+        address: HttpAddress,
+        now_s: Callable[[], float],
+        connect_timeout_s: float,
+        on_connect: Callable[[bool], None] = ignore_outcome,
     ) -> None:
+        """Start without connections.
+
+        Parameters
+        ----------
+        address : HttpAddress
+            The server's address.
+        now_s : callable
+            The monotonic time in seconds.
+        connect_timeout_s : float
+            The limit for opening a connection.
+        on_connect : callable
+            Called with True when a connection has been opened, and with False when one
+            could not be opened, or not within `SLOW_CONNECT_S`.
+        """
         self._address = address
         self._now_s = now_s
         self._connect_timeout_s = connect_timeout_s
+        self._on_connect = on_connect
         self._idle: list[ClientConnection] = []
         self.open_connections = 0
         self.max_open: int | None = None
         self.opened_total = 0
 
-    async def acquire(self, max_idle_s: float | None = None) -> ClientConnection:
+    async def acquire(
+        self,
+        max_idle_s: float | None = None,
+        excluded: Collection[ClientConnection] = (),
+    ) -> ClientConnection:
         """Return an idle connection, or open a new one.
 
         Parameters
@@ -46,6 +82,8 @@
         max_idle_s : float or None
             Connections that have been idle for longer are not used; None to apply
             only the server's own limit.
+        excluded : collection of ClientConnection
+            Connections that are not used.
 
         Raises
         ------
@@ -60,10 +98,12 @@
             candidate = self._idle.pop()
             if not candidate.is_open() or self._is_old(candidate, now_s):
                 self.discard(candidate)
-            elif max_idle_s is None or now_s - candidate.idle_since_s <= max_idle_s:
-                found = candidate
-            else:
+            elif candidate in excluded or (
+                max_idle_s is not None and now_s - candidate.idle_since_s > max_idle_s
+            ):
                 kept.append(candidate)
+            else:
+                found = candidate
         self._idle[:0] = reversed(kept)
         if found is not None:
             found.idle_duration_s = now_s - found.idle_since_s
@@ -74,13 +114,36 @@
                 f"{self.open_connections} connections are open, of {self.max_open} "
                 "allowed, and none of them can be used",
             )
+        return await self._open()
+
+    async def open_idle(self) -> None:
+        """Open a connection and keep it for a later request.
+
+        Raises
+        ------
+        ExchangeError
+            Of kind ``connect``, when connecting fails.
+        """
+        connection = await self._open()
+        connection.idle_since_s = self._now_s()
+        self._idle.append(connection)
+
+    async def _open(self) -> ClientConnection:
         self.open_connections += 1
         self.opened_total += 1
+        loop = asyncio.get_running_loop()
+        slow = loop.call_later(SLOW_CONNECT_S, self._on_connect, False)
         try:
-            return await connect(self._address, self._connect_timeout_s)
-        except BaseException:
+            connection = await connect(self._address, self._connect_timeout_s)
+        except BaseException as error:
             self.open_connections -= 1
+            if isinstance(error, ExchangeError):
+                self._on_connect(False)
             raise
+        finally:
+            slow.cancel()
+        self._on_connect(True)
+        return connection
 
     def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool; it is closed if it cannot be reused."""
@@ -115,7 +178,10 @@
 
 
 async def send_request(
-    pool: ConnectionPool, request: Request, timeout_s: float
+    pool: ConnectionPool,
+    request: Request,
+    timeout_s: float,
+    is_expected: IsExpected = accept_any_response,
 ) -> CompleteResponse:
     """Send a request of this software's own API and return the complete response.
 
@@ -127,6 +193,8 @@
         The request to send.
     timeout_s : float
         The limit for the response, counted from when a connection is available.
+    is_expected : callable
+        Whether a response with a given head belongs to this request.
 
     Raises
     ------
@@ -136,7 +204,7 @@
     connection = await pool.acquire()
     try:
         async with asyncio.timeout(timeout_s):
-            connection.send(encode_request(request.head, request.body))
+            connection.send(encode_request(request.head, request.body), is_expected)
             head = await connection.read_head()
             return CompleteResponse(head, await connection.read_body(MAX_BODY_BYTES))
     except TimeoutError:
--- a/src/_pistachiopond/schema/caller_request.py
+++ b/src/_pistachiopond/schema/caller_request.py
@@ -74,7 +74,11 @@
 
     def stream_id(self) -> str:
         """Return the id that all requests for one stream have in common."""
-        if self.resumed is None or self.resumed.first_attempt_id is None:
+        return self.known_stream_id() or self.attempt_id
+
+    def known_stream_id(self) -> str | None:
+        """Return that id, or None if the request does not say which stream it is."""
+        if self.resumed is None:
             return self.attempt_id
         return self.resumed.first_attempt_id
 
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -228,6 +228,10 @@
             return loaded.models
         return server.models
 
+    def staying_servers(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that are not leaving."""
+        return [item for item in self.servers_of(service) if not item.is_leaving]
+
     def can_run(self, server: BackendServer, model_ref: ModelRef) -> bool:
         """Return whether the server can run requests for the model and adapter."""
         if not model_ref.model:
--- a/src/_pistachiopond/vm/version_binding.py
+++ b/src/_pistachiopond/vm/version_binding.py
@@ -20,6 +20,9 @@
 # Retry-After of a VM that lacks other VMs' records; another VM has them.
 OTHER_VM_RETRY_AFTER_S: Final = 0.1
 
+# Bound to this, a stream goes on at no server.
+_NO_VERSION: Final = "\0"
+
 Rank = Callable[[str | None], list[RankedServer]]
 
 
@@ -169,9 +172,20 @@
         self._origins.started(self._stream_id, self._served_model, version)
         return True
 
-    def events_delivered(self, server: BackendServer) -> None:
-        """Bind the stream to the version of the server that sent events."""
-        self.version = server.software_version
+    def events_delivered(self, server: BackendServer | None) -> None:
+        """Bind the stream to the version that sent events.
+
+        Parameters
+        ----------
+        server : BackendServer or None
+            The server that sent them; None if another VM chose it.
+        """
+        if server is not None:
+            self.version = server.software_version
+        elif self.version is None:
+            origin = self._origins.resolve(self._stream_id, self._served_model)
+            step = judge_resumption(origin, self._origins.contact())
+            self.version = origin.version if step == "goes_on" else _NO_VERSION
 
     def completed(self) -> None:
         """Record that the caller has been sent the whole stream."""
--- a/testing/vm/test_forward.py
+++ b/testing/vm/test_forward.py
@@ -6,10 +6,18 @@
 from _pistachiopond.http1.client import ExchangeError
 from _pistachiopond.http1.messages import HttpAddress, Request
 from _pistachiopond.http1.server import Responder
-from testing.vm.deployment import refusing_address, running_deployment, wait_until
+from _pistachiopond.platform.servers import encode_report_request
+from testing.vm.deployment import (
+    SingleVmDeployment,
+    refusing_address,
+    running_deployment,
+    wait_until,
+)
 from testing.vm.fake_server import (
+    RepeatingServer,
     attempt_of,
     break_connection,
+    continue_or,
     hang,
     respond_error,
     respond_not_run,
@@ -18,6 +26,14 @@
 )
 
 
+async def add_raw_server(
+    deployment: SingleVmDeployment, server: RepeatingServer
+) -> None:
+    """Register the server as ``s1`` and wait until the VM knows it."""
+    deployment.write_entry("s1", "plain", await server.listen())
+    await wait_until(lambda: "s1" in deployment.vm.fleet.servers)
+
+
 class ForwardTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_response_is_relayed_and_forged_headers_are_not_forwarded(
         self,
@@ -65,6 +81,28 @@
             self.assertEqual(unclear.head.status, 502)
             self.assertIsNone(unclear.head.value(b"x-server-seal"))
 
+    async def test_a_late_second_refusal_is_not_taken_for_the_next_attempts_answer(
+        self,
+    ) -> None:
+        async with running_deployment() as deployment:
+            busy = (b"503 Busy", b"X-Not-Executed: 1\r\nRetry-After: 0.1\r\n", b"")
+            server = RepeatingServer(busy, (b"200 OK", b"", b"done"))
+            await add_raw_server(deployment, server)
+            response = await deployment.call("/once/x")
+            self.assertEqual((response.head.status, response.body), (200, b"done"))
+            self.assertEqual(server.requests, 2)
+
+    async def test_a_late_second_answer_is_not_taken_for_a_servers_report(self) -> None:
+        async with running_deployment() as deployment:
+            server = RepeatingServer((b"200 OK", b"", b"done"), (b"200 OK", b"", b"{}"))
+            await add_raw_server(deployment, server)
+            response = await deployment.call("/once/x")
+            self.assertEqual((response.head.status, response.body), (200, b"done"))
+            known = deployment.vm.fleet.servers["s1"]
+            report = Request(encode_report_request("s1"), b"")
+            answer = await deployment.vm.placer._call(known, report, 1.0)
+            self.assertEqual(answer.ok(), (200, b"{}"))
+
     async def test_a_servers_error_response_is_relayed(self) -> None:
         async with running_deployment() as deployment:
             server = await deployment.add_server("s1", "plain")
@@ -88,6 +126,38 @@
             self.assertEqual(response.body.count(b"data: x\n\n"), 7)
             self.assertEqual(second.requests[0].head.values(b"last-event-id"), [b"3"])
 
+    async def test_a_stream_begun_again_has_no_bytes_of_the_run_before(self) -> None:
+        async with running_deployment() as deployment:
+            first = await deployment.add_server("s1", "plain")
+            breaks = asyncio.Event()
+            first.steps = [stream(0, -1, breaks)]
+            caller = asyncio.ensure_future(deployment.call("/resume/x"))
+            await wait_until(lambda: bool(first.requests))
+            second = await deployment.add_server("s2", "plain")
+            second.steps = [stream(0, 2)]
+            breaks.set()
+            response = await caller
+            expected = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(3))
+            self.assertEqual(response.body, expected)
+
+    async def test_events_before_an_invalid_one_are_not_missing_in_the_stream(
+        self,
+    ) -> None:
+        async def repeat_an_event(request: Request, responder: Responder) -> None:
+            headers = [(b"X-Attempt-Id", attempt_of(request))]
+            await responder.start_response(200, headers, None)
+            events = [b"id: %d\ndata: x\n\n" % number for number in (0, 1, 0)]
+            await responder.send(b"".join(events))
+            await responder.end()
+
+        async with running_deployment() as deployment:
+            for name in ("s1", "s2"):
+                server = await deployment.add_server(name, "plain")
+                server.steps = [continue_or(repeat_an_event)]
+            response = await deployment.call("/resume/x")
+            expected = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(4))
+            self.assertEqual(response.body, expected)
+
     async def test_a_resumed_stream_that_fails_does_not_look_complete(self) -> None:
         async with running_deployment() as deployment:
             first = await deployment.add_server("s1", "plain")
--- a/testing/vm/test_stream_versions.py
+++ b/testing/vm/test_stream_versions.py
@@ -26,11 +26,13 @@
 from testing.vm.deployment import (
     HOST,
     listen,
+    refusing_address,
     running_deployment,
     server_entry,
     wait_until,
 )
 from testing.vm.fake_server import FakeServer, Step, attempt_of
+from testing.vm.test_cut_from_servers import cut_off
 
 EVENTS: Final = 8
 PATH: Final = "/resume/x"
@@ -457,6 +459,30 @@
                 answer = await cluster.resume("vm-9", f"b{number}", f"a{number}")
                 self.assertEqual(set(answer.versions), {"old"}, number)
 
+    async def test_streams_passed_on_to_other_vms_stay_at_their_version(self) -> None:
+        with refusing_address() as refusing:
+            await self.check_streams_of_a_vm_without_servers(refusing)
+
+    async def check_streams_of_a_vm_without_servers(
+        self, refusing: HttpAddress
+    ) -> None:
+        async with running_cluster(3) as cluster:
+            for name, version in zip("wxyz", ("old", "new") * 2, strict=True):
+                await cluster.add_server(name, version)
+            cut = next(name for name in cluster.vms if name != cluster.leader())
+            cut_off(cluster.vms[cut], refusing)
+            whole = 0
+            for number in range(30):
+                for server_id, server in cluster.servers.items():
+                    version = cluster.version_of(server_id)
+                    breaks_after = 3 if server_id in "wx" else None
+                    server.steps = [versioned_stream(version, breaks_after)] * 5
+                answer = await call(cluster.addresses[cut], f"a{number}")
+                self.assertLessEqual(len(set(answer.versions)), 1)
+                whole += answer.is_whole and bool(answer.versions)
+            self.assertGreater(whole, 10)
+            self.assertTrue(cluster.vms[cut].reach.is_unreachable("plain"))
+
     async def test_records_wait_for_a_leader_that_relays_them(self) -> None:
         async with running_cluster(2) as cluster:
             await cluster.add_server("s1", "old")
