--- a/src/_pistachiopond/decisions/event_splitter.py
+++ b/src/_pistachiopond/decisions/event_splitter.py
@@ -1,9 +1,13 @@
 """Splits a server-sent event stream into complete events, so that it can resume."""
 
+import re
 from typing import Final, final
 
 MAX_EVENT_BYTES: Final = 1024 * 1024
 EVENT_END: Final = b"\n\n"
+# A server may answer twice. Within a stream whose length is not announced, only this
+# line tells the second response from an event.
+RESPONSE_START: Final = re.compile(rb"HTTP/1\.[01] \d{3} ")
 
 
 class BrokenStreamError(ValueError):
@@ -67,14 +71,18 @@
         self.problem = None
 
     def _check(self, block: bytes) -> str | None:
+        last_id = self.last_id
         for line in block.split(b"\n"):
+            if RESPONSE_START.match(line):
+                return "a response to another request begins within the stream"
             if not line.startswith(b"id:"):
                 continue
             text = line[3:].strip()
             if not text.isdigit():
                 continue
             event_id = int(text)
-            if self.last_id is not None and event_id <= self.last_id:
-                return f"event id {event_id} is not above the last id {self.last_id}"
-            self.last_id = event_id
+            if last_id is not None and event_id <= last_id:
+                return f"event id {event_id} is not above the last id {last_id}"
+            last_id = event_id
+        self.last_id = last_id
         return None
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -183,18 +183,20 @@
         self._pause_retry_after_s: float | None = None
         caller = admitted.caller
         self._model_ref = ModelRef(admitted.service, caller.model, caller.adapter)
-        is_resumable = admitted.route.kind == "stream" and admitted.route.is_resumable
-        last_event_id = caller.resumed.last_event_id if caller.resumed else None
-        self._splitter = EventSplitter(last_event_id) if is_resumable else None
+        is_stream = admitted.route.kind == "stream"
+        self._is_resumable_stream = is_stream and admitted.route.is_resumable
+        last_id = None
         self._binding: VersionBinding | None = None
-        if is_resumable:
+        if self._is_resumable_stream:
+            last_id = caller.resumed.last_event_id if caller.resumed else None
             self._binding = VersionBinding(
                 admitted, deps.fleet, deps.origins, deps.resumptions
             )
+        splitter = EventSplitter(last_id) if is_stream else None
         self._attempt: Attempt | None = None
         self._arrival_s = asyncio.get_running_loop().time()
         self._exchange = Exchange(
-            request, admitted, responder, self._splitter, self._arrival_s, set()
+            request, admitted, responder, splitter, self._arrival_s, set()
         )
 
     async def run(self) -> None:
@@ -489,7 +491,7 @@
         if self._binding is not None and self._responder.has_started:
             is_server = not isinstance(receiver, Peer)
             self._binding.events_delivered(receiver if is_server else None)
-        if kind == "broken" and self._splitter is not None:
+        if kind == "broken" and self._is_resumable_stream:
             # The caller has received only complete events, so another server can
             # resume the stream after the last one.
             kind = "unclear"
