--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -37,6 +37,11 @@
     era: NotRequired[int]
 
 
+# The id of a stream, the software version that began it, and the time since it was
+# last seen, in seconds.
+StreamOrigin = tuple[str, str, float]
+
+
 class MemberReport(TypedDict):
     """A VM's report to the leader.
 
@@ -74,7 +79,8 @@
     how fresh each topic's relayed records are. `relays` lists the addresses of VMs
     that forward requests for the member: for each service that it cannot reach, and
     under an empty name for all services. `is_allocating` says whether parts of the
-    customers' whole rates are allocated. Older builds send neither.
+    customers' whole rates are allocated. `origins_known_s` is for how long any VM has
+    known the servers' software versions. Older builds send none of the three.
     """
 
     number: int
@@ -85,6 +91,7 @@
     members: int
     period_s: float
     topics: dict[str, TopicProof]
+    origins_known_s: NotRequired[float]
     relays: NotRequired[dict[str, list[str]]]
 
 
@@ -135,11 +142,14 @@
 
     `known` is the first message of a connection. It has the next offset that the
     member has to read of each store topic, or -1 if it has read none; `known_eras` has
-    the eras of these offsets.
+    the eras of these offsets, and `origins_age_s` how long ago a leader last replied.
+    `origins` are streams whose version other VMs can't compute.
     """
 
     known: dict[str, int]
     known_eras: dict[str, int]
+    origins_age_s: float
+    origins: list[StreamOrigin]
     report: MemberReport
     pace: PacingRequest
     lack: ModelWait
@@ -175,6 +185,7 @@
     suspects: SuspectList
     paced: PacingReply
     given: dict[str, float]
+    origins: list[StreamOrigin]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/schema/relayed_request.py
+++ b/src/_pistachiopond/schema/relayed_request.py
@@ -22,6 +22,9 @@
         The number of servers that may still run the request.
     fingerprint : str
         The digest by which requests that crash servers are known.
+    first_attempt_id : str or None
+        The id that all requests for one stream share; None if the caller takes up a
+        stream and does not say which. Older builds send none.
     """
 
     route: str
@@ -31,3 +34,4 @@
     left_s: float
     max_servers: int
     fingerprint: str
+    first_attempt_id: str | None = None
--- a/src/_pistachiopond/vm/attempt_target.py
+++ b/src/_pistachiopond/vm/attempt_target.py
@@ -132,6 +132,7 @@
             left_s=round(left_s, 3),
             max_servers=max_servers,
             fingerprint=fingerprint,
+            first_attempt_id=admitted.caller.known_stream_id(),
         )
         return encode_relay(request, relayed, resume_after)
 
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -31,7 +31,9 @@
 from _pistachiopond.vm.server_pools import ServerPools
 from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.shutdown import Shutdown
+from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects, make_fingerprint
+from _pistachiopond.vm.version_binding import VersionBinding
 
 # A request for a model that no server has loaded waits for at most this share of the
 # time left until its deadline, and for at most a share of the time that its caller is
@@ -77,6 +79,10 @@
         Requests that may have crashed their servers.
     pacing : PromptPacing
         Spreads prompts over time.
+    origins : StreamOrigins
+        The software versions at which streams began.
+    resumptions : Counter
+        Counts resumptions by callers, by outcome and basis.
     reach : ServerReach
         Says which services this VM cannot reach.
     relays : PeerRelays
@@ -94,6 +100,8 @@
     model_load_s: Callable[[ModelRef], float]
     suspects: Suspects
     pacing: PromptPacing
+    origins: StreamOrigins
+    resumptions: Counter
     reach: ServerReach
     relays: PeerRelays
     relayed: Counter
@@ -168,6 +176,7 @@
         self._tried: set[str] = set()
         self._tried_peers: set[Peer] = set()
         self._has_failed_to_connect = False
+        self._no_server_reason = "no server available"
         self._earlier_possible_runs = 0
         self._not_run_count = 0
         self._pause_limit_s: float | None = None
@@ -176,7 +185,13 @@
         self._model_ref = ModelRef(admitted.service, caller.model, caller.adapter)
         is_stream = admitted.route.kind == "stream"
         self._is_resumable_stream = is_stream and admitted.route.is_resumable
-        last_id = _last_event_id(request) if self._is_resumable_stream else None
+        last_id = None
+        self._binding: VersionBinding | None = None
+        if self._is_resumable_stream:
+            last_id = caller.resumed.last_event_id if caller.resumed else None
+            self._binding = VersionBinding(
+                admitted, deps.fleet, deps.origins, deps.resumptions
+            )
         splitter = EventSplitter(last_id) if is_stream else None
         self._attempt: Attempt | None = None
         self._arrival_s = asyncio.get_running_loop().time()
@@ -187,12 +202,9 @@
     async def run(self) -> None:
         """Try servers until one answers or no further attempt is allowed."""
         deps = self._deps
-        refused_for_s = self._refused_for_s()
-        if refused_for_s > 0.0:
-            log_fields = {"service": self._admitted.service}
-            await self._refuse(
-                Refusal(503, "crashes_servers", refused_for_s, log_fields)
-            )
+        refusal = self._early_refusal()
+        if refusal is not None:
+            await self._refuse(refusal)
             return
         if self._origin is None:
             deps.retries.record_request(self._admitted.service)
@@ -200,7 +212,7 @@
         while True:
             receiver = await self._choose_receiver()
             if receiver is None:
-                await self._finish(Outcome("not_run", "no server available"))
+                await self._finish(Outcome("not_run", self._no_server_reason))
                 return
             if isinstance(receiver, Peer):
                 outcome = await self._run_at_peer(receiver)
@@ -221,6 +233,14 @@
                 await self._finish(outcome._replace(detail="retry budget exhausted"))
                 return
 
+    def _early_refusal(self) -> Refusal | None:
+        """Return the refusal of a request that no server may be sent."""
+        refused_for_s = self._refused_for_s()
+        if refused_for_s > 0.0:
+            log_fields = {"service": self._admitted.service}
+            return Refusal(503, "crashes_servers", refused_for_s, log_fields)
+        return None if self._binding is None else self._binding.resolve()
+
     def _refused_for_s(self) -> float:
         suspects = self._deps.suspects
         if not suspects.has_refused():
@@ -272,6 +292,10 @@
         server = await self._choose_server()
         if server is None and self._has_failed_to_connect:
             return self._choose_peer()
+        if server is not None and self._binding is not None:
+            if not self._binding.may_start(server):
+                self._no_server_reason = "version would be unrecorded"
+                return None
         return server
 
     def _choose_peer(self) -> Peer | None:
@@ -285,12 +309,17 @@
         prompt = admitted.caller.prompt
         prompt_id = prompt[0].part_id if prompt else None
         while True:
-            ranked = fleet.rank(self._model_ref, frozenset(self._tried), prompt_id)
-            resume_s = None if ranked else fleet.resume_s(self._model_ref)
+            ranked = self._rank(frozenset(self._tried), prompt_id)
+            version = None if self._binding is None else self._binding.version
+            resume_s = None if ranked else fleet.resume_s(self._model_ref, version)
             if resume_s is not None:
                 if not await self._wait_for_pause(resume_s):
                     return None
                 continue
+            if not ranked and version is not None:
+                assert self._binding is not None
+                if not self._binding.has_server(version):
+                    return None
             if not ranked and self._model_ref.model:
                 ranked = await self._wait_for_model(prompt_id)
             if not ranked:
@@ -304,6 +333,13 @@
                 return server
             # It asked for a pause or said that it leaves while the prompt was delayed.
 
+    def _rank(self, tried: frozenset[str], prompt_id: str | None) -> list[RankedServer]:
+        def rank(version: str | None) -> list[RankedServer]:
+            fleet = self._deps.fleet
+            return fleet.rank(self._model_ref, tried, prompt_id, version)
+
+        return rank(None) if self._binding is None else self._binding.rank(rank)
+
     def _latest_start_s(self) -> float:
         """Return until when the request may wait for a server."""
         loop = asyncio.get_running_loop()
@@ -347,7 +383,7 @@
         with self._deps.model_usage.count_waiting(self._model_ref):
             while loop.time() < wait_until_s:
                 changed = fleet.changed
-                ranked = fleet.rank(self._model_ref, frozenset(), prompt_id)
+                ranked = self._rank(frozenset(), prompt_id)
                 if ranked:
                     self._log_wait(loop.time() - began_s)
                     self._tried.clear()
@@ -437,6 +473,8 @@
 
     def _record_success(self, receiver: BackendServer | Peer) -> None:
         deps = self._deps
+        if self._binding is not None:
+            self._binding.completed()
         if isinstance(receiver, Peer):
             return
         deps.fleet.ejector.succeeded(receiver.server_id)
@@ -450,6 +488,9 @@
         assert kind is not None
         if kind in ("connect", "withdrawn", "not_run", "not_here"):
             self._not_run_count += 1
+        if self._binding is not None and self._responder.has_started:
+            is_server = not isinstance(receiver, Peer)
+            self._binding.events_delivered(receiver if is_server else None)
         if kind == "broken" and self._is_resumable_stream:
             # The caller has received only complete events, so another server can
             # resume the stream after the last one.
@@ -541,8 +582,3 @@
     "unclear": "reset",
     "broken": "reset",
 }
-
-
-def _last_event_id(request: Request) -> int | None:
-    values = request.head.values(b"last-event-id")
-    return int(values[0]) if values and values[0].isdigit() else None
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -55,6 +55,7 @@
 from _pistachiopond.vm.settings_watch import SettingsWatch, watch_signals
 from _pistachiopond.vm.shutdown import Shutdown
 from _pistachiopond.vm.store_calls import make_store_call
+from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
 from _pistachiopond.vm.topic_follower import FollowedTopic, TopicFollower
@@ -169,9 +170,11 @@
             placer.wake,
             topic_caches,
             fleet.incarnations,
+            leader_client.origins,
         )
     )
     placer.leader_server = leader_server
+    _add_stream_gauges(metrics, leader_client.origins)
     election = LeaderElection(
         store,
         leadership,
@@ -198,6 +201,10 @@
         model_load_s=model_load_s,
         suspects=suspects,
         pacing=leader_client.pacing,
+        origins=leader_client.origins,
+        resumptions=metrics.counter(
+            "pond_resumptions", "Streams taken up again.", ("outcome", "basis")
+        ),
         reach=reach,
         relays=relays,
         relayed=metrics.counter(
@@ -245,6 +252,19 @@
     )
 
 
+def _add_stream_gauges(metrics: Metrics, origins: StreamOrigins) -> None:
+    metrics.gauge(
+        "pond_streams_remembered",
+        "Streams of this VM whose software version is remembered.",
+        lambda: origins.counts()[0],
+    )
+    metrics.gauge(
+        "pond_stream_records",
+        "Streams whose software version another VM has recorded.",
+        lambda: origins.counts()[1],
+    )
+
+
 async def run_vm(
     settings: VmSettings, path: Path, log_handler: BoundedLogHandler
 ) -> None:
@@ -285,6 +305,7 @@
         )
         vm.relays.close_unused()
         vm.fleet.remove_expired()
+        vm.leader_client.origins.refresh()
         vm.leader_server.drop_silent_members()
         vm.leader_server.confirm_crashes()
         vm.usage.cap(vm.state.customers())
--- a/src/_pistachiopond/vm/relay_handler.py
+++ b/src/_pistachiopond/vm/relay_handler.py
@@ -9,7 +9,7 @@
 from _pistachiopond.http1.messages import Request
 from _pistachiopond.http1.server import Responder
 from _pistachiopond.platform.requests import decode_request
-from _pistachiopond.schema.caller_request import CallerRequest
+from _pistachiopond.schema.caller_request import CallerRequest, ResumedStream
 from _pistachiopond.schema.relayed_request import RelayedRequest
 from _pistachiopond.vm.admission import Admitted
 from _pistachiopond.vm.configuration_state import ConfigurationState
@@ -42,7 +42,12 @@
             await send_refusal(responder, attempt_id, refusal)
             return
         plain, relayed = decoded.ok()
-        admitted = self._admit(caller.ok(), relayed, arrival_s)
+        resumed = caller.ok().resumed
+        if resumed is not None and relayed.first_attempt_id is not None:
+            # The first VM goes on with a stream that the caller has not taken up again.
+            resumed = ResumedStream(relayed.first_attempt_id, "", resumed.last_event_id)
+        caller_request = caller.ok()._replace(resumed=resumed)
+        admitted = self._admit(caller_request, relayed, arrival_s)
         if admitted.is_err():
             await send_refusal(responder, caller.ok().attempt_id, admitted.err())
             return
--- a/src/_pistachiopond/vm/relay_messages.py
+++ b/src/_pistachiopond/vm/relay_messages.py
@@ -50,6 +50,7 @@
             left_s=float(plain["left_s"]),
             max_servers=int(plain["max_servers"]),
             fingerprint=str(plain["fingerprint"]),
+            first_attempt_id=plain.get("first_attempt_id"),
         )
     except (KeyError, TypeError, ValueError) as error:
         return Err(f"{type(error).__name__}: {error}")
