A server that refused gets one request at a time until it has run one

With few VMs, a VM has several requests at a server.

The cap on the pause is long enough for a limit of one refusal a second with 195 VMs; at 60 s it let all VMs together be refused more often than a limit of 2 or 3.

--- a/src/_pistachiopond/decisions/brittle_servers.py
+++ b/src/_pistachiopond/decisions/brittle_servers.py
@@ -47,9 +47,8 @@
 # share of the server's limit.
 REFUSAL_SHARE: Final = 0.5
 MIN_REFUSAL_PAUSE_S: Final = 0.5
-# With the most VMs and a limit of a few requests a second, and longer than a server
-# needs to recover.
-MAX_REFUSAL_PAUSE_S: Final = 60.0
+# With the most VMs and a limit of one request a second.
+MAX_REFUSAL_PAUSE_S: Final = 600.0
 # Pauses are spread by this share of their length, so that they do not end together.
 PAUSE_SPREAD: Final = 0.5
 # A server that takes no connection is left out for this time.
@@ -120,7 +119,7 @@
     drawn : float
         A random number from 0 to 1.
     """
-    pause_s = member_count / max(1.0, limit * REFUSAL_SHARE)
+    pause_s = member_count / max(REFUSAL_SHARE, limit * REFUSAL_SHARE)
     pause_s = min(MAX_REFUSAL_PAUSE_S, max(MIN_REFUSAL_PAUSE_S, pause_s))
     return pause_s * (1.0 + PAUSE_SPREAD * (drawn - 0.5))
 
@@ -250,6 +249,9 @@
         self._open: dict[Incarnation, float] = {}
         self._first_seen_s: dict[Incarnation, float] = {}
         self._paused_until_s: dict[Incarnation, float] = {}
+        # Servers that have run no request of this VM since they refused one. They get
+        # one at a time.
+        self._probed: set[Incarnation] = set()
 
     # Updates.
 
@@ -264,9 +266,10 @@
             self._credit_s -= self.duration_s()
         self._own_load += 1
 
-    def request_ended(self, now_s: float) -> None:
+    def request_ended(self, incarnation: Incarnation, now_s: float) -> None:
         """Stop counting a request that a server has run."""
         self._stop_counting(now_s)
+        self._probed.discard(incarnation)
         self._ended += 1.0
 
     def request_refused(
@@ -280,6 +283,7 @@
         self._lose_place()
         pause_s = refusal_pause_s(limit, self._members, self._rng.random())
         self._paused_until_s[incarnation] = now_s + pause_s
+        self._probed.add(incarnation)
         return pause_s
 
     def request_failed(self, incarnation: Incarnation, now_s: float) -> None:
@@ -388,6 +392,7 @@
             first_seen_s[key] = self._first_seen_s.get(key, default_s)
         self._server_averages = averages
         self._first_seen_s = first_seen_s
+        self._probed &= averages.keys()
         self._open = {
             key: part for key, part in opened.items() if self._rng.random() < part
         }
@@ -459,7 +464,8 @@
         # A server that has just been seen, or that leaves, gets a small part.
         target = self._server_targets.get(key, MIN_TARGET_SHARE * server.slots)
         part = target / max(self._target, 1e-3)
-        if server.own_load >= math.ceil(self._share * part):
+        most = 1 if key in self._probed else math.ceil(self._share * part)
+        if server.own_load >= most:
             return 0.0
         known = self._server_averages.get(key, 0.0)
         elapsed_s = now_s - self._first_seen_s.get(key, now_s)
--- a/src/_pistachiopond/vm/brittle_services.py
+++ b/src/_pistachiopond/vm/brittle_services.py
@@ -147,7 +147,7 @@
         elif kind in ("withdrawn", "not_here", "not_run"):
             share.request_withdrawn(now_s)
         else:
-            share.request_ended(now_s)
+            share.request_ended(incarnation, now_s)
         self._wake_first(service)
 
     # Queries.
--- a/testing/decisions/brittle_simulation.py
+++ b/testing/decisions/brittle_simulation.py
@@ -271,7 +271,7 @@
         self, share: ServiceShare, incarnation: tuple[str, int], outcome: str
     ) -> None:
         if outcome == "served":
-            share.request_ended(self._now_s)
+            share.request_ended(incarnation, self._now_s)
         elif outcome == "refused":
             share.request_refused(incarnation, self._scenario.limit, self._now_s)
         else:
