--- /dev/null
+++ b/testing/vm/test_silent_servers.py
@@ -0,0 +1,110 @@
+"""Tests of sound servers that fall silent for about a second and go on."""
+
+import asyncio
+import unittest
+
+from _pistachiopond.http1.messages import Request
+from _pistachiopond.http1.server import Responder
+from testing.vm.deployment import running_deployment, wait_until
+from testing.vm.fake_server import attempt_of, respond_ok
+
+SILENCE_S = 1.0
+EVENTS = 10
+
+
+class PausableServer:
+    """Behaviour of a fake server that sends nothing while it is silent."""
+
+    def __init__(self) -> None:
+        self.sounds = asyncio.Event()
+        self.sounds.set()
+        self.received_s: list[float] = []
+
+    async def fall_silent(self, duration_s: float = SILENCE_S) -> None:
+        """Send nothing for some time."""
+        self.sounds.clear()
+        await asyncio.sleep(duration_s)
+        self.sounds.set()
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Answer with a success as soon as the server is not silent."""
+        self.received_s.append(asyncio.get_running_loop().time())
+        await self.sounds.wait()
+        await respond_ok(request, responder)
+
+    async def stream(self, request: Request, responder: Responder) -> None:
+        """Answer with a stream, well within the route's timeout of 1.5 s."""
+        headers = [(b"X-Attempt-Id", attempt_of(request)), (b"X-Server-Seal", b"seal")]
+        await responder.start_response(200, headers, None)
+        for number in range(EVENTS):
+            await self.sounds.wait()
+            await responder.send(b"id: %d\ndata: x\n\n" % number)
+            await asyncio.sleep(0.01)
+        await responder.end()
+
+
+async def respond_slowly(request: Request, responder: Responder) -> None:
+    """Answer with a success after the time that a request mostly runs."""
+    await asyncio.sleep(0.1)
+    await respond_ok(request, responder)
+
+
+class SilentServerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_streams_of_a_server_that_was_silent_are_finished(self) -> None:
+        async with running_deployment() as deployment:
+            server = await deployment.add_server("s1", "plain")
+            other = await deployment.add_server("s2", "plain")
+            behaviour = PausableServer()
+            server.steps = [behaviour.stream] * 20
+            other.steps = [behaviour.stream] * 20
+            calls = [
+                asyncio.ensure_future(deployment.call(path, X_Deadline_Ms="4000"))
+                for path in ("/stream/x", "/resume/x") * 3
+            ]
+            await wait_until(
+                lambda: len(server.requests) + len(other.requests) == len(calls)
+            )
+            await behaviour.fall_silent()
+            for response in await asyncio.gather(*calls):
+                self.assertEqual(response.body.count(b"data: x"), EVENTS)
+            self.assertEqual(len(server.requests) + len(other.requests), len(calls))
+            self.assertEqual(deployment.vm.fleet.ejected(), frozenset())
+
+    async def test_unsafe_requests_are_answered_after_the_silence(self) -> None:
+        async with running_deployment() as deployment:
+            server = await deployment.add_server("s1", "plain")
+            behaviour = PausableServer()
+            server.steps = [behaviour.answer] * 20
+            silence = asyncio.ensure_future(behaviour.fall_silent())
+            await asyncio.sleep(0)
+            calls = [
+                deployment.call("/once/x", X_Deadline_Ms="1400") for _ in range(10)
+            ]
+            for response in await asyncio.gather(*calls):
+                self.assertEqual(response.head.status, 200)
+            await silence
+            self.assertEqual(len(server.requests), 10)
+            self.assertEqual(deployment.vm.fleet.ejected(), frozenset())
+
+    async def test_a_sound_server_that_was_silent_is_not_ejected(self) -> None:
+        async with running_deployment() as deployment:
+            behaviour = PausableServer()
+            server = await deployment.add_server("s1", "plain")
+            server.steps = [behaviour.answer] * 100
+            for name in ("s2", "s3"):
+                other = await deployment.add_server(name, "plain")
+                other.steps = [respond_slowly] * 1000
+            silence = asyncio.ensure_future(behaviour.fall_silent())
+            await asyncio.sleep(0)
+            calls = []
+            while not silence.done():
+                calls.append(asyncio.ensure_future(deployment.call("/open/x")))
+                await asyncio.sleep(0.02)
+            for response in await asyncio.gather(*calls):
+                self.assertEqual(response.head.status, 200)
+
+            self.assertEqual(deployment.vm.fleet.ejected(), frozenset())
+
+
+if __name__ == "__main__":
+    unittest.main()
