Shares of limited services follow the load faster with few VMs

The averages had a time constant of 2 s, chosen for the report period with the most VMs. It is a multiple of the period now, so with a period of 0.2 s a service that was idle gets its full target after half a second instead of some seconds.

--- a/src/_pistachiopond/decisions/brittle_servers.py
+++ b/src/_pistachiopond/decisions/brittle_servers.py
@@ -32,8 +32,9 @@
 # Each VM's part of a server is a whole number of requests and a fraction, for which it
 # has one more request for a part of the time. The variance of that is 1/4 at most.
 MAX_VARIANCE_PER_VM: Final = 0.25
-# Time constant of the averages of load, a few report periods with the most VMs.
-AVERAGE_S: Final = 2.0
+# Time constant of the averages of load, in report periods, and its minimum in seconds.
+AVERAGE_PERIODS: Final = 2.5
+MIN_AVERAGE_S: Final = 0.5
 # Time constant of the mean duration of requests, of which a VM may have one a second.
 DURATION_AVERAGE_S: Final = 10.0
 # The part of each share that is divided equally again at each reply, so that a VM whose
@@ -335,7 +336,7 @@
         total = sum(server.own_load + server.peer_load for server in servers)
         weight = 1.0
         if self._total_average is not None:
-            weight = 1.0 - math.exp(-(now_s - self._total_s) / AVERAGE_S)
+            weight = 1.0 - math.exp(-(now_s - self._total_s) / self._average_s())
         else:
             self._total_average = 0.0
         self._total_average += weight * (total - self._total_average)
@@ -411,7 +412,7 @@
     def _advance(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._updated_s)
         self._updated_s = now_s
-        decay = math.exp(-elapsed_s / AVERAGE_S)
+        decay = math.exp(-elapsed_s / self._average_s())
         self._own_average += (1.0 - decay) * (self._own_load - self._own_average)
         slow_decay = math.exp(-elapsed_s / DURATION_AVERAGE_S)
         self._used_s = self._used_s * slow_decay + self._own_load * elapsed_s
@@ -420,6 +421,9 @@
         part = share - math.floor(share)
         self._credit_s = min(self.duration_s(), self._credit_s + part * elapsed_s)
 
+    def _average_s(self) -> float:
+        return max(MIN_AVERAGE_S, AVERAGE_PERIODS * self._period_s)
+
     # Queries.
 
     def duration_s(self) -> float:
--- a/testing/vm/test_brittle_servers.py
+++ b/testing/vm/test_brittle_servers.py
@@ -3,16 +3,26 @@
 import asyncio
 import unittest
 
+from _pistachiopond.decisions.brittle_servers import target_load
 from _pistachiopond.http1.messages import Request, ResponseHead
 from _pistachiopond.http1.server import Responder
 from _pistachiopond.platform.servers import decode_notice
 from _pistachiopond.schema.server_notice import ServerNotice
-from testing.vm.deployment import SingleVmDeployment, running_deployment, wait_until
+from testing.vm.cluster import Cluster
+from testing.vm.deployment import (
+    SingleVmDeployment,
+    listen,
+    running_deployment,
+    server_entry,
+    wait_until,
+)
 from testing.vm.fake_server import FakeServer, attempt_of
 
 SLOTS = 4
 LIMIT = 3
 CALLS = 60
+VMS = 4
+OVERLOAD_S = 3.0
 
 
 class SlottedServer:
@@ -127,6 +137,51 @@
             self.assertTrue(fleet.brittle.is_limited("plain"))
 
 
+class SeveralVmTests(unittest.IsolatedAsyncioTestCase):
+    async def test_vms_of_one_leader_leave_each_other_room(self) -> None:
+        cluster = Cluster()
+        await cluster.start(VMS)
+        servers = [SlottedServer(0.1) for _ in range(2)]
+        listening = []
+        for number, behaviour in enumerate(servers):
+            server = FakeServer(f"s{number}")
+            server.steps = [behaviour.step] * 10_000
+            listener, address = await listen(server.handle)
+            listening.append(listener)
+            entry = server_entry("plain", f"{address.ip}:{address.port}", slots=SLOTS)
+            cluster.store.put("keyed.servers", server.server_id, entry)
+        deployments = []
+        for vm in cluster.vms.values():
+            await wait_until(lambda vm=vm: len(vm.fleet.servers) == len(servers))
+            listener, address = await listen(vm.request_handler.handle)
+            listening.append(listener)
+            deployments.append(SingleVmDeployment(vm, cluster.store, address))
+        for deployment in deployments:
+            await deployment.call("/open/x")
+        await asyncio.sleep(1.0)
+        end_s = asyncio.get_running_loop().time() + OVERLOAD_S
+
+        async def keep_calling(deployment: SingleVmDeployment) -> None:
+            while asyncio.get_running_loop().time() < end_s:
+                response = await deployment.call("/open/x")
+                retry_after = response.head.value(b"retry-after")
+                await asyncio.sleep(float(retry_after or 0.0))
+
+        callers = [keep_calling(item) for item in deployments for _ in range(10)]
+        before = sum(behaviour.served for behaviour in servers)
+        await asyncio.gather(*callers)
+        served = sum(behaviour.served for behaviour in servers) - before
+        for listener in listening:
+            listener.close()
+        await cluster.close()
+        for behaviour in servers:
+            self.assertLessEqual(behaviour.most_refused_in_a_second(), LIMIT)
+        target = len(servers) * target_load(SLOTS, VMS, LIMIT, is_seen=False)
+        self.assertGreaterEqual(
+            served, OVERLOAD_S * target / servers[0].duration_s * 2 / 3
+        )
+
+
 class DecodingTests(unittest.TestCase):
     def decode(self, status: int, value: str | None) -> ServerNotice:
         headers = [] if value is None else [(b"Server-Brittle", value.encode())]
