--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -393,11 +393,9 @@
                     for service, addresses in reply.get("relays", {}).items()
                 }
             )
-        own = deps.fleet.own_load
-        deps.fleet.peer_load = {
-            name: max(0, total - own.get(name, 0))
-            for name, total in reply["load"].items()
-        }
+        deps.fleet.set_total_load(
+            reply["load"], self._member_count, self._report_period_s
+        )
 
     def _count_members(self, now_s: float) -> None:
         self._replies_since_s = min(self._replies_since_s, now_s)
