--- a/src/_pistachiopond/entry/engine_stream.py
+++ b/src/_pistachiopond/entry/engine_stream.py
@@ -5,7 +5,6 @@
 """
 
 import json
-from types import UnionType
 from typing import Any, Final, NamedTuple, final
 
 from _pistachiopond.entry.sse import SseEvent
@@ -27,7 +26,7 @@
 
 
 class DivergedStreamError(ValueError):
-    """A run produced tokens that differ from those already received."""
+    """A rerun produced tokens that differ from those already forwarded."""
 
 
 @final
@@ -42,12 +41,12 @@
     next_offset : int
         The number of the token expected next in this run.
     usage : Usage or None
-        The engine's token counts; None until received in this run.
+        The engine's token counts; None until received.
     is_complete : bool
         Whether the complete response has been received.
     has_diverged : bool
-        Whether a run produced tokens that differ from those received before. No
-        further run can complete the response then.
+        Whether a rerun produced tokens that differ from an earlier run's. No further
+        run can complete the response then.
     """
 
     def __init__(self, *, choices: int, forwards_usage: bool) -> None:
@@ -55,13 +54,11 @@
         self.usage: Usage | None = None
         self.is_complete = False
         self.has_diverged = False
-        self._is_resumed = False
         self._choices = choices
         self._finished: set[int] = set()
         self._forwards_usage = forwards_usage
         self._token_hashes: list[int] = []
         self._first_ids: JsonObject | None = None
-        self._usage_chunk: str | None = None
 
     @property
     def received_tokens(self) -> int:
@@ -71,17 +68,11 @@
     def restart(self) -> None:
         """Expect a run that starts at the first token."""
         self.next_offset = 0
-        self._is_resumed = False
         self._finished.clear()
-        self.usage = None
-        self._usage_chunk = None
 
     def resume(self) -> None:
-        """Expect the token after the last one of this run.
-
-        Earlier runs may have had more tokens; this run's are compared with them.
-        """
-        self._is_resumed = self.next_offset > 0
+        """Expect the first token that has not been received yet."""
+        self.next_offset = len(self._token_hashes)
 
     def accept(self, event: SseEvent) -> str | None:
         """Process the next event.
@@ -89,31 +80,28 @@
         Returns
         -------
         str or None
-            The chunk to forward; None if it was forwarded before. The usage chunk, if
-            the caller requested it, is returned at the end marker, so that a response
-            that is resumed or run again has only one.
+            The chunk to forward; None if it was forwarded before, is the end marker,
+            or reports a usage that the caller did not request.
 
         Raises
         ------
         InvalidStreamError
             When the event is malformed or out of sequence.
         DivergedStreamError
-            When it contradicts tokens that were received before.
+            When it contradicts tokens that were already forwarded.
         """
         if event.data == END_MARK:
             self._accept_end_mark()
-            return self._usage_chunk
+            return None
         chunk = _decode(event)
         if "error" in chunk:
             raise InvalidStreamError("the engine reported an error in its stream")
         if not chunk.get("choices"):
-            self._accept_usage(event, chunk)
+            return self._accept_usage(event, chunk)
+        if not self._advance(event):
             return None
-        # A chunk that cannot be added to the response must not count as received.
-        _check_choices(chunk["choices"])
-        offset = self._offset_of(event)
         self._record_finish_reasons(chunk)
-        if not self._record_token(offset, chunk):
+        if not self._record_token(chunk):
             return None
         return self._with_first_ids(event, chunk)
 
@@ -131,36 +119,37 @@
             )
         self.is_complete = True
 
-    def _offset_of(self, event: SseEvent) -> int:
+    def _advance(self, event: SseEvent) -> bool:
         if not event.event_id.isdecimal():
-            if self._is_resumed:
-                raise InvalidStreamError("a resumed stream does not number its tokens")
-            return self.next_offset
+            self.next_offset += 1
+            return True
         offset = int(event.event_id)
         if offset > self.next_offset:
             raise InvalidStreamError(
                 f"the stream skipped tokens: got {offset}, expected {self.next_offset}"
             )
-        return offset
+        if offset < self.next_offset:
+            return False
+        self.next_offset += 1
+        return True
 
     def _record_finish_reasons(self, chunk: JsonObject) -> None:
         for choice in chunk["choices"]:
             if choice.get("finish_reason") is not None:
-                self._finished.add(choice.get("index", 0))
+                self._finished.add(int(choice.get("index", 0)))
 
-    def _record_token(self, offset: int, chunk: JsonObject) -> bool:
-        """Record a token or compare it with the earlier one; return if it is new."""
+    def _record_token(self, chunk: JsonObject) -> bool:
+        offset = self.next_offset - 1
         content_hash = hash(str(chunk["choices"]))
-        is_new = offset == len(self._token_hashes)
-        if is_new:
+        if offset == len(self._token_hashes):
             self._token_hashes.append(content_hash)
-        elif self._token_hashes[offset] != content_hash:
+            return True
+        if self._token_hashes[offset] != content_hash:
             self.has_diverged = True
             raise DivergedStreamError(
-                f"token {offset} differs from the one received before"
+                f"token {offset} of the rerun differs from that of the earlier run"
             )
-        self.next_offset = max(self.next_offset, offset + 1)
-        return is_new
+        return False
 
     def _with_first_ids(self, event: SseEvent, chunk: JsonObject) -> str:
         # All chunks of one response carry the same id, also those of a rerun.
@@ -170,16 +159,14 @@
             return event.data
         return json.dumps({**chunk, **self._first_ids}, ensure_ascii=False)
 
-    def _accept_usage(self, event: SseEvent, chunk: JsonObject) -> None:
+    def _accept_usage(self, event: SseEvent, chunk: JsonObject) -> str | None:
         usage = chunk.get("usage")
-        if not isinstance(usage, dict):
-            return
-        self.usage = Usage(
-            int(usage.get("prompt_tokens", 0)),
-            int(usage.get("completion_tokens", 0)),
-        )
-        if self._forwards_usage:
-            self._usage_chunk = self._with_first_ids(event, chunk)
+        if isinstance(usage, dict):
+            self.usage = Usage(
+                int(usage.get("prompt_tokens", 0)),
+                int(usage.get("completion_tokens", 0)),
+            )
+        return self._with_first_ids(event, chunk) if self._forwards_usage else None
 
 
 @final
@@ -192,7 +179,7 @@
         self._choices: dict[int, JsonObject] = {}
 
     def add(self, text: str) -> None:
-        """Add the next chunk, given as JSON that `EngineStreamReader` has accepted."""
+        """Add the next chunk, given as JSON."""
         chunk: JsonObject = json.loads(text)
         if not self._common_fields:
             self._common_fields = {
@@ -219,7 +206,7 @@
         return json.dumps(answer, ensure_ascii=False).encode()
 
     def _add_choice(self, part: JsonObject) -> None:
-        number = part.get("index", 0)
+        number = int(part.get("index", 0))
         choice = self._choices.get(number)
         if choice is None:
             choice = self._new_choice(number)
@@ -264,18 +251,15 @@
             continue
         if name == "tool_calls":
             _merge_tool_calls(message.setdefault("tool_calls", []), value)
-            continue
-        previous = message.get(name)
-        if name != "role" and isinstance(previous, str) and isinstance(value, str):
-            message[name] = previous + value
-        else:
+        elif name == "role" or not isinstance(value, str):
             message[name] = value
+        else:
+            message[name] = (message.get(name) or "") + value
 
 
 def _merge_tool_calls(calls: list[JsonObject], parts: list[JsonObject]) -> None:
     for part in parts:
-        index = part.get("index")
-        number = len(calls) if index is None else index
+        number = int(part.get("index", len(calls)))
         while len(calls) <= number:
             calls.append({"type": "function", "function": {"arguments": ""}})
         call = calls[number]
@@ -294,56 +278,12 @@
     if choice["logprobs"] is None:
         choice["logprobs"] = {}
     for name, value in logprobs.items():
-        previous = choice["logprobs"].get(name)
-        if isinstance(previous, list) and isinstance(value, list):
-            previous.extend(value)
+        if isinstance(value, list):
+            choice["logprobs"].setdefault(name, []).extend(value)
         else:
             choice["logprobs"][name] = value
 
 
-def _check_choices(choices: Any) -> None:
-    """Check the parts of a chunk's choices that `CompletionBuilder` relies on.
-
-    Raises
-    ------
-    InvalidStreamError
-        When one of them has the wrong type.
-    """
-    _check_type("choices", choices, list)
-    for choice in choices:
-        _check_type("choice", choice, dict)
-        _check_index(choice.get("index", 0))
-        _check_type("text", choice.get("text"), str | None)
-        _check_type("logprobs", choice.get("logprobs"), dict | None)
-        _check_type("delta", choice.get("delta"), dict | None)
-        if choice.get("delta"):
-            _check_tool_calls(choice["delta"].get("tool_calls"))
-
-
-def _check_tool_calls(calls: Any) -> None:
-    _check_type("tool_calls", calls, list | None)
-    for call in calls or ():
-        _check_type("tool call", call, dict)
-        if call.get("index") is not None:
-            _check_index(call["index"])
-        _check_type("function", call.get("function"), dict | None)
-        if call.get("function"):
-            _check_type("arguments", call["function"].get("arguments"), str | None)
-
-
-def _check_index(index: Any) -> None:
-    _check_type("index", index, int)
-    if index < 0:
-        raise InvalidStreamError(f"an event of the stream has the index {index}")
-
-
-def _check_type(name: str, value: Any, expected: type | UnionType) -> None:
-    if not isinstance(value, expected):
-        raise InvalidStreamError(
-            f"an event of the stream has a {name} of type {type(value).__name__}"
-        )
-
-
 def _decode(event: SseEvent) -> JsonObject:
     try:
         chunk = json.loads(event.data)
--- a/testing/entry/fake_engines.py
+++ b/testing/entry/fake_engines.py
@@ -18,13 +18,9 @@
 
 
 def token_event(
-    index: int,
-    *,
-    backend_request_id: str = "x",
-    text: str | None = None,
-    choice: dict[str, object] | None = None,
+    index: int, *, backend_request_id: str = "x", text: str | None = None
 ) -> bytes:
-    """Return the server-sent event of one token; `choice` replaces fields of it."""
+    """Return the server-sent event of one token."""
     is_last = index == len(TOKENS) - 1
     chunk = {
         "id": f"chatcmpl-{backend_request_id}",
@@ -36,23 +32,17 @@
                 "index": 0,
                 "delta": {"content": text or TOKENS[index]},
                 "finish_reason": "length" if is_last else None,
-                **(choice or {}),
             }
         ],
     }
     return f"id: {index}\ndata: {json.dumps(chunk)}\n\n".encode()
 
 
-def usage_event(completion_tokens: int = len(TOKENS)) -> bytes:
-    """Return the usage event of a stream."""
-    usage = {"prompt_tokens": PROMPT_TOKENS, "completion_tokens": completion_tokens}
-    chunk = {"id": "chatcmpl-x", "choices": [], "usage": usage}
-    return f"data: {json.dumps(chunk)}\n\n".encode()
-
-
 def end_events(completion_tokens: int = len(TOKENS)) -> bytes:
     """Return the usage event and the end marker of a stream."""
-    return usage_event(completion_tokens) + b"data: [DONE]\n\n"
+    usage = {"prompt_tokens": PROMPT_TOKENS, "completion_tokens": completion_tokens}
+    chunk = {"id": "chatcmpl-x", "choices": [], "usage": usage}
+    return f"data: {json.dumps(chunk)}\n\ndata: [DONE]\n\n".encode()
 
 
 async def answer_completely(request: BackendRequest) -> None:
