Named rates: log lines and a gauge say which rate a server names

The header is decoded, each change is a line "server's rate changed" with the server, the rate and what told the VM, and pond_rate_limited_servers counts the servers. Nothing keeps to the rate yet.

--- a/src/_pistachiopond/http1/messages.py
+++ b/src/_pistachiopond/http1/messages.py
@@ -79,6 +79,10 @@
                 return value
         return None
 
+    def values(self, lower_name: bytes) -> list[bytes]:
+        """Return all values of a header; its name must be given in lower case."""
+        return [value for name, value in self.headers if name.lower() == lower_name]
+
 
 class CompleteResponse(NamedTuple):
     """A response that has been received completely."""
--- a/src/_pistachiopond/platform/servers.py
+++ b/src/_pistachiopond/platform/servers.py
@@ -22,6 +22,8 @@
 _PAUSE_HEADER: Final = b"retry-after"
 # In all answers of a server that crashes if it has to refuse too many requests.
 _CRASH_LIMIT_HEADER: Final = b"server-brittle"
+# In all answers of a server that takes only so many requests a second from all VMs.
+_RATE_HEADER: Final = b"server-limit"
 
 
 def decode_server(server_id: str, value: bytes) -> Result[BackendServer, str]:
@@ -136,9 +138,11 @@
     leaving = head.value(_LEAVING_HEADER)
     pause = head.value(_PAUSE_HEADER) if head.status == 503 else None
     crash_limit = head.value(_CRASH_LIMIT_HEADER)
+    rates = head.values(_RATE_HEADER)
     # Another server may have the address now.
     is_from_other = head.status == 421
-    if leaving is None and pause is None and crash_limit is None and not is_from_other:
+    is_silent = leaving is None and pause is None and crash_limit is None and not rates
+    if is_silent and not is_from_other:
         return NO_NOTICE
     problems = []
     is_leaving = leaving is not None and leaving.strip() == b"1"
@@ -156,6 +160,13 @@
             limit = _decode_crash_limit(crash_limit.decode("latin-1"))
         except ValueError as error:
             problems.append(str(error))
+    rate_per_s = None
+    if rates and not is_from_other:
+        try:
+            # Of several values the lowest is safe whichever the server means.
+            rate_per_s = min(_decode_rate(value.decode("latin-1")) for value in rates)
+        except ValueError as error:
+            problems.append(str(error))
     is_unreadable = crash_limit is not None and limit is None
     return ServerNotice(
         is_leaving,
@@ -163,9 +174,21 @@
         "; ".join(problems),
         crash_limit=limit,
         keeps_crash_limit=is_from_other or is_unreadable,
+        rate_per_s=rate_per_s,
+        keeps_rate=is_from_other or (bool(rates) and rate_per_s is None),
     )
 
 
+def _decode_rate(text: str) -> float:
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        rate_per_s = math.nan
+    if not math.isfinite(rate_per_s) or rate_per_s < 0.0:
+        raise ValueError(f"the rate is not a number of requests a second: {text!r}")
+    return rate_per_s
+
+
 def _decode_crash_limit(text: str) -> int:
     if not text.isascii() or not text.strip().isdigit():
         raise ValueError(f"the crash limit is not a whole number: {text!r}")
--- a/src/_pistachiopond/schema/server_notice.py
+++ b/src/_pistachiopond/schema/server_notice.py
@@ -19,6 +19,11 @@
         crashes; None if it did not announce that.
     keeps_crash_limit : bool
         Whether the answer does not say if the server still announces a crash limit.
+    rate_per_s : float or None
+        The requests per second that the server takes from all VMs together; None if it
+        did not name a rate.
+    keeps_rate : bool
+        Whether the answer does not say if the server still names a rate.
     """
 
     is_leaving: bool
@@ -26,6 +31,8 @@
     problem: str = ""
     crash_limit: int | None = None
     keeps_crash_limit: bool = False
+    rate_per_s: float | None = None
+    keeps_rate: bool = False
 
 
 NO_NOTICE = ServerNotice(False, None)
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -17,6 +17,7 @@
 )
 from _pistachiopond.decisions.server_crashes import RefusingServers
 from _pistachiopond.decisions.server_pauses import MAX_PAUSE_S, ServerPauses
+from _pistachiopond.decisions.server_rates import NamedRates
 from _pistachiopond.decisions.server_silences import ServerSilences
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.servers import decode_server
@@ -95,6 +96,7 @@
         self._leaving_since_s: dict[tuple[str, int], float] = {}
         self._pauses = ServerPauses()
         self._silences = ServerSilences()
+        self.rates = NamedRates()
         self.refusals = RefusingServers()
         self._loaded_models: dict[str, LoadedModels] = {}
         self.own_load: dict[str, int] = {}
@@ -175,6 +177,7 @@
                 del self._leaving_since_s[incarnation]
         self._pauses.drop_ended(now_s)
         self._silences.keep_only(present)
+        self.rates.keep_only(present, now_s)
         self.refusals.keep_only(present)
         self.brittle.keep_only(present, now_s)
 
@@ -195,6 +198,8 @@
                 )
         if not notice.keeps_crash_limit:
             self.brittle.record_answer(server, notice.crash_limit, now_s)
+        if not notice.keeps_rate:
+            self.record_rate(server.incarnation(), notice.rate_per_s, "answer")
         if not notice.is_leaving or server.incarnation() in self._leaving_since_s:
             return
         self._leaving_since_s[server.incarnation()] = now_s
@@ -203,6 +208,31 @@
         if known is not None and known.incarnation() == server.incarnation():
             self._store(known._replace(is_leaving=True))
 
+    def record_rate(
+        self, incarnation: Incarnation, rate_per_s: float | None, source: str
+    ) -> bool:
+        """Record the rate that a server names; return whether this is new.
+
+        Parameters
+        ----------
+        incarnation : tuple of (str, int)
+            The server's name and start time.
+        rate_per_s : float or None
+            The requests per second of all VMs; None if it names none.
+        source : str
+            What told this VM, for the log.
+        """
+        if not self.rates.record(incarnation, rate_per_s, boot_s()):
+            return False
+        log_change(
+            "server's rate changed",
+            server=incarnation[0],
+            started_ms=incarnation[1],
+            rate_per_s=rate_per_s,
+            source=source,
+        )
+        return True
+
     # Updates from the leader.
 
     def set_loaded_models(self, server_id: str, loaded: LoadedModels) -> None:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -408,6 +408,11 @@
         "Servers that asked this VM for a pause.",
         lambda: len(vm.fleet.paused()),
     )
+    metrics.gauge(
+        "pond_rate_limited_servers",
+        "Servers that name a rate of requests.",
+        lambda: len(vm.fleet.rates.named()),
+    )
     metrics.gauge(
         "pond_unreachable_services",
         "Services whose servers this VM cannot reach.",
