Forwarding: the choice of a server and its waits have a module of their own

No change of behaviour. The reasons for which no server takes a request (a pause, a VM's share, a model that is not loaded) were branches and waits of forward.py.

--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -1,11 +1,8 @@
 """Forwards admitted requests to backend servers and relays the responses to callers."""
 
 import asyncio
-from collections.abc import Callable
 from functools import partial
-from typing import Final, Literal, NamedTuple, final
-
-from prometheus_client import Counter
+from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.attempt_policy import (
     AttemptState,
@@ -14,11 +11,8 @@
     may_retry,
     should_give_up,
 )
-from _pistachiopond.decisions.brittle_servers import MIN_CHECK_S
 from _pistachiopond.decisions.dispatch_types import FailureKind
 from _pistachiopond.decisions.event_splitter import EventSplitter
-from _pistachiopond.decisions.server_pauses import plan_pause_wait
-from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
 from _pistachiopond.http1.messages import Request
 from _pistachiopond.http1.server import Responder
 from _pistachiopond.observe.logs import log_change
@@ -34,97 +28,17 @@
 )
 from _pistachiopond.vm.attempt_target import make_peer_target, make_server_target
 from _pistachiopond.vm.clock import boot_s
-from _pistachiopond.vm.fleet import Fleet, ModelRef, RankedServer
-from _pistachiopond.vm.model_usage import ModelUsage
-from _pistachiopond.vm.pacing import PromptPacing
+from _pistachiopond.vm.forward_dependencies import ForwardDependencies
 from _pistachiopond.vm.part_watch import digest_parts, digest_request
-from _pistachiopond.vm.peer_relays import Peer, PeerRelays
+from _pistachiopond.vm.peer_relays import Peer
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, send_refusal
-from _pistachiopond.vm.server_pools import ServerPools
-from _pistachiopond.vm.server_reach import ServerReach
-from _pistachiopond.vm.shutdown import Shutdown
-from _pistachiopond.vm.stream_origins import StreamOrigins
-from _pistachiopond.vm.suspects import Suspects, make_fingerprint
+from _pistachiopond.vm.server_selection import ServerSelection
+from _pistachiopond.vm.suspects import make_fingerprint
 from _pistachiopond.vm.version_binding import VersionBinding
 
-# A request for a model that no server has loaded waits for at most this share of the
-# time left until its deadline, and for at most a share of the time that its caller is
-# expected to wait for a first event: several times the latency objective, or the
-# minimum below. Then the caller gets a 503 with Retry-After.
-MODEL_WAIT_SHARE: Final = 0.6
-MIN_CALLER_WAIT_S: Final = 2.0
-CALLER_WAIT_OBJECTIVES: Final = 4.0
-CALLER_WAIT_SHARE: Final = 0.6
-# Upper bound of Retry-After. A longer one would have no effect, since callers retry
-# after no more than a third of their remaining time.
-MAX_RETRY_AFTER_S: Final = 3.0
-# A server that executes an order to load or unload a model refuses requests for about
-# a hundred milliseconds.
-ORDER_WAIT_S: Final = 0.12
-# After this wait for a model, a server that has it and refuses this VM is known not to
-# have crashed, so the request goes through another VM.
-CRASH_KNOWN_S: Final = 0.8
 # A request is passed on to at most this many other VMs. The second one is for a VM that
 # has stopped or has itself lost its links to the servers a moment ago.
 MAX_TRIED_PEERS: Final = 2
-# Longer waits for a model are logged.
-LOGGED_WAIT_S: Final = 0.25
-# The outcome of a wait for a server that takes the request.
-RoomWait = Literal["look_again", "refuse", "no_reason"]
-
-
-class ForwardDependencies(NamedTuple):
-    """Dependencies shared by all requests.
-
-    Attributes
-    ----------
-    fleet : Fleet
-        The backend servers.
-    pools : ServerPools
-        Connections to them.
-    model_usage : ModelUsage
-        Counts the requests that use or wait for a model.
-    retries : SharedRetryBudget
-        This VM's part of the retry budget.
-    refund : callable
-        Returns the rate limit tokens of a request that no server has run.
-    shutdown : Shutdown
-        Ends requests when the process stops.
-    model_load_s : callable
-        Returns how long it takes to load a model.
-    suspects : Suspects
-        Requests that may have crashed their servers.
-    pacing : PromptPacing
-        Spreads prompts over time.
-    origins : StreamOrigins
-        The software versions at which streams began.
-    resumptions : Counter
-        Counts resumptions by callers, by outcome and basis.
-    resumption_ends : Counter
-        Counts what became of the streams that callers took up again.
-    reach : ServerReach
-        Says which services this VM cannot reach.
-    relays : PeerRelays
-        Other VMs, which forward requests for such services.
-    relayed : Counter
-        Requests passed on to other VMs, by outcome.
-    """
-
-    fleet: Fleet
-    pools: ServerPools
-    model_usage: ModelUsage
-    retries: SharedRetryBudget
-    refund: Callable[[Admitted], None]
-    shutdown: Shutdown
-    model_load_s: Callable[[ModelRef], float]
-    suspects: Suspects
-    pacing: PromptPacing
-    origins: StreamOrigins
-    resumptions: Counter
-    resumption_ends: Counter
-    reach: ServerReach
-    relays: PeerRelays
-    relayed: Counter
 
 
 class RelayOrigin(NamedTuple):
@@ -198,22 +112,17 @@
         self._origin = origin
         self._admitted = admitted
         self._responder = responder
-        self._tried: set[str] = set()
         self._tried_peers: set[Peer] = set()
         self._is_silence_counted = False
         self._has_failed_to_connect = False
         self._no_server_reason = "no server available"
         self._earlier_possible_runs = 0
         self._not_run_count = 0
-        self._pause_limit_s: float | None = None
-        self._pause_retry_after_s: float | None = None
-        self._has_waited = False
         self._is_delivered = False
         self._refusal_code = ""
         self._is_trial = origin is not None and origin.is_trial
         self._parts: tuple[str, ...] | None = None
         caller = admitted.caller
-        self._model_ref = ModelRef(admitted.service, caller.model, caller.adapter)
         is_stream = admitted.route.kind == "stream"
         self._is_resumable_stream = is_stream and admitted.route.is_resumable
         last_id = None
@@ -223,6 +132,13 @@
             self._binding = VersionBinding(
                 admitted, deps.fleet, deps.origins, deps.resumptions
             )
+        self._selection = ServerSelection(
+            deps,
+            admitted,
+            self._binding,
+            is_last_server=self._is_last_server,
+            has_peer=lambda: self._choose_peer() is not None,
+        )
         splitter = None
         if is_stream:
             splitter = EventSplitter(
@@ -335,7 +251,7 @@
     async def handle_timeout(self) -> None:
         """Answer a request whose deadline has passed."""
         log_fields = {
-            "server_tries": len(self._tried),
+            "server_tries": len(self._selection.tried),
             "service": self._admitted.service,
         }
         if self._responder.has_started:
@@ -409,9 +325,9 @@
             # the caller's time.
             if peer is not None or self._tried_peers:
                 return peer
-        server = await self._choose_server()
+        server = await self._selection.choose(was_refused=self._not_run_count > 0)
         is_unreachable = self._deps.reach.is_unreachable(self._admitted.service)
-        is_cut_off = is_unreachable or self._has_refusing_server()
+        is_cut_off = is_unreachable or self._selection.has_refusing_server()
         if server is None and (self._has_failed_to_connect or is_cut_off):
             return self._choose_peer()
         if server is not None and self._binding is not None:
@@ -425,178 +341,10 @@
             return None
         return self._deps.relays.choose(self._admitted.service, self._tried_peers)
 
-    def _has_refusing_server(self) -> bool:
-        """Return whether servers that refuse this VM could run the request."""
-        version = None if self._binding is None else self._binding.version
-        return self._deps.fleet.has_refusing_server(self._model_ref, version)
-
-    async def _choose_server(self) -> BackendServer | None:
-        fleet = self._deps.fleet
-        admitted = self._admitted
-        prompt = admitted.caller.prompt
-        prompt_id = prompt[0].part_id if prompt else None
-        while True:
-            ranked = self._rank(frozenset(self._tried), prompt_id)
-            version = None if self._binding is None else self._binding.version
-            if not ranked:
-                wait = await self._wait_for_room(version)
-                if wait == "look_again":
-                    continue
-                if self._version_refusal() is not None:
-                    return None
-                if wait == "no_reason" and self._model_ref.model:
-                    ranked = await self._wait_for_model(prompt_id, version)
-                    if not ranked and fleet.waits_for_place(self._model_ref, version):
-                        continue
-            if not ranked:
-                return None
-            if not self._model_ref.model:
-                return ranked[0].server
-            server = await self._deps.pacing.choose_server(
-                ranked, admitted.caller, admitted.route, self._arrival_s
-            )
-            if fleet.is_open(server) and fleet.has_place(server):
-                return server
-            # It asked for a pause or said that it leaves while the prompt was delayed.
-
-    def _rank(self, tried: frozenset[str], prompt_id: str | None) -> list[RankedServer]:
-        def rank(version: str | None) -> list[RankedServer]:
-            fleet = self._deps.fleet
-            return fleet.rank(
-                self._model_ref,
-                tried,
-                prompt_id,
-                version,
-                can_give_up=self._admitted.route.kind == "safe"
-                and not self._is_last_server(),
-            )
-
-        return rank(None) if self._binding is None else self._binding.rank(rank)
-
-    def _version_refusal(self) -> Refusal | None:
-        return None if self._binding is None else self._binding.gone()
-
-    async def _wait_for_room(self, version: str | None) -> RoomWait:
-        """Wait if the request's servers have asked for a pause or have no place."""
-        fleet = self._deps.fleet
-        resume_s = fleet.resume_s(self._model_ref, version)
-        if resume_s is not None:
-            may_look_again = await self._wait_for_pause(resume_s)
-        elif fleet.waits_for_place(self._model_ref, version):
-            may_look_again = await self._wait_for_place()
-        else:
-            return "no_reason"
-        return "look_again" if may_look_again else "refuse"
-
-    def _latest_start_s(self) -> float:
-        """Return until when the request may wait for a server."""
-        loop = asyncio.get_running_loop()
-        left_s = self._admitted.end_s - loop.time()
-        latency_objective_s = self._admitted.route.latency_objective_s
-        caller_wait_s = max(
-            MIN_CALLER_WAIT_S, CALLER_WAIT_OBJECTIVES * latency_objective_s
-        )
-        return loop.time() + min(
-            MODEL_WAIT_SHARE * left_s, CALLER_WAIT_SHARE * caller_wait_s
-        )
-
-    async def _wait_for_pause(self, resume_s: float) -> bool:
-        """Wait for the first paused server, unless that would take too long.
-
-        Returns False if the request must be refused instead.
-        """
-        loop = asyncio.get_running_loop()
-        if self._pause_limit_s is None:
-            self._pause_limit_s = self._latest_start_s()
-        now_s = boot_s()
-        left_s = self._pause_limit_s - loop.time()
-        wait = plan_pause_wait(resume_s, now_s + left_s, now_s)
-        if wait.until_s is None:
-            self._pause_retry_after_s = max(RETRY_SOON_S, wait.retry_after_s)
-            return False
-        await asyncio.sleep(wait.until_s - now_s)
-        # The server that asked for the pause did not run the request.
-        self._tried.clear()
-        return True
-
-    async def _wait_for_place(self) -> bool:
-        """Wait for a place in this VM's share of a service, unless it takes too long.
-
-        Returns False if the request must be refused instead.
-        """
-        loop = asyncio.get_running_loop()
-        brittle = self._deps.fleet.brittle
-        if self._pause_limit_s is None:
-            self._pause_limit_s = self._latest_start_s()
-        left_s = self._pause_limit_s - loop.time()
-        wait_s = brittle.expected_wait_s(self._admitted.service)
-        is_behind_others = wait_s > left_s and not self._has_waited
-        is_paused = brittle.paused_for_s(self._admitted.service) > left_s
-        if left_s < MIN_CHECK_S or is_behind_others or is_paused:
-            self._pause_retry_after_s = min(
-                MAX_RETRY_AFTER_S, max(RETRY_SOON_S, wait_s)
-            )
-            return False
-        self._has_waited = True
-        await brittle.wait(self._admitted.service, boot_s() + left_s)
-        # Servers that refused the request did not run it.
-        self._tried.clear()
-        return True
-
-    async def _wait_for_model(
-        self, prompt_id: str | None, version: str | None
-    ) -> list[RankedServer]:
-        loop = asyncio.get_running_loop()
-        wait_until_s = self._latest_start_s()
-        fleet = self._deps.fleet
-        began_s = loop.time()
-        reach, service = self._deps.reach, self._admitted.service
-        was_unreachable = reach.is_unreachable(service)
-        if self._not_run_count:
-            # Earlier attempts did not run the request, and no other server can run it.
-            # The servers with the model are probably busy with an order.
-            await asyncio.sleep(min(ORDER_WAIT_S, wait_until_s - began_s))
-        crash_known_s = min(wait_until_s, loop.time() + CRASH_KNOWN_S)
-        with self._deps.model_usage.count_waiting(self._model_ref, version):
-            while loop.time() < wait_until_s:
-                changed = fleet.changed
-                ranked = self._rank(frozenset(), prompt_id)
-                if ranked or fleet.waits_for_place(self._model_ref, version):
-                    self._log_wait(loop.time() - began_s, version)
-                    self._tried.clear()
-                    return ranked
-                if reach.is_unreachable(service) and not was_unreachable:
-                    return []
-                if self._version_refusal() is not None:
-                    return []
-                is_crash_known = loop.time() >= crash_known_s
-                if is_crash_known and self._has_refusing_server():
-                    if self._choose_peer() is not None:
-                        return []
-                look_again_s = wait_until_s if is_crash_known else crash_known_s
-                try:
-                    async with asyncio.timeout_at(look_again_s):
-                        await changed.wait()
-                except TimeoutError:
-                    if loop.time() < look_again_s:
-                        raise
-        return []
-
-    def _log_wait(self, waited_s: float, version: str | None) -> None:
-        if waited_s > LOGGED_WAIT_S:
-            log_change(
-                "request waited for its model",
-                request=self._admitted.caller.attempt_id,
-                model=self._model_ref.model,
-                adapter=self._model_ref.adapter,
-                software_version=version,
-                seconds=round(waited_s, 3),
-            )
-
     async def _run_attempt(self, server: BackendServer) -> Outcome:
         deps = self._deps
         name = server.server_id
-        self._tried.add(name)
+        self._selection.tried.add(name)
         self._is_silence_counted = False
         is_last = self._is_last_server()
         self._earlier_possible_runs = self._count_possible_runs()
@@ -620,7 +368,7 @@
         )
         deps.fleet.request_started(name)
         deps.fleet.brittle.request_started(server)
-        deps.model_usage.request_started(self._model_ref, name)
+        deps.model_usage.request_started(self._selection.model_ref, name)
         outcome = DELIVERED
         try:
             outcome = await self._attempt.run()
@@ -634,7 +382,7 @@
                 is_late=asyncio.get_running_loop().time() >= self._admitted.end_s,
             )
             deps.fleet.request_ended(name)
-            deps.model_usage.request_ended(self._model_ref, name)
+            deps.model_usage.request_ended(self._selection.model_ref, name)
 
     def _should_give_up(self, server: BackendServer, waited_s: float) -> bool:
         """Return whether to end an attempt that has got no response head so far."""
@@ -658,9 +406,7 @@
         if is_unreachable or self._has_failed_to_connect:
             if self._choose_peer() is not None:
                 return True
-        return not is_unreachable and self._deps.fleet.has_healthy_server(
-            self._model_ref, self._tried
-        )
+        return not is_unreachable and self._selection.has_healthy_server()
 
     async def _run_at_peer(self, peer: Peer) -> Outcome:
         relays = self._deps.relays
@@ -810,8 +556,8 @@
         log_fields: dict[str, object] = {
             "reason": outcome.detail,
             "service": self._admitted.service,
-            "model": self._model_ref.model,
-            "adapter": self._model_ref.adapter,
+            "model": self._selection.model_ref.model,
+            "adapter": self._selection.model_ref.adapter,
         }
         if next_step == "break_off":
             log_change(
@@ -823,30 +569,14 @@
         elif next_step == "give_answer" and outcome.response is not None:
             await write_response(self._responder, outcome.response)
         elif next_step == "refuse":
-            gone = self._version_refusal()
-            retry_after_s = self._retry_after_s()
+            gone = self._selection.version_refusal()
+            retry_after_s = self._selection.retry_after_s()
             await self._refuse(gone or Refusal(503, kind, retry_after_s, log_fields))
         else:
             # An earlier attempt may have run the request, whatever ended the last one.
             log_fields["last_attempt"] = kind
             await self._refuse(Refusal(502, "unclear", None, log_fields))
 
-    def _retry_after_s(self) -> float:
-        """Return the Retry-After: when a server is expected to take the request."""
-        if self._pause_retry_after_s is not None:
-            return self._pause_retry_after_s
-        version = None if self._binding is None else self._binding.version
-        if not self._model_ref.model or self._deps.fleet.has_server_for(
-            self._model_ref, version
-        ):
-            return RETRY_SOON_S
-        loop = asyncio.get_running_loop()
-        waited_s = loop.time() - self._arrival_s
-        model_load_s = self._deps.model_load_s(self._model_ref)
-        return min(
-            MAX_RETRY_AFTER_S, max(RETRY_SOON_S, model_load_s + RETRY_SOON_S - waited_s)
-        )
-
     async def _refuse(self, refusal: Refusal) -> None:
         self._refusal_code = refusal.code
         attempt_id = self._admitted.caller.attempt_id
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -48,7 +48,7 @@
     make_request_excess_recorder,
 )
 from _pistachiopond.vm.fleet import Fleet, ModelRef
-from _pistachiopond.vm.forward import ForwardDependencies
+from _pistachiopond.vm.forward_dependencies import ForwardDependencies
 from _pistachiopond.vm.leader_client import LeaderClient, LeaderClientDependencies
 from _pistachiopond.vm.leader_election import LeaderElection
 from _pistachiopond.vm.leader_server import LeaderServer, LeaderServerDependencies
--- a/src/_pistachiopond/vm/relay_handler.py
+++ b/src/_pistachiopond/vm/relay_handler.py
@@ -13,7 +13,8 @@
 from _pistachiopond.schema.relayed_request import RelayedRequest
 from _pistachiopond.vm.admission import Admitted
 from _pistachiopond.vm.configuration_state import ConfigurationState
-from _pistachiopond.vm.forward import ForwardDependencies, RelayOrigin, forward
+from _pistachiopond.vm.forward import RelayOrigin, forward
+from _pistachiopond.vm.forward_dependencies import ForwardDependencies
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, send_refusal
 from _pistachiopond.vm.relay_messages import decode_relay
 
--- a/src/_pistachiopond/vm/request_handler.py
+++ b/src/_pistachiopond/vm/request_handler.py
@@ -11,7 +11,8 @@
 from _pistachiopond.observe.metrics import LatencyHistogram, Metrics
 from _pistachiopond.platform.requests import decode_request
 from _pistachiopond.vm.admission import Admission
-from _pistachiopond.vm.forward import ForwardDependencies, forward
+from _pistachiopond.vm.forward import forward
+from _pistachiopond.vm.forward_dependencies import ForwardDependencies
 from _pistachiopond.vm.refusals import Refusal, send_refusal
 
 # One of this many forwarded requests is logged.
--- /dev/null
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -0,0 +1,263 @@
+"""Chooses the server for each attempt of a request, and waits until one takes it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+from _pistachiopond.decisions.server_waits import (
+    MAX_RETRY_AFTER_S,
+    Obstacles,
+    ShareWait,
+    WaitPlan,
+    plan_wait,
+)
+from _pistachiopond.observe.logs import log_change
+from _pistachiopond.schema.deployment import BackendServer
+from _pistachiopond.vm.admission import Admitted
+from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.fleet import ModelRef, RankedServer
+from _pistachiopond.vm.forward_dependencies import ForwardDependencies
+from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal
+from _pistachiopond.vm.version_binding import VersionBinding
+
+# A request for a model that no server has loaded waits for at most this share of the
+# time left until its deadline, and for at most a share of the time that its caller is
+# expected to wait for a first event: several times the latency objective, or the
+# minimum below. Then the caller gets a 503 with Retry-After.
+MODEL_WAIT_SHARE: Final = 0.6
+MIN_CALLER_WAIT_S: Final = 2.0
+CALLER_WAIT_OBJECTIVES: Final = 4.0
+CALLER_WAIT_SHARE: Final = 0.6
+# A server that executes an order to load or unload a model refuses requests for about
+# a hundred milliseconds.
+ORDER_WAIT_S: Final = 0.12
+# After this wait for a model, a server that has it and refuses this VM is known not to
+# have crashed, so the request goes through another VM.
+CRASH_KNOWN_S: Final = 0.8
+# Longer waits for a model are logged.
+LOGGED_WAIT_S: Final = 0.25
+
+
+@final
+class ServerSelection:
+    """The servers that one request may be sent to, and its waits for them.
+
+    Attributes
+    ----------
+    tried : set of str
+        Servers that the request has been sent to.
+    """
+
+    def __init__(
+        self,
+        deps: ForwardDependencies,
+        admitted: Admitted,
+        binding: VersionBinding | None,
+        *,
+        is_last_server: Callable[[], bool],
+        has_peer: Callable[[], bool],
+    ) -> None:
+        """Prepare for a request.
+
+        Parameters
+        ----------
+        deps : ForwardDependencies
+            Dependencies shared by all requests.
+        admitted : Admitted
+            Its route, service, customer and deadline.
+        binding : VersionBinding or None
+            The software version that it is bound to; None for other requests than
+            resumable streams.
+        is_last_server : callable
+            Returns whether the next server is the last that may run the request.
+        has_peer : callable
+            Returns whether another VM may take the request.
+        """
+        self._deps = deps
+        self._admitted = admitted
+        self._binding = binding
+        self._is_last_server = is_last_server
+        self._has_peer = has_peer
+        caller = admitted.caller
+        self.model_ref = ModelRef(admitted.service, caller.model, caller.adapter)
+        self._prompt_id = caller.prompt[0].part_id if caller.prompt else None
+        self._arrival_s = asyncio.get_running_loop().time()
+        self._latest_wait_s: float | None = None
+        self._retry_after_s: float | None = None
+        self._has_waited = False
+        self.tried: set[str] = set()
+
+    async def choose(self, *, was_refused: bool) -> BackendServer | None:
+        """Return the server for the next attempt, or None if there is none.
+
+        Parameters
+        ----------
+        was_refused : bool
+            Whether a server has said that it did not run the request.
+        """
+        fleet = self._deps.fleet
+        while True:
+            ranked = self._rank(frozenset(self.tried))
+            if not ranked:
+                plan = self._plan_wait()
+                if plan.step in ("pause", "share"):
+                    await self._wait(plan)
+                    continue
+                if self.version_refusal() is not None:
+                    return None
+                if plan.step == "model" and self.model_ref.model:
+                    ranked = await self._wait_for_model(was_refused=was_refused)
+                    if not ranked and self._waits_for_share():
+                        continue
+            if not ranked:
+                return None
+            if not self.model_ref.model:
+                return ranked[0].server
+            server = await self._deps.pacing.choose_server(
+                ranked, self._admitted.caller, self._admitted.route, self._arrival_s
+            )
+            if fleet.is_open(server) and fleet.has_place(server):
+                return server
+            # It asked for a pause or said that it leaves while the prompt was delayed.
+
+    def has_refusing_server(self) -> bool:
+        """Return whether servers that refuse this VM could run the request."""
+        return self._deps.fleet.has_refusing_server(self.model_ref, self._version())
+
+    def has_healthy_server(self) -> bool:
+        """Return whether another server in good health has room now."""
+        return self._deps.fleet.has_healthy_server(self.model_ref, self.tried)
+
+    def version_refusal(self) -> Refusal | None:
+        """Return the refusal of a stream whose version has gone."""
+        return None if self._binding is None else self._binding.gone()
+
+    def retry_after_s(self) -> float:
+        """Return the Retry-After: when a server is expected to take the request."""
+        if self._retry_after_s is not None:
+            return self._retry_after_s
+        if not self.model_ref.model or self._deps.fleet.has_server_for(
+            self.model_ref, self._version()
+        ):
+            return RETRY_SOON_S
+        waited_s = asyncio.get_running_loop().time() - self._arrival_s
+        model_load_s = self._deps.model_load_s(self.model_ref)
+        return min(
+            MAX_RETRY_AFTER_S, max(RETRY_SOON_S, model_load_s + RETRY_SOON_S - waited_s)
+        )
+
+    def _version(self) -> str | None:
+        return None if self._binding is None else self._binding.version
+
+    def _rank(self, tried: frozenset[str]) -> list[RankedServer]:
+        def rank(version: str | None) -> list[RankedServer]:
+            return self._deps.fleet.rank(
+                self.model_ref,
+                tried,
+                self._prompt_id,
+                version,
+                can_give_up=self._admitted.route.kind == "safe"
+                and not self._is_last_server(),
+            )
+
+        return rank(None) if self._binding is None else self._binding.rank(rank)
+
+    def _waits_for_share(self) -> bool:
+        return self._deps.fleet.waits_for_place(self.model_ref, self._version())
+
+    def _plan_wait(self) -> WaitPlan:
+        fleet, service = self._deps.fleet, self._admitted.service
+        share = None
+        if self._waits_for_share():
+            share = ShareWait(
+                fleet.brittle.expected_wait_s(service),
+                fleet.brittle.paused_for_s(service),
+            )
+        resume_s = fleet.resume_s(self.model_ref, self._version())
+        now_s = boot_s()
+        plan = plan_wait(
+            Obstacles(resume_s, share),
+            now_s + self._left_to_wait_s(),
+            now_s,
+            has_waited=self._has_waited,
+        )
+        if plan.step == "refuse":
+            self._retry_after_s = max(RETRY_SOON_S, plan.retry_after_s)
+        return plan
+
+    async def _wait(self, plan: WaitPlan) -> None:
+        if plan.step == "share":
+            self._has_waited = True
+            await self._deps.fleet.brittle.wait(self._admitted.service, plan.until_s)
+        else:
+            await asyncio.sleep(plan.until_s - boot_s())
+        # The servers that refused the request did not run it.
+        self.tried.clear()
+
+    def _left_to_wait_s(self) -> float:
+        """Return for how long the request may wait from now on.
+
+        All waits but those for a model count together.
+        """
+        if self._latest_wait_s is None:
+            self._latest_wait_s = self._latest_start_s()
+        return self._latest_wait_s - asyncio.get_running_loop().time()
+
+    def _latest_start_s(self) -> float:
+        """Return until when the request may wait for a server."""
+        loop = asyncio.get_running_loop()
+        left_s = self._admitted.end_s - loop.time()
+        latency_objective_s = self._admitted.route.latency_objective_s
+        caller_wait_s = max(
+            MIN_CALLER_WAIT_S, CALLER_WAIT_OBJECTIVES * latency_objective_s
+        )
+        return loop.time() + min(
+            MODEL_WAIT_SHARE * left_s, CALLER_WAIT_SHARE * caller_wait_s
+        )
+
+    async def _wait_for_model(self, *, was_refused: bool) -> list[RankedServer]:
+        loop = asyncio.get_running_loop()
+        wait_until_s = self._latest_start_s()
+        fleet = self._deps.fleet
+        began_s = loop.time()
+        reach, service = self._deps.reach, self._admitted.service
+        was_unreachable = reach.is_unreachable(service)
+        if was_refused:
+            # Earlier attempts did not run the request, and no other server can run it.
+            # The servers with the model are probably busy with an order.
+            await asyncio.sleep(min(ORDER_WAIT_S, wait_until_s - began_s))
+        crash_known_s = min(wait_until_s, loop.time() + CRASH_KNOWN_S)
+        with self._deps.model_usage.count_waiting(self.model_ref, self._version()):
+            while loop.time() < wait_until_s:
+                changed = fleet.changed
+                ranked = self._rank(frozenset())
+                if ranked or self._waits_for_share():
+                    self._log_wait(loop.time() - began_s)
+                    self.tried.clear()
+                    return ranked
+                if reach.is_unreachable(service) and not was_unreachable:
+                    return []
+                if self.version_refusal() is not None:
+                    return []
+                is_crash_known = loop.time() >= crash_known_s
+                if is_crash_known and self.has_refusing_server() and self._has_peer():
+                    return []
+                look_again_s = wait_until_s if is_crash_known else crash_known_s
+                try:
+                    async with asyncio.timeout_at(look_again_s):
+                        await changed.wait()
+                except TimeoutError:
+                    if loop.time() < look_again_s:
+                        raise
+        return []
+
+    def _log_wait(self, waited_s: float) -> None:
+        if waited_s > LOGGED_WAIT_S:
+            log_change(
+                "request waited for its model",
+                request=self._admitted.caller.attempt_id,
+                model=self.model_ref.model,
+                adapter=self.model_ref.adapter,
+                software_version=self._version(),
+                seconds=round(waited_s, 3),
+            )
