Named rates: the leader deals the places of servers that name a rate

The class of fault is a bound over all VMs that each VM would have to know of: none was told, and no decision took it.

A VM that hears of a rate tells the leader, which tells all. A request goes to servers that name none first; where these are missing or have a queue, its VM asks the leader for a place: a server and a time, from a schedule with one number for each server, which lapses 0.3 s later by the VM's own clock. A new leader deals a part until it has taken over, a VM without a leader has times of its own, 0.15 of the rate together. What finds no place in time is refused at once with a time at which there is one. Orders and reports count. Placement loads no further models there and counts the replica for a tenth.

--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -20,6 +20,8 @@
 # Concurrent requests up to which a replica keeps the time to the first event short, as
 # a share of a server's slots. A full batch is slow: prompts are processed one by one.
 BUSY_SLOT_SHARE: Final = 1 / 8
+# What a replica counts for on a server that names a rate of a few requests a second.
+RATE_LIMITED_CAPACITY: Final = 0.1
 # Time constant with which recorded demand decays.
 DEMAND_DECAY_S: Final = 6.0
 # Time constant of the moving average of whether a model is in demand.
@@ -210,6 +212,8 @@
         Requests in progress by server and model.
     unhealthy_servers : set of str
         Servers with recent failures; they get no orders.
+    rate_limited_servers : set of str
+        Servers that name a rate of requests; they get no further models.
     load_rate_limit : LoadRateLimit
         Rate limit of loads from the weight store.
     adapters : mapping of str to int
@@ -228,6 +232,7 @@
     load_rate_limit: LoadRateLimit
     adapters: Mapping[str, int]
     adapter_idle_s: float
+    rate_limited_servers: frozenset[str] = frozenset()
 
 
 class _ReplicaNeed(NamedTuple):
@@ -358,7 +363,12 @@
 
 def _unmet_demand(inputs: PlanInputs, model: str, replicas: int) -> float:
     """Return the benefit of serving the demand that so many replicas leave unmet."""
-    level = inputs.demand_history.level(model) / replicas
+    limited = sum(
+        inventory.server.server_id in inputs.rate_limited_servers
+        for inventory in inputs.replicas.get(model, [])
+    )
+    capacity = replicas - limited * (1.0 - RATE_LIMITED_CAPACITY)
+    level = inputs.demand_history.level(model) / capacity
     slots = max(1, inputs.fleet.spec.adapter_slots)
     adapters = inputs.adapters.get(model, 0) / slots
     overload = max(0.0, level - _busy_level(inputs.fleet))
@@ -384,6 +394,8 @@
             continue
         if model in inventory.models or inventory.reserved_for not in ("", model):
             continue
+        if name in inputs.rate_limited_servers and inventory.reserved_for != model:
+            continue
         if need.software_version not in (None, inventory.server.software_version):
             continue
         option = _hosting_option(inputs, inventory, need, now_s)
--- a/src/_pistachiopond/decisions/server_rates.py
+++ b/src/_pistachiopond/decisions/server_rates.py
@@ -1,10 +1,19 @@
-"""The rates of requests that servers name for all VMs together.
+"""Keeps servers within the rate of requests that they name for all VMs together.
 
-A server in need names a rate of a few requests a second in its answers, for as long as
-it says so.
+Load that this answers: a server in need names a rate of a few requests a second, for as
+long as it says so, while callers of all VMs go on sending as before. An equal part of
+such a rate is less than one request a minute at a VM of a large fleet, and one request
+at once from each VM is more than the server takes in minutes.
+
+So the leader deals single places in time: a VM asks for each request that no other
+server takes, and gets a server and the time to send. What was dealt lapses soon, so a
+VM that was delayed or paused does not use it later. A VM without a leader sends in
+times of its own, of which the VMs together have a small part of the rate.
 """
 
-from collections.abc import Collection
+import math
+import random
+from collections.abc import Collection, Mapping, Sequence
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.schema.deployment import Incarnation
@@ -19,11 +28,39 @@
 # than callers send to one server.
 RISE_DOUBLING_S: Final = 0.5
 RISE_S: Final = 3.0
+# The part of a rate that a leader deals while a predecessor may still deal all of it,
+# and the part that VMs without a leader take. With the whole rate they make up less
+# than operators tolerate, 1.5 times the rate.
+UNPROVED_SHARE: Final = 0.3
+LEADERLESS_SHARE: Final = 0.15
+# Places that were not used, of a server's rate, that may be used at once.
+MAX_SAVED_PLACES: Final = 1.0
+# A place is usable for this time. Longer than a connection takes to be opened.
+PLACE_VALID_S: Final = 0.3
+# A new leader or a newly named rate deals its first place after a place's time, but at
+# most so much later.
+MAX_FIRST_PLACE_S: Final = 2.0
+# A less urgent request may wait for a shorter time, so that under overload the more
+# urgent ones get the places, unless its rank has had none for this time.
+STARVED_S: Final = 3.0
+# Callers that are refused are told to come back one after the other, but after no
+# longer than this.
+MAX_RETURN_S: Final = 3.0
+# A server whose answers this VM has not seen for this time gets a place also while
+# others take the request, to find out whether it still names a rate.
+RECHECK_S: Final = 2.0
+# How long the times of a server are kept after the last place.
+MEMORY_S: Final = 60.0
+# The window in which a VM without a leader may send one request.
+OWN_WINDOW_S: Final = 0.5
+# Bound on the servers whose last own time is remembered.
+MAX_USED: Final = 1_000
 
 
 class _Named(NamedTuple):
     per_s: float
     ended_s: float | None
+    heard_s: float
 
 
 @final
@@ -58,9 +95,17 @@
                 return False
             self._rates[incarnation] = known._replace(ended_s=now_s)
             return True
-        named = _Named(rate_per_s, None)
-        self._rates[incarnation] = named
-        return named != known
+        self._rates[incarnation] = _Named(rate_per_s, None, now_s)
+        return known is None or known[:2] != (rate_per_s, None)
+
+    def is_empty(self) -> bool:
+        """Return whether no server names a rate, or has done so lately."""
+        return not self._rates
+
+    def is_unheard(self, incarnation: Incarnation, now_s: float) -> bool:
+        """Return whether nothing has told this VM lately that the rate still holds."""
+        named = self._rates.get(incarnation)
+        return named is not None and now_s - named.heard_s >= RECHECK_S
 
     def is_limited(self, incarnation: Incarnation, now_s: float) -> bool:
         """Return whether requests to the server need a place."""
@@ -90,9 +135,186 @@
             if named.ended_s is None
         }
 
+    def statements(self) -> dict[Incarnation, float | None]:
+        """Return what was recorded last of each server."""
+        return {
+            incarnation: named.per_s if named.ended_s is None else None
+            for incarnation, named in self._rates.items()
+        }
+
     def keep_only(self, present: Collection[Incarnation], now_s: float) -> None:
         """Drop rates of servers that have gone, and rates that have ended."""
         for incarnation, named in list(self._rates.items()):
             has_ended = named.ended_s is not None and now_s - named.ended_s >= RISE_S
             if has_ended or incarnation not in present:
                 del self._rates[incarnation]
+
+
+class DealtPlace(NamedTuple):
+    """The leader's reply to a request for a place.
+
+    Attributes
+    ----------
+    server : tuple of (str, int) or None
+        The server that the request may be sent to; None if the wait is too long.
+    wait_s : float
+        The time until then. Without a server, the time after which the caller may come
+        back, or, for a request that does not wait, until there may be a place.
+    """
+
+    server: Incarnation | None
+    wait_s: float
+
+
+@final
+class PlaceDealer:
+    """The leader's schedule of requests to the servers that name a rate.
+
+    Each server has the time of its next place, so the state is one number for each.
+    """
+
+    def __init__(self) -> None:
+        self._next_s: dict[Incarnation, float] = {}
+        self._dealt_s: dict[int, float] = {}
+        self._return_s: dict[Incarnation, float] = {}
+
+    def deal(
+        self,
+        rates: Mapping[Incarnation, float],
+        most_s: float,
+        rank: int,
+        share: float,
+        now_s: float,
+    ) -> DealtPlace:
+        """Deal the first place of several servers.
+
+        Parameters
+        ----------
+        rates : mapping of (str, int) to float
+            The servers that can run the request, each with its rate per second.
+        most_s : float
+            The longest time that the request may wait.
+        rank : int
+            Its urgency, 0 for the most urgent.
+        share : float
+            The part of the rates to deal.
+        now_s : float
+            The time in seconds.
+        """
+        starts_s = {
+            server: self._start_s(server, per_s * share, now_s)
+            for server, per_s in rates.items()
+        }
+        first = min(starts_s, key=lambda server: starts_s[server])
+        wait_s = max(0.0, starts_s[first] - now_s)
+        period_s = 1.0 / (rates[first] * share)
+        is_starved = now_s - self._dealt_s.setdefault(rank, now_s) >= STARVED_S
+        if wait_s > (most_s if is_starved else most_s / (1.0 + max(0, rank))):
+            if most_s <= 0.0:
+                return DealtPlace(None, wait_s)
+            # Callers that come back find a place each only one after the other.
+            returns_s = max(starts_s[first], self._return_s.get(first, now_s))
+            returns_s = min(now_s + MAX_RETURN_S, returns_s)
+            self._return_s[first] = returns_s + period_s
+            return DealtPlace(None, returns_s - now_s)
+        self._dealt_s[rank] = now_s
+        self._next_s[first] = starts_s[first] + period_s
+        return DealtPlace(first, wait_s)
+
+    def charge(self, server: Incarnation, rate_per_s: float, now_s: float) -> None:
+        """Count a message to a server that took no place, as an order."""
+        start_s = self._start_s(server, rate_per_s, now_s)
+        self._next_s[server] = start_s + 1.0 / rate_per_s
+
+    def forget_old(self, now_s: float) -> None:
+        """Drop servers for which nothing has been asked for some time."""
+        for times in (self._next_s, self._return_s):
+            for server, at_s in list(times.items()):
+                if now_s - at_s > MEMORY_S:
+                    del times[server]
+
+    def _start_s(self, server: Incarnation, rate_per_s: float, now_s: float) -> float:
+        """Return when the server's next place begins; in the past if one was saved."""
+        period_s = 1.0 / rate_per_s
+        next_s = self._next_s.setdefault(
+            server, now_s + min(MAX_FIRST_PLACE_S, period_s)
+        )
+        return max(next_s, now_s - MAX_SAVED_PLACES * period_s)
+
+
+@final
+class OwnPlaces:
+    """The times at which a VM without a leader may send a request to a server.
+
+    Each VM draws where its times lie, so that those of all VMs are spread evenly. A
+    time that was not used is lost, so what was saved by many VMs never adds up.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._drawn = rng.random()
+        self._used_s: dict[Incarnation, float] = {}
+
+    def next_s(
+        self, server: Incarnation, rate_per_s: float, members: int, now_s: float
+    ) -> float | None:
+        """Return when this VM may send a request, now or later.
+
+        Parameters
+        ----------
+        server : tuple of (str, int)
+            The server's name and start time.
+        rate_per_s : float
+            Its rate, of all VMs together.
+        members : int
+            The number of VMs; 0 if it is not known, then there is no time.
+        now_s : float
+            The time in seconds.
+        """
+        if members <= 0:
+            return None
+        period_s = members / (rate_per_s * LEADERLESS_SHARE)
+        turn, since_s = divmod(now_s + self._drawn * period_s, period_s)
+        if since_s >= min(OWN_WINDOW_S, period_s):
+            turn += 1
+        used_s = self._used_s.get(server)
+        if used_s is not None:
+            turn = max(turn, math.floor(used_s / period_s + self._drawn + 1e-9) + 1)
+        return max(now_s, (turn - self._drawn) * period_s)
+
+    def use(self, server: Incarnation, at_s: float) -> None:
+        """Record that a request is sent at the time that `next_s` gave."""
+        while len(self._used_s) >= MAX_USED:
+            del self._used_s[next(iter(self._used_s))]
+        self._used_s[server] = at_s
+
+
+def first_own_place(
+    own: OwnPlaces,
+    rates: Mapping[Incarnation, float],
+    members: int,
+    most_s: float,
+    now_s: float,
+) -> DealtPlace:
+    """Return this VM's first time at one of the servers, and use it.
+
+    Parameters
+    ----------
+    own : OwnPlaces
+        This VM's times.
+    rates, most_s, now_s
+        As in `PlaceDealer.deal`.
+    members : int
+        As in `OwnPlaces.next_s`.
+    """
+    found: Sequence[tuple[float, Incarnation]] = [
+        (next_s, server)
+        for server, per_s in rates.items()
+        if (next_s := own.next_s(server, per_s, members, now_s)) is not None
+    ]
+    if not found:
+        return DealtPlace(None, MAX_FIRST_PLACE_S)
+    at_s, server = min(found)
+    if at_s - now_s > most_s:
+        return DealtPlace(None, at_s - now_s)
+    own.use(server, at_s)
+    return DealtPlace(server, at_s - now_s)
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -67,6 +67,11 @@
 LostParts = tuple[str, int, str, float, list[str]]
 
 
+# A server and its start time, and the requests per second that it names for all VMs;
+# None if it no longer names any.
+ServerRate = tuple[str, int, float | None]
+
+
 class MemberReport(TypedDict):
     """A VM's report to the leader.
 
@@ -121,6 +126,7 @@
     lists incarnations of servers that refuse the leader and that the member is to try;
     a leader that sends it takes `RefusingUpdate`. `versions` answers
     `versions_known_s` and is missing while the leader itself may lack some.
+    `deals_places` is sent by a leader that takes `PlaceRequest` and rates of servers.
     """
 
     number: int
@@ -135,6 +141,7 @@
     relays: NotRequired[dict[str, list[str]]]
     to_check: NotRequired[list[tuple[str, int]]]
     versions: NotRequired[VersionHistoryMessage]
+    deals_places: NotRequired[bool]
 
 
 class RefusingUpdate(TypedDict):
@@ -205,6 +212,30 @@
     may_run: bool
 
 
+class PlaceRequest(TypedDict):
+    """A request for the time of one request to a server that names a rate.
+
+    `servers` lists those that can run it, with the rates that the member knows.
+    `most_s` is how long it may wait, and `rank` its urgency, 0 for the most urgent.
+    """
+
+    number: int
+    servers: list[tuple[str, int, float]]
+    most_s: float
+    rank: int
+
+
+class PlaceReply(TypedDict):
+    """The reply: an index in the `servers` of the request, or -1, and a wait.
+
+    Without a server, the wait is the time after which the caller may come back.
+    """
+
+    number: int
+    index: int
+    wait_s: float
+
+
 class MemberMessage(TypedDict, total=False):
     """One line from a member: its report, or a message too urgent to wait for it.
 
@@ -212,7 +243,9 @@
     member has to read of each store topic, or -1 if it has read none; `known_eras` has
     the eras of these offsets, and `origins_age_s` how long ago a leader last replied.
     `origins` are streams whose version other VMs can't compute. `refusing` is sent only
-    to a leader that takes it, and `trial` only to one that lists refused parts.
+    to a leader that takes it, and `trial` only to one that lists refused parts. `place`
+    and `rates`, what servers have said of their rates, are sent only to a leader that
+    deals places.
     """
 
     known: dict[str, int]
@@ -225,6 +258,8 @@
     tokens: TokenRequest
     refusing: RefusingUpdate
     trial: TrialRequest
+    place: PlaceRequest
+    rates: list[ServerRate]
 
 
 class PacingReply(TypedDict):
@@ -267,6 +302,8 @@
     tried: TrialReply
     given: dict[str, float]
     origins: list[StreamOrigin]
+    placed: PlaceReply
+    rates: list[ServerRate]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/attempt_target.py
+++ b/src/_pistachiopond/vm/attempt_target.py
@@ -70,6 +70,7 @@
     fleet: Fleet,
     record_prefill: Callable[[BackendServer, int, float], None],
     record_connect: Callable[[BackendServer, ConnectOutcome], None],
+    is_open: Callable[[], bool],
 ) -> Target:
     """Return the target for an attempt at a backend server."""
 
@@ -87,7 +88,7 @@
         name=server.server_id,
         pool=pools.pool_of(server),
         max_idle_s=pools.max_idle_s(admitted.route, server.service),
-        is_open=lambda: fleet.is_open(server),
+        is_open=is_open,
         encode=encode,
         classify=classify_response,
         take_notice=lambda head: fleet.apply_notice(server, decode_notice(head)),
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -1,7 +1,7 @@
 """The backend servers known to this VM, with their load and health."""
 
 import random
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final, NamedTuple, final
 
 import anyio
@@ -97,6 +97,8 @@
         self._pauses = ServerPauses()
         self._silences = ServerSilences()
         self.rates = NamedRates()
+        # Called with what an answer has changed about a server's rate.
+        self.on_rate: Callable[[Incarnation, float | None], None] = ignore_rate
         self.refusals = RefusingServers()
         self._loaded_models: dict[str, LoadedModels] = {}
         self.own_load: dict[str, int] = {}
@@ -199,7 +201,9 @@
         if not notice.keeps_crash_limit:
             self.brittle.record_answer(server, notice.crash_limit, now_s)
         if not notice.keeps_rate:
-            self.record_rate(server.incarnation(), notice.rate_per_s, "answer")
+            rate_per_s = notice.rate_per_s
+            if self.record_rate(server.incarnation(), rate_per_s, "answer"):
+                self.on_rate(server.incarnation(), rate_per_s)
         if not notice.is_leaving or server.incarnation() in self._leaving_since_s:
             return
         self._leaving_since_s[server.incarnation()] = now_s
@@ -344,6 +348,7 @@
         software_version: str | None = None,
         *,
         can_give_up: bool,
+        has_rate: bool = False,
     ) -> list[RankedServer]:
         """Return the best servers for a request, or an empty list.
 
@@ -359,6 +364,9 @@
             The only version whose servers may be used; None for any.
         can_give_up : bool
             Whether the request goes to another server if one sends nothing.
+        has_rate : bool
+            Whether to return the servers that name a rate, each request to which needs
+            a place, instead of the others.
         """
         now_s = boot_s()
         staying: list[Candidate] = []
@@ -369,6 +377,8 @@
                 continue
             if self._refuses(server, model_ref):
                 continue
+            if self.rates.is_limited(server.incarnation(), now_s) != has_rate:
+                continue
             if not self._is_open(server, now_s) or not self._has_room(server, now_s):
                 continue
             candidate = self._candidate(server, now_s, can_give_up=can_give_up)
@@ -394,6 +404,7 @@
             not server.is_leaving
             and server.server_id not in tried
             and self.can_run(server, model_ref)
+            and not self.rates.is_limited(server.incarnation(), now_s)
             and self._is_open(server, now_s)
             and self._has_room(server, now_s)
             and self.has_place(server)
@@ -466,6 +477,8 @@
                 continue
             if self._refuses(server, model_ref):
                 continue
+            if self.rates.is_limited(server.incarnation(), now_s):
+                continue
             if self._has_room(server, now_s):
                 return None
             resume_s = self._pauses.resume_s(server.incarnation(), now_s)
@@ -473,6 +486,10 @@
                 first_s = resume_s if first_s is None else min(first_s, resume_s)
         return first_s
 
+    def rate_limited(self) -> frozenset[str]:
+        """Return the servers that name a rate."""
+        return frozenset(name for name, _ in self.rates.named())
+
     def paused(self) -> frozenset[str]:
         """Return the servers that asked this VM for a pause."""
         return self._pauses.paused(boot_s())
@@ -654,3 +671,7 @@
         if self.changed.statistics().tasks_waiting:
             self.changed.set()
             self.changed = anyio.Event()
+
+
+def ignore_rate(incarnation: Incarnation, rate_per_s: float | None) -> None:
+    """Ignore that a server names another rate; no leader is to be told."""
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -326,6 +326,7 @@
             if peer is not None or self._tried_peers:
                 return peer
         server = await self._selection.choose(was_refused=self._not_run_count > 0)
+        self._no_server_reason = self._selection.lack
         is_unreachable = self._deps.reach.is_unreachable(self._admitted.service)
         is_cut_off = is_unreachable or self._selection.has_refusing_server()
         if server is None and (self._has_failed_to_connect or is_cut_off):
@@ -358,6 +359,7 @@
                 deps.fleet,
                 deps.pacing.record_prefill,
                 deps.reach.record_connect,
+                partial(self._selection.may_send, server),
             ),
             load=deps.fleet.load(name),
             is_last=is_last,
@@ -478,6 +480,9 @@
         assert kind is not None
         if kind in ("connect", "withdrawn", "not_run", "not_here"):
             self._not_run_count += 1
+        if kind == "withdrawn" and not isinstance(receiver, Peer):
+            # It was sent nothing, and is left out while it takes nothing.
+            self._selection.tried.discard(receiver.server_id)
         if self._binding is not None:
             is_server = not isinstance(receiver, Peer)
             if self._responder.has_started:
--- a/src/_pistachiopond/vm/forward_dependencies.py
+++ b/src/_pistachiopond/vm/forward_dependencies.py
@@ -11,6 +11,7 @@
 from _pistachiopond.vm.model_usage import ModelUsage
 from _pistachiopond.vm.pacing import PromptPacing
 from _pistachiopond.vm.peer_relays import PeerRelays
+from _pistachiopond.vm.server_places import ServerPlaces
 from _pistachiopond.vm.server_pools import ServerPools
 from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.shutdown import Shutdown
@@ -41,6 +42,8 @@
         Requests that may have crashed their servers.
     pacing : PromptPacing
         Spreads prompts over time.
+    places : ServerPlaces
+        Places at servers that name a rate.
     origins : StreamOrigins
         The software versions at which streams began.
     resumptions : Counter
@@ -64,6 +67,7 @@
     model_load_s: Callable[[ModelRef], float]
     suspects: Suspects
     pacing: PromptPacing
+    places: ServerPlaces
     origins: StreamOrigins
     resumptions: Counter
     resumption_ends: Counter
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -19,6 +19,7 @@
     MemberReport,
     ModelWait,
     PacingRequest,
+    PlaceRequest,
     RefusingUpdate,
     RelayedRecord,
     StreamOrigin,
@@ -38,6 +39,7 @@
     ignore_line_excess,
 )
 from _pistachiopond.vm.peer_relays import PeerRelays
+from _pistachiopond.vm.server_places import ServerPlaces, encode_rates
 from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects
@@ -155,6 +157,11 @@
         self._relays_origins = False
         self._origins_fence = -1
         self._takes_refusals = False
+        self._deals_places = False
+        self.places = ServerPlaces(
+            deps.fleet, self._send_place_request, self.reserve_member_count
+        )
+        deps.fleet.on_rate = self._send_rate
         self.origins = StreamOrigins(
             deps.fleet, self._send_origins, self.reply_age_s, self.member_count
         )
@@ -208,6 +215,14 @@
     def _send_trial_request(self, request: TrialRequest) -> bool:
         return self._send({"trial": request})
 
+    def _send_place_request(self, request: PlaceRequest) -> bool:
+        return self._deals_places and self._send({"place": request})
+
+    def _send_rate(self, incarnation: Incarnation, rate_per_s: float | None) -> None:
+        """Tell the leader, and by it all VMs, what a server has said of its rate."""
+        if self._deals_places:
+            self._send({"rates": [(*incarnation, rate_per_s)]})
+
     def _send_origins(self, origins: list[StreamOrigin]) -> bool:
         # A leader that can't prove its lead still relays.
         if self._writer is None or not self._relays_origins:
@@ -308,6 +323,7 @@
             self._writer = None
             self._relays_origins = False
             self._takes_refusals = False
+            self._deals_places = False
             if writer is not None:
                 writer.transport.abort()
 
@@ -355,6 +371,7 @@
             self._add_tokens(message["given"])
         if "paced" in message:
             self.pacing.take_reply(message["paced"])
+        self._apply_rates(message)
         if "tried" in message:
             self._deps.suspects.parts.take_trial_reply(message["tried"])
         if "suspects" in message:
@@ -364,6 +381,12 @@
         if "answer" in message:
             self._take_reply(message["answer"])
 
+    def _apply_rates(self, message: dict[str, Any]) -> None:
+        for name, started_ms, rate_per_s in message.get("rates", ()):
+            self._deps.fleet.record_rate((name, started_ms), rate_per_s, "leader")
+        if "placed" in message:
+            self.places.take_reply(message["placed"])
+
     def _known_positions(self) -> MemberMessage:
         proofs = {
             topic: cache.proof() for topic, cache in self._deps.topic_caches.items()
@@ -429,6 +452,11 @@
             self._origins_fence = self._connected_fence
             self.origins.leader_changed()
         self._takes_refusals = "to_check" in reply
+        deals_places = reply.get("deals_places", False)
+        if deals_places and not self._deals_places:
+            # What this VM has learned while no leader took it.
+            self._send({"rates": encode_rates(deps.fleet)})
+        self._deals_places = deals_places
         deps.reach.suspect((name, ms) for name, ms in reply.get("to_check", ()))
         self._report_period_s = reply["period_s"]
         self._member_count = max(1, reply["members"])
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -36,6 +36,8 @@
     ModelWait,
     PacingReply,
     PacingRequest,
+    PlaceReply,
+    PlaceRequest,
     RefusingUpdate,
     StreamOrigin,
     SuspectList,
@@ -54,6 +56,7 @@
     ignore_line_excess,
 )
 from _pistachiopond.vm.report_totals import Totals, add_wait, sum_reports
+from _pistachiopond.vm.server_places import DealtPlaces
 from _pistachiopond.vm.stream_origins import RecordBatch, StreamOrigins
 from _pistachiopond.vm.topic_cache import TopicCache, to_relayed
 
@@ -100,6 +103,8 @@
         Called when a member's lines exceed a bound.
     part_changes : callable
         Called with the kind of each change of the refused parts of prompts.
+    places : DealtPlaces or None
+        Deals places at servers that name a rate; None deals none.
     """
 
     leadership: Leadership
@@ -112,6 +117,7 @@
     on_line_excess: ReportLineExcess = ignore_line_excess
     crash_watch: CrashWatch | None = None
     part_changes: Callable[[str], None] = lambda _: None
+    places: DealtPlaces | None = None
 
 
 class _Member(NamedTuple):
@@ -393,6 +399,8 @@
             return {"tried": {"number": trial["number"], "may_run": may_run}}
         if "pace" in message:
             return {"paced": self._pace_prompt(message["pace"])}
+        if "rates" in message or "place" in message:
+            return self._handle_rate_message(message)
         if "tokens" in message:
             return {"given": self._allocate_tokens(message["tokens"])}
         if "lack" in message:
@@ -446,6 +454,25 @@
             "wait_s": round(decision.wait_s, 3),
         }
 
+    def _handle_rate_message(self, message: MemberMessage) -> LeaderMessage:
+        places = self._deps.places
+        if places is None:
+            return {}
+        if "place" in message:
+            return {"placed": self._deal_place(places, message["place"])}
+        changed = places.take_rates(message["rates"])
+        if changed:
+            self._broadcast({"rates": changed})
+        return {}
+
+    def _deal_place(self, places: DealtPlaces, request: PlaceRequest) -> PlaceReply:
+        now_s = boot_s()
+        leadership = self._deps.leadership
+        if not leadership.is_mine():
+            return {"number": request["number"], "index": -1, "wait_s": 0.0}
+        may_deal_all = leadership.has_taken_over(now_s) and self._may_allocate(now_s)
+        return places.deal(request, may_deal_all=may_deal_all)
+
     def _initial_state(self, message: MemberMessage) -> LeaderMessage:
         """Return the state that a member with these known positions lacks."""
         if not self._deps.leadership.is_mine():
@@ -474,6 +501,8 @@
             # Other VMs' records of that time may still be on their way.
             max_age_s = message["origins_age_s"] + LEADER_CHANGE_S
             reply["origins"] = self._deps.origins.recent_records(max_age_s)
+        if self._deps.places is not None:
+            reply["rates"] = self._deps.places.rates()
         return reply
 
     def _reply_to_report(self, report: MemberReport) -> LeaderReply:
@@ -514,6 +543,8 @@
                     reply["versions"] = history
         if self._deps.crash_watch is not None:
             reply["to_check"] = self._deps.crash_watch.to_check()
+        if self._deps.places is not None:
+            reply["deals_places"] = leads
         return reply
 
     def _allocate(
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -84,6 +84,8 @@
         Returns the configuration in force, or None.
     crashed : callable
         Returns the servers that count as crashed, whatever their entries say.
+    charge : callable
+        Counts an order or a request for a report towards the rate of its server.
     """
 
     name: str
@@ -92,6 +94,7 @@
     pools: ServerPools
     deployment: Callable[[], Deployment | None]
     crashed: Callable[[], frozenset[Incarnation]] = frozenset
+    charge: Callable[[BackendServer], None] = lambda _: None
 
 
 class _Wait(NamedTuple):
@@ -263,6 +266,7 @@
             server_load=totals.load,
             running_requests=totals.running_requests,
             unhealthy_servers=totals.unhealthy_servers | self._deps.fleet.paused(),
+            rate_limited_servers=self._deps.fleet.rate_limited(),
             load_rate_limit=engines.load_rate_limit,
             adapters=engines.recent_adapters,
             adapter_idle_s=self.leader_server.report_period_s() + ADAPTER_USE_MARGIN_S,
@@ -383,6 +387,7 @@
         self, server: BackendServer, request: Request, timeout_s: float
     ) -> Result[tuple[int, bytes], ExchangeError]:
         pool = self._deps.pools.pool_of(server)
+        self._deps.charge(server)
         try:
             response = await send_request(
                 pool, request, timeout_s, MAX_ANSWER_BYTES, is_response_to_call
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
+from itertools import product
 from pathlib import Path
 from typing import Final, NamedTuple
 
@@ -56,6 +57,7 @@
 from _pistachiopond.vm.placer import Placer, PlacerDependencies
 from _pistachiopond.vm.relay_handler import RelayHandler
 from _pistachiopond.vm.request_handler import RequestHandler, RequestMetrics
+from _pistachiopond.vm.server_places import DealtPlaces
 from _pistachiopond.vm.server_pools import ServerPools
 from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.settings_watch import SettingsWatch, watch_signals
@@ -180,6 +182,7 @@
             "Servers found to have crashed before their entries expired.",
         ),
     )
+    dealt_places = DealtPlaces(fleet, leadership)
     placer = Placer(
         PlacerDependencies(
             settings.name,
@@ -188,6 +191,7 @@
             pools,
             state.deployment,
             crash_watch.crashed,
+            dealt_places.charge,
         )
     )
     leader_server = LeaderServer(
@@ -202,6 +206,7 @@
             record_line_excess,
             crash_watch,
             _make_part_counter(metrics),
+            dealt_places,
         )
     )
     placer.leader_server = leader_server
@@ -233,6 +238,7 @@
         model_load_s=model_load_s,
         suspects=suspects,
         pacing=leader_client.pacing,
+        places=leader_client.places,
         origins=leader_client.origins,
         resumptions=metrics.counter(
             "pond_resumptions", "Streams taken up again.", ("outcome", "basis")
@@ -413,6 +419,12 @@
         "Servers that name a rate of requests.",
         lambda: len(vm.fleet.rates.named()),
     )
+    for source, outcome in product(("leader", "own"), ("taken", "lacking")):
+        metrics.gauge(
+            f"pond_places_{outcome}_{source}",
+            f"Places at servers that name a rate: {outcome}, source: {source}.",
+            partial(vm.leader_client.places.counts.__getitem__, (source, outcome)),
+        )
     metrics.gauge(
         "pond_unreachable_services",
         "Services whose servers this VM cannot reach.",
--- /dev/null
+++ b/src/_pistachiopond/vm/server_places.py
@@ -0,0 +1,260 @@
+"""Places at servers that name a rate: asked for by a VM, dealt by the leader."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Final, NamedTuple, final
+
+from _pistachiopond.decisions.leadership import Leadership
+from _pistachiopond.decisions.server_rates import (
+    PLACE_VALID_S,
+    RECHECK_S,
+    UNPROVED_SHARE,
+    DealtPlace,
+    OwnPlaces,
+    PlaceDealer,
+    first_own_place,
+)
+from _pistachiopond.observe.logs import log_change
+from _pistachiopond.schema.deployment import BackendServer, Incarnation
+from _pistachiopond.schema.peer_messages import PlaceReply, PlaceRequest, ServerRate
+from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.fleet import Fleet
+
+# The leader replies within some milliseconds. Without a reply in this time the request
+# is treated as if there were no leader.
+REPLY_TIMEOUT_S: Final = 0.1
+
+
+class Place(NamedTuple):
+    """The permission to send one request to a server, or the lack of one.
+
+    Attributes
+    ----------
+    server : BackendServer or None
+        None if no server that names a rate takes the request in time.
+    starts_s : float
+        When the request may be sent, or when its caller may come back.
+    expires_s : float
+        Until when it may be sent.
+    """
+
+    server: BackendServer | None
+    starts_s: float
+    expires_s: float
+
+
+@final
+class ServerPlaces:
+    """A VM's side: asks the leader for places, or takes its own without a leader.
+
+    Attributes
+    ----------
+    counts : Counter
+        Places by source, ``leader`` or ``own``, and outcome, ``taken`` or ``lacking``.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        send: Callable[[PlaceRequest], bool],
+        member_count: Callable[[], int],
+    ) -> None:
+        """Start without places.
+
+        Parameters
+        ----------
+        fleet : Fleet
+            The backend servers and their rates.
+        send : callable
+            Sends a request to the leader; returns False if none deals places.
+        member_count : callable
+            Returns the number of VMs; 0 if unknown.
+        """
+        self._fleet = fleet
+        self._send = send
+        self._member_count = member_count
+        self._own = OwnPlaces(random.Random())
+        self._pending: dict[int, asyncio.Future[PlaceReply]] = {}
+        self._number = 0
+        self._no_place_until_s: dict[str, float] = {}
+        self.counts: Counter[tuple[str, str]] = Counter()
+
+    def may_ask(self, service: str) -> bool:
+        """Return whether there may be a place for a request that does not wait."""
+        return boot_s() >= self._no_place_until_s.get(service, float("-inf"))
+
+    async def take(
+        self, servers: Sequence[BackendServer], most_s: float, rank: int
+    ) -> Place:
+        """Return a place at one of the servers, or when there may be one.
+
+        Parameters
+        ----------
+        servers : sequence of BackendServer
+            Those that can run the request; all name a rate.
+        most_s : float
+            How long the request may wait.
+        rank : int
+            Its urgency, 0 for the most urgent.
+        """
+        asked_s = boot_s()
+        rates = {
+            server.incarnation(): rate_per_s
+            for server in servers
+            if (
+                rate_per_s := self._fleet.rates.rate_per_s(
+                    server.incarnation(), asked_s
+                )
+            )
+            is not None
+        }
+        if not rates:
+            # The rates have ended since the servers were chosen.
+            return Place(servers[0], asked_s, asked_s + PLACE_VALID_S)
+        source = "leader"
+        dealt = await self._ask(rates, most_s, rank)
+        if dealt is None:
+            source, members = "own", self._member_count()
+            dealt = first_own_place(self._own, rates, members, most_s, asked_s)
+        self.counts[source, "lacking" if dealt.server is None else "taken"] += 1
+        if dealt.server is None and most_s <= 0.0:
+            pause_s = min(RECHECK_S, dealt.wait_s)
+            self._no_place_until_s[servers[0].service] = asked_s + pause_s
+        by_incarnation = {server.incarnation(): server for server in servers}
+        server = None if dealt.server is None else by_incarnation[dealt.server]
+        if server is not None:
+            # At most as many lines as the servers take requests.
+            log_change(
+                "place at a server with a rate",
+                server=server.server_id,
+                rate_per_s=rates[server.incarnation()],
+                wait_s=round(dealt.wait_s, 3),
+                source=source,
+            )
+        # The wait began when the reply came. The permission counts from the question,
+        # so that a reply that was delayed is not used late.
+        expires_s = asked_s + dealt.wait_s + PLACE_VALID_S
+        return Place(server, boot_s() + dealt.wait_s, expires_s)
+
+    async def _ask(
+        self, rates: dict[Incarnation, float], most_s: float, rank: int
+    ) -> DealtPlace | None:
+        self._number += 1
+        number = self._number
+        known = [(*incarnation, rate) for incarnation, rate in rates.items()]
+        request: PlaceRequest = {
+            "number": number,
+            "servers": known,
+            "most_s": round(most_s, 3),
+            "rank": rank,
+        }
+        if not self._send(request):
+            return None
+        received = self._pending[number] = asyncio.get_running_loop().create_future()
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                reply = await received
+        except TimeoutError:
+            return None
+        finally:
+            del self._pending[number]
+        index = reply["index"]
+        return DealtPlace(None if index < 0 else known[index][:2], reply["wait_s"])
+
+    def take_reply(self, reply: PlaceReply) -> None:
+        """Pass the leader's reply to the request that waits for it."""
+        pending = self._pending.get(reply["number"])
+        if pending is not None and not pending.done():
+            pending.set_result(reply)
+
+
+@final
+class DealtPlaces:
+    """The leader's side: keeps the rates that VMs tell, and deals places."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        leadership: Leadership,
+    ) -> None:
+        """Start with nothing dealt.
+
+        Parameters
+        ----------
+        fleet : Fleet
+            The backend servers and their rates.
+        leadership : Leadership
+            Whether this VM leads.
+        """
+        self._fleet = fleet
+        self._leadership = leadership
+        self._dealer = PlaceDealer()
+        self._fence = -1
+
+    def take_rates(self, rates: list[ServerRate]) -> list[ServerRate]:
+        """Record what a member says of servers' rates; return what is new."""
+        return [
+            (name, started_ms, rate_per_s)
+            for name, started_ms, rate_per_s in rates
+            if self._fleet.record_rate((name, started_ms), rate_per_s, "member")
+        ]
+
+    def rates(self) -> list[ServerRate]:
+        """Return what is known of servers' rates."""
+        return encode_rates(self._fleet)
+
+    def deal(self, request: PlaceRequest, *, may_deal_all: bool) -> PlaceReply:
+        """Reply to a member's request.
+
+        Parameters
+        ----------
+        request : PlaceRequest
+            What the member asks for.
+        may_deal_all : bool
+            Whether no other VM may deal places of the same servers.
+        """
+        now_s = boot_s()
+        self._follow_claim()
+        self._dealer.forget_old(now_s)
+        rates: dict[Incarnation, float] = {}
+        for name, started_ms, told_per_s in request["servers"]:
+            own_per_s = self._fleet.rates.rate_per_s((name, started_ms), now_s)
+            rates[name, started_ms] = told_per_s if own_per_s is None else own_per_s
+        share = 1.0 if may_deal_all else UNPROVED_SHARE
+        dealt = self._dealer.deal(
+            rates, request["most_s"], request["rank"], share, now_s
+        )
+        index = -1 if dealt.server is None else list(rates).index(dealt.server)
+        return {
+            "number": request["number"],
+            "index": index,
+            "wait_s": round(dealt.wait_s, 4),
+        }
+
+    def charge(self, server: BackendServer) -> None:
+        """Count an order or a report request that this VM sends to a server."""
+        now_s, incarnation = boot_s(), server.incarnation()
+        rate_per_s = self._fleet.rates.rate_per_s(incarnation, now_s)
+        if rate_per_s is not None:
+            self._follow_claim()
+            self._dealer.charge(incarnation, rate_per_s, now_s)
+
+    def _follow_claim(self) -> None:
+        """Begin anew with each claim, since others may have dealt in between."""
+        claim = self._leadership.claim
+        fence = -1 if claim is None else claim.fence
+        if fence != self._fence:
+            if not self._leadership.is_renewal_of(self._fence):
+                self._dealer = PlaceDealer()
+                log_change("places of servers with a rate dealt anew", fence=fence)
+            self._fence = fence
+
+
+def encode_rates(fleet: Fleet) -> list[ServerRate]:
+    """Return what a VM knows of servers' rates, in the form in which VMs send it."""
+    return [
+        (*incarnation, rate_per_s)
+        for incarnation, rate_per_s in fleet.rates.statements().items()
+    ]
--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -18,6 +18,7 @@
 from _pistachiopond.vm.fleet import ModelRef, RankedServer
 from _pistachiopond.vm.forward_dependencies import ForwardDependencies
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal
+from _pistachiopond.vm.server_places import Place
 from _pistachiopond.vm.version_binding import VersionBinding
 
 # A request for a model that no server has loaded waits for at most this share of the
@@ -46,6 +47,8 @@
     ----------
     tried : set of str
         Servers that the request has been sent to.
+    lack : str
+        Why no server takes the request, for the log.
     """
 
     def __init__(
@@ -85,7 +88,9 @@
         self._latest_wait_s: float | None = None
         self._retry_after_s: float | None = None
         self._has_waited = False
+        self._place: Place | None = None
         self.tried: set[str] = set()
+        self.lack = "no server available"
 
     async def choose(self, *, was_refused: bool) -> BackendServer | None:
         """Return the server for the next attempt, or None if there is none.
@@ -95,30 +100,108 @@
         was_refused : bool
             Whether a server has said that it did not run the request.
         """
-        fleet = self._deps.fleet
         while True:
+            self._place = None
             ranked = self._rank(frozenset(self.tried))
+            limited = self._rank_limited(frozenset(self.tried))
+            if limited and self._wants_place(ranked, limited):
+                server = await self._take_place(limited, can_wait=not ranked)
+                if server is not None:
+                    return server
             if not ranked:
                 plan = self._plan_wait()
                 if plan.step in ("pause", "share"):
                     await self._wait(plan)
                     continue
-                if self.version_refusal() is not None:
+                if plan.step == "refuse" or limited:
                     return None
-                if plan.step == "model" and self.model_ref.model:
-                    ranked = await self._wait_for_model(was_refused=was_refused)
-                    if not ranked and self._waits_for_share():
-                        continue
+                found = await self._wait_for_model(was_refused=was_refused)
+                if found is None:
+                    continue
+                ranked = found
             if not ranked:
                 return None
-            if not self.model_ref.model:
-                return ranked[0].server
-            server = await self._deps.pacing.choose_server(
-                ranked, self._admitted.caller, self._admitted.route, self._arrival_s
-            )
-            if fleet.is_open(server) and fleet.has_place(server):
+            server = await self._pace(ranked)
+            if server is not None:
                 return server
-            # It asked for a pause or said that it leaves while the prompt was delayed.
+
+    async def _pace(self, ranked: list[RankedServer]) -> BackendServer | None:
+        """Return the server to send to now; None if all are to be ranked again."""
+        if not self.model_ref.model:
+            return ranked[0].server
+        server = await self._deps.pacing.choose_server(
+            ranked, self._admitted.caller, self._admitted.route, self._arrival_s
+        )
+        if self.may_send(server) and self._deps.fleet.has_place(server):
+            return server
+        # It asked for a pause or said that it leaves while the prompt was delayed.
+        return None
+
+    def may_send(self, server: BackendServer) -> bool:
+        """Return whether the request may be sent to the chosen server now.
+
+        Since it was chosen, the server may have asked for a pause, begun to leave or
+        named a rate, and a place may have expired.
+        """
+        now_s = boot_s()
+        if not self._deps.fleet.is_open(server):
+            return False
+        if not self._deps.fleet.rates.is_limited(server.incarnation(), now_s):
+            return True
+        place = self._place
+        return place is not None and place.server == server and now_s < place.expires_s
+
+    def _rank_limited(self, tried: frozenset[str]) -> list[RankedServer]:
+        if self._deps.fleet.rates.is_empty():
+            return []
+        return self._rank(tried, has_rate=True)
+
+    def _wants_place(
+        self, ranked: list[RankedServer], limited: list[RankedServer]
+    ) -> bool:
+        """Return whether to ask for a place at servers that name a rate.
+
+        That is so where no other server takes the request without a queue, and where
+        it would tell whether the rate still holds.
+        """
+        if not ranked:
+            return True
+        if not self._deps.places.may_ask(self._admitted.service):
+            return False
+        fleet, now_s = self._deps.fleet, boot_s()
+        first = ranked[0].server
+        return fleet.load(first.server_id) >= first.slots or any(
+            fleet.rates.is_unheard(item.server.incarnation(), now_s) for item in limited
+        )
+
+    async def _take_place(
+        self, limited: list[RankedServer], *, can_wait: bool
+    ) -> BackendServer | None:
+        """Wait for a place at one of these servers; None if that takes too long."""
+        most_s = max(0.0, self._left_to_wait_s()) if can_wait else 0.0
+        servers = [item.server for item in limited]
+        place = await self._deps.places.take(servers, most_s, self._admitted.rank)
+        if place.server is None:
+            if can_wait:
+                self.lack = "no place within the rates that servers name"
+                wait_s = place.starts_s - boot_s()
+                self._retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_SOON_S, wait_s))
+            return None
+        wait_s = place.starts_s - boot_s()
+        if wait_s > 0.0:
+            # Placement sees requests that wait for a place as ones for their model.
+            with self._deps.model_usage.count_waiting(self.model_ref, self._version()):
+                await asyncio.sleep(wait_s)
+        self._place = place
+        if self.may_send(place.server):
+            return place.server
+        log_change(
+            "place at a server not used",
+            request=self._admitted.caller.attempt_id,
+            server=place.server.server_id,
+            expired_s=round(boot_s() - place.expires_s, 3),
+        )
+        return None
 
     def has_refusing_server(self) -> bool:
         """Return whether servers that refuse this VM could run the request."""
@@ -149,7 +232,9 @@
     def _version(self) -> str | None:
         return None if self._binding is None else self._binding.version
 
-    def _rank(self, tried: frozenset[str]) -> list[RankedServer]:
+    def _rank(
+        self, tried: frozenset[str], *, has_rate: bool = False
+    ) -> list[RankedServer]:
         def rank(version: str | None) -> list[RankedServer]:
             return self._deps.fleet.rank(
                 self.model_ref,
@@ -158,6 +243,7 @@
                 version,
                 can_give_up=self._admitted.route.kind == "safe"
                 and not self._is_last_server(),
+                has_rate=has_rate,
             )
 
         return rank(None) if self._binding is None else self._binding.rank(rank)
@@ -165,6 +251,10 @@
     def _waits_for_share(self) -> bool:
         return self._deps.fleet.waits_for_place(self.model_ref, self._version())
 
+    def _may_find_room(self) -> bool:
+        """Return whether a server that has the model takes requests at times."""
+        return self._waits_for_share() or bool(self._rank_limited(frozenset()))
+
     def _plan_wait(self) -> WaitPlan:
         fleet, service = self._deps.fleet, self._admitted.service
         share = None
@@ -215,7 +305,14 @@
             MODEL_WAIT_SHARE * left_s, CALLER_WAIT_SHARE * caller_wait_s
         )
 
-    async def _wait_for_model(self, *, was_refused: bool) -> list[RankedServer]:
+    async def _wait_for_model(self, *, was_refused: bool) -> list[RankedServer] | None:
+        """Wait until a server has the model.
+
+        Returns the servers, an empty list after the longest wait, or None if a server
+        has the model but needs a place.
+        """
+        if not self.model_ref.model or self.version_refusal() is not None:
+            return []
         loop = asyncio.get_running_loop()
         wait_until_s = self._latest_start_s()
         fleet = self._deps.fleet
@@ -231,10 +328,10 @@
             while loop.time() < wait_until_s:
                 changed = fleet.changed
                 ranked = self._rank(frozenset())
-                if ranked or self._waits_for_share():
+                if ranked or self._may_find_room():
                     self._log_wait(loop.time() - began_s)
                     self.tried.clear()
-                    return ranked
+                    return ranked or None
                 if reach.is_unreachable(service) and not was_unreachable:
                     return []
                 if self.version_refusal() is not None:
