Named rates: a place that lapsed is asked for again, and schedules begin with the rate

The first request for a place of a server waited for a place's time although the server had had no request for seconds, since its schedule began with that request, and one whose place had lapsed in a standstill was refused though it had time left. The leader begins a schedule when it hears of the rate or takes over, and the VM asks again.

--- a/src/_pistachiopond/decisions/server_rates.py
+++ b/src/_pistachiopond/decisions/server_rates.py
@@ -178,6 +178,10 @@
         self._dealt_s: dict[int, float] = {}
         self._return_s: dict[Incarnation, float] = {}
 
+    def begin(self, server: Incarnation, rate_per_s: float, now_s: float) -> None:
+        """Schedule the first place of a server that has begun to name a rate."""
+        self._start_s(server, rate_per_s, now_s)
+
     def deal(
         self,
         rates: Mapping[Incarnation, float],
--- a/src/_pistachiopond/vm/server_places.py
+++ b/src/_pistachiopond/vm/server_places.py
@@ -195,16 +195,27 @@
 
     def take_rates(self, rates: list[ServerRate]) -> list[ServerRate]:
         """Record what a member says of servers' rates; return what is new."""
-        return [
+        self._follow_claim()
+        changed = [
             (name, started_ms, rate_per_s)
             for name, started_ms, rate_per_s in rates
             if self._fleet.record_rate((name, started_ms), rate_per_s, "member")
         ]
+        self._begin(rates)
+        return changed
 
     def rates(self) -> list[ServerRate]:
         """Return what is known of servers' rates."""
+        self._follow_claim()
         return encode_rates(self._fleet)
 
+    def _begin(self, rates: list[ServerRate]) -> None:
+        now_s = boot_s()
+        for name, started_ms, _ in rates:
+            rate_per_s = self._fleet.rates.rate_per_s((name, started_ms), now_s)
+            if rate_per_s is not None:
+                self._dealer.begin((name, started_ms), rate_per_s, now_s)
+
     def deal(self, request: PlaceRequest, *, may_deal_all: bool) -> PlaceReply:
         """Reply to a member's request.
 
@@ -250,6 +261,7 @@
                 self._dealer = PlaceDealer()
                 log_change("places of servers with a rate dealt anew", fence=fence)
             self._fence = fence
+            self._begin(encode_rates(self._fleet))
 
 
 def encode_rates(fleet: Fleet) -> list[ServerRate]:
--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -178,6 +178,26 @@
         self, limited: list[RankedServer], *, can_wait: bool
     ) -> BackendServer | None:
         """Wait for a place at one of these servers; None if that takes too long."""
+        while limited:
+            place = await self._ask_for_place(limited, can_wait=can_wait)
+            if place.server is None:
+                return None
+            self._place = place
+            if self.may_send(place.server):
+                return place.server
+            log_change(
+                "place at a server not used",
+                request=self._admitted.caller.attempt_id,
+                server=place.server.server_id,
+                expired_s=round(boot_s() - place.expires_s, 3),
+            )
+            limited = self._rank_limited(frozenset(self.tried))
+        return None
+
+    async def _ask_for_place(
+        self, limited: list[RankedServer], *, can_wait: bool
+    ) -> Place:
+        """Ask for a place and wait until it begins."""
         most_s = max(0.0, self._left_to_wait_s()) if can_wait else 0.0
         servers = [item.server for item in limited]
         place = await self._deps.places.take(servers, most_s, self._admitted.rank)
@@ -186,22 +206,13 @@
                 self.lack = "no place within the rates that servers name"
                 wait_s = place.starts_s - boot_s()
                 self._retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_SOON_S, wait_s))
-            return None
+            return place
         wait_s = place.starts_s - boot_s()
         if wait_s > 0.0:
             # Placement sees requests that wait for a place as ones for their model.
             with self._deps.model_usage.count_waiting(self.model_ref, self._version()):
                 await asyncio.sleep(wait_s)
-        self._place = place
-        if self.may_send(place.server):
-            return place.server
-        log_change(
-            "place at a server not used",
-            request=self._admitted.caller.attempt_id,
-            server=place.server.server_id,
-            expired_s=round(boot_s() - place.expires_s, 3),
-        )
-        return None
+        return place
 
     def has_refusing_server(self) -> bool:
         """Return whether servers that refuse this VM could run the request."""
