--- a/src/_pistachiopond/decisions/stream_versions.py
+++ b/src/_pistachiopond/decisions/stream_versions.py
@@ -47,6 +47,9 @@
 _SCORE_RANGE: Final = 2.0**64
 
 OriginBasis = Literal["remembered", "recorded", "only_version", "computed", "ambiguous"]
+# What a VM knows of the versions in service before any VM that runs: it has not read
+# the store's record of them, found none that it can rely on, or has it.
+Past = Literal["unread", "absent", "known"]
 
 
 class ServedModel(NamedTuple):
@@ -86,10 +89,14 @@
         ``only_version`` (the service has had no other one for `STREAM_MEMORY_S`),
         ``computed`` (all sets of versions in force meanwhile yield it), ``ambiguous``
         (they yield different versions, or none).
+    has_lost_records : bool
+        Whether VMs that have gone recorded streams of the model that the sets of
+        versions do not yield.
     """
 
     version: str | None
     basis: OriginBasis
+    has_lost_records: bool = False
 
 
 class Contact(NamedTuple):
@@ -106,12 +113,15 @@
     oldest_known_s : float
         For how long the VM that has known them longest has done so, as far as this one
         was told.
+    past : str
+        What this VM knows of the time before.
     """
 
     leader_age_s: float
     entries_age_s: float
     known_s: float
     oldest_known_s: float
+    past: Past = "absent"
 
     def reaches_others(self) -> bool:
         """Return whether a record sent now reaches the other VMs."""
@@ -129,7 +139,18 @@
         `member_known_s` ago at least.
         """
         is_old = self.known_s >= RESUMPTION_GAP_S
-        return is_old and self.entries_age_s <= member_known_s and not self.is_behind()
+        knows_all = is_old or (self.lacks_elders() and self.past == "known")
+        return (
+            knows_all and self.entries_age_s <= member_known_s and not self.is_behind()
+        )
+
+    def lacks_elders(self) -> bool:
+        """Return whether no VM has run for long enough to know all that matters.
+
+        That is so after all VMs were lost at once. Then only the store's record tells
+        which versions were in service before.
+        """
+        return max(self.known_s, self.oldest_known_s) < RESUMPTION_GAP_S
 
     def is_cut_off(self) -> bool:
         """Return whether servers of another version may serve unknown to this VM.
@@ -151,6 +172,11 @@
         return "version_unproved"
     if origin.basis == "only_version" and contact.is_cut_off():
         return "version_unproved"
+    if origin.basis in ("only_version", "computed") and contact.lacks_elders():
+        if contact.past == "unread":
+            return "version_unproved"
+        if contact.past == "absent" or origin.has_lost_records:
+            return "version_unknown"
     return "goes_on" if origin.version is not None else "version_unknown"
 
 
@@ -202,6 +228,25 @@
     models: Mapping[ServedModel, list[PastSet]]
 
 
+class StoredVersions(NamedTuple):
+    """What the store keeps for the case that all VMs are lost at once.
+
+    It has no times, since VMs share no clock: all of it counts for `STREAM_MEMORY_S`
+    from when it is read.
+
+    Attributes
+    ----------
+    models : mapping of ServedModel to list
+        The weights of each set of versions within `STREAM_MEMORY_S`, as in
+        `VersionHistory`.
+    differing : frozenset of ServedModel
+        Models with streams that began at another version than the sets yield.
+    """
+
+    models: Mapping[ServedModel, list[Mapping[str, int]]]
+    differing: frozenset[ServedModel]
+
+
 class _ToldSet(NamedTuple):
     """Versions with their weights that another VM knew to be in force."""
 
@@ -246,6 +291,9 @@
         self._sets: dict[ServedModel, list[_VersionSet]] = {}
         # From a VM that has known the servers for longer.
         self._told: dict[ServedModel, list[_ToldSet]] = {}
+        # From the store, of VMs that have gone.
+        self._stored: Mapping[ServedModel, list[Mapping[str, int]]] = {}
+        self._stored_s = float("-inf")
         self._several: frozenset[str] = frozenset()
         self._known_since_s = float("inf")
 
@@ -296,8 +344,12 @@
                     del served[version]
             if not served:
                 del self._services[service]
+        if now_s - self._stored_s > STREAM_MEMORY_S:
+            self._stored = {}
         return frozenset(
-            service for service, served in self._services.items() if len(served) > 1
+            service
+            for service, served in self._services.items()
+            if len(served.keys() | self._stored_versions(service)) > 1
         )
 
     def _update_models(
@@ -325,7 +377,8 @@
     def only_version(self, service: str) -> str | None:
         """Return the version of a service that has had no other one lately."""
         served = self._services.get(service, {})
-        return next(iter(served)) if len(served) == 1 else None
+        versions = served.keys() | self._stored_versions(service)
+        return next(iter(versions)) if len(versions) == 1 else None
 
     def is_known(self) -> bool:
         """Return whether the servers are known."""
@@ -353,6 +406,9 @@
             for told in self._told.get(key, ()):
                 if told.until_s > since_s:
                     versions.add(preferred_version(stream_id, told.weights))
+            if self._stored_s > since_s:
+                for weights in self._stored.get(key, ()):
+                    versions.add(preferred_version(stream_id, weights))
         return frozenset(version for version in versions if version is not None)
 
     def history(self, now_s: float) -> VersionHistory | None:
@@ -376,6 +432,10 @@
                 past.append(PastSet(item.weights, now_s - until_s))
                 until_s = item.since_s
             models[served_model] = past
+        stored_age_s = now_s - self._stored_s
+        for served_model, sets in self._stored.items():
+            past = models.setdefault(served_model, [])
+            past += [PastSet(weights, stored_age_s) for weights in sets]
         if sum(map(len, models.values())) > MAX_HISTORY_SETS:
             return None
         services = {
@@ -385,6 +445,10 @@
             }
             for service, served in self._services.items()
         }
+        for served_model in self._stored:
+            ages = services.setdefault(served_model.service, {})
+            for version in self._stored_versions(served_model.service):
+                ages.setdefault(version, (stored_age_s, stored_age_s))
         return VersionHistory(self.known_s(now_s), services, models)
 
     def take_history(self, history: VersionHistory, now_s: float) -> None:
@@ -412,6 +476,27 @@
             ]
         self._forget_told(now_s)
 
+    def take_stored(self, stored: StoredVersions, now_s: float) -> None:
+        """Know what VMs that have gone knew; it counts as if it ended now."""
+        self._stored, self._stored_s = stored.models, now_s
+
+    def has_stored(self) -> bool:
+        """Return whether anything is known from VMs that have gone."""
+        return bool(self._stored)
+
+    def drop_stored(self) -> None:
+        """Forget what VMs that have gone knew, since others tell this VM more."""
+        self._stored = {}
+
+    def _stored_versions(self, service: str) -> frozenset[str]:
+        return frozenset(
+            version
+            for served_model, sets in self._stored.items()
+            if served_model.service == service
+            for weights in sets
+            for version in weights
+        )
+
     def _forget_told(self, now_s: float) -> None:
         for served_model, told in list(self._told.items()):
             kept = [item for item in told if item.until_s > now_s - STREAM_MEMORY_S]
@@ -442,6 +527,9 @@
         self.sets = VersionSets()
         self._started: OrderedDict[str, _Started] = OrderedDict()
         self._records: OrderedDict[str, _Recorded] = OrderedDict()
+        self._differing_s: dict[ServedModel, float] = {}
+        # Models whose records of VMs that have gone are lost.
+        self.with_lost_records: frozenset[ServedModel] = frozenset()
 
     def must_record(
         self, stream_id: str, served_model: ServedModel, version: str, now_s: float
@@ -498,6 +586,50 @@
             self._started.popitem(last=False)
         return StreamRecord(stream_id, version, 0.0) if is_recorded else None
 
+    def differs(
+        self, stream_id: str, served_model: ServedModel, version: str, now_s: float
+    ) -> bool:
+        """Return whether no set of versions yields the version of a stream."""
+        if self.sets.only_version(served_model.service) is not None:
+            return False
+        since_s = now_s - STREAM_MEMORY_S
+        return version not in self.sets.possible(stream_id, served_model, since_s)
+
+    def mark_differing(self, served_model: ServedModel, now_s: float) -> bool:
+        """Record that a stream of the model differs; return whether that is new."""
+        known_s = self._differing_s.get(served_model, float("-inf"))
+        self._differing_s[served_model] = now_s
+        return now_s - known_s >= STREAM_MEMORY_S
+
+    def differing(self) -> list[ServedModel]:
+        """Return the models with streams that the sets do not yield."""
+        return list(self._differing_s)
+
+    def stored(self, now_s: float) -> StoredVersions | None:
+        """Return what the store should keep; None if it is too much."""
+        history = self.sets.history(now_s)
+        if history is None:
+            return None
+        for served_model, marked_s in list(self._differing_s.items()):
+            if now_s - marked_s >= STREAM_MEMORY_S:
+                del self._differing_s[served_model]
+        models: dict[ServedModel, list[Mapping[str, int]]] = {}
+        for served_model, past in history.models.items():
+            distinct = models.setdefault(served_model, [])
+            distinct += [
+                item.weights
+                for index, item in enumerate(past)
+                if item.weights not in [other.weights for other in past[:index]]
+            ]
+        return StoredVersions(models, frozenset(self._differing_s))
+
+    def take_stored(self, stored: StoredVersions, now_s: float) -> None:
+        """Know what VMs that have gone knew."""
+        self.sets.take_stored(stored, now_s)
+        self.with_lost_records |= stored.differing
+        for served_model in stored.differing:
+            self._differing_s.setdefault(served_model, now_s)
+
     def record_no_event(self, stream_id: str) -> None:
         """Record that the version tried last has sent no event of a new stream.
 
@@ -590,7 +722,8 @@
             return Origin(only, "only_version")
         possible = self.sets.possible(stream_id, served_model, now_s - STREAM_MEMORY_S)
         if len(possible) == 1:
-            return Origin(next(iter(possible)), "computed")
+            has_lost_records = served_model in self.with_lost_records
+            return Origin(next(iter(possible)), "computed", has_lost_records)
         return Origin(None, "ambiguous")
 
     def forget_old(self, now_s: float) -> None:
--- a/src/_pistachiopond/vm/leader_election.py
+++ b/src/_pistachiopond/vm/leader_election.py
@@ -68,6 +68,10 @@
         self._reach = reach
         self._members_unreachable = members_unreachable
         self._claims_read_s = float("-inf")
+        # Called with the records and the newest claim of each snapshot.
+        self.on_snapshot: Callable[[tuple[KeyedRecord, ...], Claim | None], None] = (
+            _ignore_snapshot
+        )
         self.is_stopping = False
 
     async def run(self) -> None:
@@ -116,10 +120,13 @@
         if result.is_err():
             failure = result.err()
             if failure.kind == "absent":
+                self.on_snapshot((), None)
                 self._record_claim(None, StorePosition(failure.era, 0), sent_s)
             return
         snapshot = result.ok()
-        self._record_claim(_newest_claim(snapshot.records), snapshot.end, sent_s)
+        claim = _newest_claim(snapshot.records)
+        self.on_snapshot(snapshot.records, claim)
+        self._record_claim(claim, snapshot.end, sent_s)
 
     async def _renew_authority(self) -> None:
         position = self._leadership.end
@@ -207,6 +214,10 @@
         return -1 if self._leadership.claim is None else self._leadership.claim.fence
 
 
+def _ignore_snapshot(records: tuple[KeyedRecord, ...], claim: Claim | None) -> None:
+    """Ignore the records; this VM keeps no others than claims."""
+
+
 def _newest_claim(records: tuple[KeyedRecord, ...]) -> Claim | None:
     claims = [claim for claim in map(_decode, records) if claim is not None]
     return claims[-1] if claims else None
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -23,7 +23,7 @@
 from _pistachiopond.decisions.relay_choice import RelayMember, RelayRing
 from _pistachiopond.decisions.server_crashes import MemberView
 from _pistachiopond.decisions.shared_limits import UsageAllocator, UsageReport
-from _pistachiopond.decisions.stream_versions import LEADER_CHANGE_S
+from _pistachiopond.decisions.stream_versions import LEADER_CHANGE_S, ServedModel
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import CustomerSpec, Incarnation
@@ -399,8 +399,8 @@
             return {"tried": {"number": trial["number"], "may_run": may_run}}
         if "pace" in message:
             return {"paced": self._pace_prompt(message["pace"])}
-        if "rates" in message or "place" in message:
-            return self._handle_rate_message(message)
+        if "rates" in message or "place" in message or "differing" in message:
+            return self._handle_notice(message)
         if "tokens" in message:
             return {"given": self._allocate_tokens(message["tokens"])}
         if "lack" in message:
@@ -454,8 +454,12 @@
             "wait_s": round(decision.wait_s, 3),
         }
 
-    def _handle_rate_message(self, message: MemberMessage) -> LeaderMessage:
-        places = self._deps.places
+    def _handle_notice(self, message: MemberMessage) -> LeaderMessage:
+        places, origins = self._deps.places, self._deps.origins
+        if "differing" in message:
+            if origins is not None:
+                origins.take_differing(ServedModel(*i) for i in message["differing"])
+            return {}
         if places is None:
             return {}
         if "place" in message:
@@ -545,6 +549,8 @@
             reply["to_check"] = self._deps.crash_watch.to_check()
         if self._deps.places is not None:
             reply["deals_places"] = leads
+        if self._deps.origins is not None:
+            reply["stores_versions"] = leads
         return reply
 
     def _allocate(
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -67,6 +67,7 @@
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
 from _pistachiopond.vm.topic_follower import FollowedTopic, TopicFollower
+from _pistachiopond.vm.version_store import VersionStore
 
 METRICS_PORT: Final = 9464
 LOG_FLUSH_PERIOD_S: Final = 0.1
@@ -99,6 +100,7 @@
     retries: SharedRetryBudget
     leader_client: LeaderClient
     election: LeaderElection
+    version_store: VersionStore
     leader_server: LeaderServer
     placer: Placer
     suspects: Suspects
@@ -224,6 +226,8 @@
         reach,
         leader_server.members_unreachable,
     )
+    version_store = VersionStore(store, leadership, leader_client.origins)
+    election.on_snapshot = version_store.take_snapshot
     for topic, cache in topic_caches.items():
         cache.on_change = partial(leader_server.push_records, topic)
     shutdown = Shutdown(settings.bounds.stop_grace_s, timer.now_s)
@@ -283,6 +287,7 @@
         retries=retries,
         leader_client=leader_client,
         election=election,
+        version_store=version_store,
         leader_server=leader_server,
         placer=placer,
         suspects=suspects,
@@ -374,6 +379,7 @@
             *[f.run for f in vm.followers],
             vm.leader_client.run,
             vm.election.run,
+            vm.version_store.run,
         ):
             group.start_soon(work)
         group.start_soon(vm.placer.run)
--- a/src/_pistachiopond/vm/stream_origins.py
+++ b/src/_pistachiopond/vm/stream_origins.py
@@ -11,8 +11,10 @@
     STREAM_MEMORY_S,
     Contact,
     Origin,
+    Past,
     PastSet,
     ServedModel,
+    StoredVersions,
     StreamRecord,
     StreamVersions,
     VersionHistory,
@@ -133,6 +135,12 @@
         self._history_sent_s = float("-inf")
         self._seen_changes = -1
         self._refreshed_s = float("-inf")
+        self._past: Past = "unread"
+        self._seen_versions: Mapping[str, frozenset[str]] = {}
+        # Changes of what the store should keep.
+        self.stored_changes = 0
+        # Tells the leader of models with streams that the sets do not yield.
+        self.send_differing: Callable[[list[ServedModel]], None] = _ignore_differing
 
     def refresh(self) -> None:
         """Apply changes of the servers; cheap if there are none."""
@@ -147,6 +155,10 @@
             fleet.software_versions(), self._weights, now_s
         )
         self._versions.forget_old(now_s)
+        versions = fleet.software_versions()
+        if changed or versions != self._seen_versions:
+            self._seen_versions = versions
+            self.stored_changes += 1
         if changed:
             self._batch.add(self._versions.streams_to_record(changed, now_s))
 
@@ -192,9 +204,14 @@
         asyncio.Event or None
             Set when the leader has relayed the record; None if others need none.
         """
-        record = self._versions.record_start(stream_id, served_model, version, boot_s())
+        now_s = boot_s()
+        record = self._versions.record_start(stream_id, served_model, version, now_s)
         if record is None:
             return None
+        if self._versions.differs(stream_id, served_model, version, now_s):
+            if self._versions.mark_differing(served_model, now_s):
+                self.stored_changes += 1
+                self.send_differing([served_model])
         self._batch.add([record])
         relayed = self._awaited.get((stream_id, version))
         if relayed is None:
@@ -230,6 +247,7 @@
             self._fleet.entries_age_s(),
             self._versions.sets.known_s(boot_s()),
             self.oldest_known_s(),
+            self._past,
         )
 
     def oldest_known_s(self) -> float:
@@ -240,17 +258,63 @@
     def set_oldest_known_s(self, known_s: float) -> None:
         """Apply for how long any VM has known the servers, as the leader says."""
         self._oldest_since_s = min(self._oldest_since_s, boot_s() - known_s)
+        if known_s >= RESUMPTION_GAP_S and self._versions.sets.has_stored():
+            self._versions.sets.drop_stored()
+            self._seen_changes = -1
+            self.stored_changes += 1
+
+    def take_stored(self, stored: StoredVersions | None) -> None:
+        """Take what the store kept when this VM started; None if that is no proof.
+
+        It counts until the leader's reply tells that a VM of before still runs.
+        """
+        if self._past != "unread":
+            return
+        self._past = "absent" if stored is None else "known"
+        if stored is None or not self.contact().lacks_elders():
+            return
+        self._versions.take_stored(stored, boot_s())
+        self._seen_changes = -1
+        self.stored_changes += 1
+        log_change(
+            "versions of before all VMs' start known from the store",
+            models=len(stored.models),
+            differing=len(stored.differing),
+        )
+
+    def stored(self) -> StoredVersions | None:
+        """Return what the store should keep.
+
+        None if it is too much, or if this VM may lack some.
+        """
+        self.refresh()
+        contact = self.contact()
+        if contact.known_s < RESUMPTION_GAP_S and contact.past != "known":
+            return None
+        return self._versions.stored(boot_s())
+
+    def take_differing(self, served_models: Iterable[ServedModel]) -> None:
+        """Know of another VM's models with streams that the sets do not yield."""
+        now_s = boot_s()
+        for served_model in served_models:
+            if self._versions.mark_differing(served_model, now_s):
+                self.stored_changes += 1
 
     def lacks_history(self) -> bool:
         """Return whether another VM may know versions from before this VM's start."""
         sets = self._versions.sets
-        return sets.is_known() and sets.known_s(boot_s()) < RESUMPTION_GAP_S
+        if not sets.is_known() or sets.known_s(boot_s()) >= RESUMPTION_GAP_S:
+            return False
+        return self._past != "known" or not self.contact().lacks_elders()
 
     # Messages from and to other VMs.
 
     def leader_changed(self) -> None:
         """Send all records of this VM's streams to the new leader."""
         self._batch.add(self._versions.own_records(boot_s()))
+        differing = self._versions.differing()
+        if differing:
+            self.send_differing(differing)
 
     def apply(self, plain: Iterable[StreamOrigin]) -> list[StreamRecord]:
         """Keep other VMs' records; return those that a leader relays."""
@@ -284,12 +348,23 @@
             return None
         self._history_sent_s = now_s
         history = self._versions.sets.history(now_s)
-        return None if history is None else encode_history(history)
+        if history is None:
+            return None
+        message = encode_history(history)
+        if self._versions.with_lost_records:
+            message["lost_records"] = list(self._versions.with_lost_records)
+        return message
 
     def take_history(self, plain: VersionHistoryMessage) -> None:
         """Know what the leader knew when it replied to a report of this VM."""
         self._versions.sets.take_history(decode_history(plain), boot_s())
+        self._versions.with_lost_records |= {
+            ServedModel(service, model)
+            for service, model in plain.get("lost_records", ())
+        }
+        self._past = "known"
         self._seen_changes = -1
+        self.stored_changes += 1
         log_change(
             "versions of before this VM's start known",
             known_s=plain["known_s"],
@@ -301,6 +376,10 @@
         return self._versions.count()
 
 
+def _ignore_differing(served_models: list[ServedModel]) -> None:
+    """Ignore models with differing streams; no leader is to be told."""
+
+
 def encode_record(record: StreamRecord, waited_s: float) -> StreamOrigin:
     """Return a record in the form in which VMs send it."""
     return (record.stream_id, record.version, round(record.age_s + waited_s, 1))
--- a/src/_pistachiopond/vm/version_binding.py
+++ b/src/_pistachiopond/vm/version_binding.py
@@ -100,11 +100,12 @@
     def _check(self, origin: Origin) -> Refusal | None:
         assert self._resumed is not None
         facts = self._facts(origin)
-        step = judge_resumption(origin, self._origins.contact())
+        contact = self._origins.contact()
+        step = judge_resumption(origin, contact)
         is_named = self._resumed.first_attempt_id is not None
-        if step == "version_unproved" and is_named:
+        if step == "version_unproved" and (is_named or contact.lacks_elders()):
             return Refusal(503, step, OTHER_VM_RETRY_AFTER_S, facts)
-        if origin.version is None:
+        if origin.version is None or step == "version_unknown":
             # A retry can't find out more, so the status promises nothing.
             return Refusal(502, "version_unknown", None, facts)
         if self.has_gone(origin.version):
@@ -123,6 +124,7 @@
             "software_version": origin.version,
             "basis": origin.basis,
             "is_behind": self._origins.contact().is_behind(),
+            "past": self._origins.contact().past,
         }
 
     def has_gone(self, version: str | None) -> bool:
--- /dev/null
+++ b/src/_pistachiopond/vm/version_store.py
@@ -0,0 +1,181 @@
+"""Keeps the software versions in service in the platform's store.
+
+All VMs may be lost at once, and with them what each knows of the versions at which
+streams began. So the leader writes which sets of versions were in service lately, each
+time that changes, to the topic of its claims, which each VM reads when it starts. The
+record names the claim under which it was written: after a claim by a leader that has
+written none, such as one of an older build, an earlier record proves nothing.
+"""
+
+import json
+from typing import Any, Final, final
+
+import anyio
+
+from _pistachiopond.decisions.leadership import Claim, Leadership
+from _pistachiopond.decisions.stream_versions import ServedModel, StoredVersions
+from _pistachiopond.observe.logs import log_change, log_warning
+from _pistachiopond.platform.store import OWN_TOPIC, KeyedRecord, StoreClient
+from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.stream_origins import StreamOrigins
+
+VERSIONS_KEY: Final = "versions"
+STORE_TIMEOUT_S: Final = 1.0
+# How often the leader looks for changes, and other VMs whether they lead.
+CHECK_PERIOD_S: Final = 0.1
+LEAD_CHECK_PERIOD_S: Final = 0.25
+# How long the leader waits after a failed write.
+RETRY_PAUSE_S: Final = 0.3
+# Sets that have ended are taken out of the record this often.
+RENEW_PERIOD_S: Final = 5.0
+# The store takes records of 256 KiB. A longer one is not written, and the one of before
+# then proves nothing.
+MAX_RECORD_BYTES: Final = 200_000
+
+
+@final
+class VersionStore:
+    """Reads the record when this VM starts, and writes it while this VM leads."""
+
+    def __init__(
+        self, store: StoreClient, leadership: Leadership, origins: StreamOrigins
+    ) -> None:
+        """Start without having read the record.
+
+        Parameters
+        ----------
+        store : StoreClient
+            Client of the store.
+        leadership : Leadership
+            Whether this VM leads.
+        origins : StreamOrigins
+            What this VM knows of the versions.
+        """
+        self._store = store
+        self._leadership = leadership
+        self._origins = origins
+        self._written: tuple[int, StoredVersions] | None = None
+        self._seen_changes = -1
+        self._checked_s = float("-inf")
+
+    def take_snapshot(
+        self, records: tuple[KeyedRecord, ...], claim: Claim | None
+    ) -> None:
+        """Take the record of a read of the topic, of which the first one counts.
+
+        Parameters
+        ----------
+        records : tuple of KeyedRecord
+            The topic's newest records.
+        claim : Claim or None
+            The newest claim among them; None if no VM has ever led.
+        """
+        if claim is None:
+            # No VM has run before, so no stream has begun.
+            self._origins.take_stored(StoredVersions({}, frozenset()))
+            return
+        found = [record for record in records if record.key == VERSIONS_KEY]
+        stored = _decode(found[-1], claim.fence) if found else None
+        self._origins.take_stored(stored)
+
+    async def run(self) -> None:
+        """Write the record when it changes, until cancelled."""
+        while True:
+            pause_s = LEAD_CHECK_PERIOD_S
+            if self._leadership.is_leading(boot_s()) and not self._leadership.is_void():
+                pause_s = CHECK_PERIOD_S
+                if self._is_due() and not await self._write():
+                    pause_s = RETRY_PAUSE_S
+            await anyio.sleep(pause_s)
+
+    def _is_due(self) -> bool:
+        leadership, now_s = self._leadership, boot_s()
+        self._origins.refresh()
+        assert leadership.claim is not None
+        is_written = self._written is not None
+        if is_written and self._written[0] == leadership.claim.fence:
+            is_changed = self._origins.stored_changes != self._seen_changes
+            return is_changed or now_s - self._checked_s >= RENEW_PERIOD_S
+        return True
+
+    async def _write(self) -> bool:
+        """Write the record unless it is the same; return False if that failed."""
+        leadership = self._leadership
+        claim, end, changes = (
+            leadership.claim,
+            leadership.end,
+            self._origins.stored_changes,
+        )
+        assert claim is not None and end is not None
+        stored = self._origins.stored()
+        if stored is None:
+            return True
+        self._checked_s = boot_s()
+        if self._written == (claim.fence, stored):
+            self._seen_changes = changes
+            return True
+        value = _encode(stored, claim.fence)
+        if len(value) > MAX_RECORD_BYTES:
+            log_warning("record of versions too long", bytes=len(value))
+            value = b""
+        result = await self._store.append(
+            OWN_TOPIC, VERSIONS_KEY, value, end, STORE_TIMEOUT_S
+        )
+        if result.is_err():
+            failure = result.err()
+            log_warning(
+                "record of versions not written",
+                kind=failure.kind,
+                detail=failure.detail,
+            )
+            return False
+        self._written, self._seen_changes = (claim.fence, stored), changes
+        log_change(
+            "versions recorded in the store",
+            fence=claim.fence,
+            models=len(stored.models),
+            sets=sum(map(len, stored.models.values())),
+            differing=len(stored.differing),
+            bytes=len(value),
+        )
+        return True
+
+
+def _encode(stored: StoredVersions, fence: int) -> bytes:
+    plain = {
+        "fence": fence,
+        "models": [
+            (*served_model, [dict(weights) for weights in sets])
+            for served_model, sets in stored.models.items()
+        ],
+        "differing": sorted(stored.differing),
+    }
+    return json.dumps(plain, separators=(",", ":")).encode()
+
+
+def _decode(record: KeyedRecord, fence: int) -> StoredVersions | None:
+    """Return the content of a record, or None if it proves nothing."""
+    if not record.value:
+        return None
+    try:
+        plain: dict[str, Any] = json.loads(record.value)
+        if plain["fence"] != fence:
+            log_change(
+                "record of versions is of another claim",
+                fence=fence,
+                record_fence=plain["fence"],
+            )
+            return None
+        return StoredVersions(
+            {
+                ServedModel(service, model): [
+                    {str(name): int(weight) for name, weight in weights.items()}
+                    for weights in sets
+                ]
+                for service, model, sets in plain["models"]
+            },
+            frozenset(ServedModel(*item) for item in plain["differing"]),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        log_warning("record of versions cannot be read", reason=str(error))
+        return None
--- a/testing/decisions/stream_version_world.py
+++ b/testing/decisions/stream_version_world.py
@@ -9,7 +9,9 @@
     RESUMPTION_GAP_S,
     Contact,
     Origin,
+    Past,
     ServedModel,
+    StoredVersions,
     StreamRecord,
     StreamVersions,
     judge_resumption,
@@ -36,6 +38,7 @@
     is_begun_unaware: bool
     was_cut_off: bool
     is_running: bool
+    is_unstored: bool = False
 
 
 class SimulatedVm:
@@ -49,6 +52,7 @@
         self.oldest_since_s = float("inf")
         self.leader_seen_s = float("-inf")
         self.is_cut = False
+        self.past: Past = "absent"
         self.unsent: list[StreamRecord] = []
 
     def learn(self, servers: dict[str, str], now_s: float) -> None:
@@ -73,9 +77,17 @@
     """
 
     def __init__(
-        self, *, ignores_versions: bool = False, has_history: bool = True
+        self,
+        *,
+        ignores_versions: bool = False,
+        has_history: bool = True,
+        has_store: bool = True,
     ) -> None:
         self.now_s = 1_000.0
+        self._has_store = has_store
+        # What the leader has written, or None if that proves nothing.
+        self._stored: StoredVersions | None = StoredVersions({}, frozenset())
+        self._stored_s = self.now_s
         self._has_history = has_history
         self._ignores_versions = ignores_versions
         self.servers: dict[str, str] = {}
@@ -123,6 +135,7 @@
         members = [vm for vm in self.vms.values() if not vm.is_cut]
         if self._has_history:
             self._pass_on_history(self.vms[self._leader], members)
+        self._store_versions(self.vms[self._leader], members)
         oldest_since_s = min(vm.oldest_since_s for vm in members)
         for vm in members:
             vm.oldest_since_s = oldest_since_s
@@ -143,14 +156,39 @@
         for vm in members:
             known_s = vm.versions.sets.known_s(self.now_s)
             may_pass_on = self.contact(leader).may_pass_on_history(known_s)
-            if may_pass_on and known_s < RESUMPTION_GAP_S:
+            if may_pass_on and known_s < RESUMPTION_GAP_S and vm is not leader:
                 vm.versions.sets.take_history(decode_history(plain), self.now_s)
+                vm.versions.with_lost_records |= leader.versions.with_lost_records
+                vm.past = "known"
+
+    def _store_versions(self, leader: SimulatedVm, members: list[SimulatedVm]) -> None:
+        for vm in members:
+            for served_model in vm.versions.differing():
+                leader.versions.mark_differing(served_model, self.now_s)
+        is_old = leader.versions.sets.known_s(self.now_s) >= RESUMPTION_GAP_S
+        if is_old or leader.past == "known":
+            self._stored = leader.versions.stored(self.now_s)
+            self._stored_s = self.now_s
+
+    def kill_all(self) -> None:
+        """Kill all VMs at once; all streams break."""
+        self.vms.clear()
+        self._break(lambda stream: True)
+        for name, stream in self.streams.items():
+            is_covered = stream.began_s < self._stored_s and not stream.was_cut_off
+            self.streams[name] = stream._replace(is_unstored=not is_covered)
+        self._leader = ""
 
     def start_vm(self) -> None:
         """Start a VM, which knows the servers and the leader's records."""
         self._count += 1
         name = f"vm-{self._count}"
         vm = SimulatedVm()
+        if not self._has_store:
+            vm.past = "known"
+        elif self._stored is not None and not self.vms:
+            vm.versions.take_stored(self._stored, self.now_s)
+            vm.past = "known"
         donors = [other for other in self.vms.values() if not other.is_cut]
         self.vms[name] = vm
         self.learn(name)
@@ -204,8 +242,10 @@
                 )
 
     def break_stream(self, name: str) -> None:
-        """Break one caller's connection."""
+        """Break one caller's connection; one that is broken does not break again."""
         stream = self.streams[name]
+        if not stream.is_running:
+            return
         self.streams[name] = stream._replace(is_running=False, seen_s=self.now_s)
 
     def contact(self, vm: SimulatedVm) -> Contact:
@@ -215,6 +255,7 @@
             self.now_s - vm.learned_s,
             vm.versions.sets.known_s(self.now_s),
             self.now_s - vm.oldest_since_s,
+            vm.past,
         )
 
     def begin_passed_on(self, first: str, name: str) -> None:
@@ -237,6 +278,8 @@
         record = vm.versions.record_start(stream_id, MODEL, version, self.now_s)
         if record is not None:
             vm.unsent.append(record)
+        if vm.versions.differs(stream_id, MODEL, version, self.now_s):
+            vm.versions.mark_differing(MODEL, self.now_s)
 
     def begin(self, name: str, *, is_overloaded: bool) -> None:
         """Begin a stream; an overloaded preferred version is passed over."""
@@ -277,12 +320,15 @@
         its way; one whose record was made since the VM lost the leader, until the VM
         knows that it has lost it; one begun by a VM that is cut off and has never
         known of a second version; and one whose VM was cut off, at a VM that has
-        started since the stream began.
+        started since the stream began; and, after all VMs were killed, one that began
+        since the leader last wrote which versions are in service.
         """
         vm, stream = self.vms[name], self.streams[stream_id]
         unsent = {r.stream_id for vm in self.vms.values() for r in vm.unsent}
         if stream.is_running or stream_id in unsent or stream.is_begun_unaware:
             return False
+        if stream.is_unstored:
+            return False
         if stream.was_cut_off and vm.first_learned_s > stream.began_s:
             return False
         has_contact = self.contact(vm).leader_age_s < LEADER_CHANGE_S
--- a/testing/decisions/test_stream_versions.py
+++ b/testing/decisions/test_stream_versions.py
@@ -28,11 +28,12 @@
     judge_resumption,
     preferred_version,
 )
-from testing.decisions.stream_version_world import MODEL, World
+from testing.decisions.stream_version_world import LEADERLESS_S, MODEL, World
 
 VERSIONS: Final = ("v1", "v2", "v3")
 IN_TOUCH: Final = Contact(0.1, 0.1, 100.0, 100.0)
 SEEDS: Final = 10
+SEEDS_KILLED: Final = 5
 SEEDS_PASSED_ON: Final = 3
 STEPS: Final = 600
 # Of the resumptions, while VMs are replaced, that go on only with the history.
@@ -326,6 +327,31 @@
     ignores_versions = True
 
 
+class KilledStreamMachine(StreamMachine):
+    """The same with steps that kill all VMs at once."""
+
+    @rule(count=st.integers(1, 3), down_s=st.sampled_from((0.2, 2.0, 6.0)))
+    def kill_all(self, count: int, down_s: float) -> None:
+        self.world.kill_all()
+        self.world.advance(down_s)
+        for _ in range(count):
+            self.world.start_vm()
+
+
+def kill_all(rng: random.Random, world: World) -> None:
+    """Kill all VMs, let servers change, and start VMs again."""
+    world.advance(1.0)
+    world.kill_all()
+    if rng.random() < 0.5 and len(world.servers) > 4:
+        world.remove_server(rng.choice(sorted(world.servers)))
+    if rng.random() < 0.5 and len(world.servers) < 9:
+        world.add_server(rng.choice(VERSIONS))
+    world.advance(1.0)
+    for _ in range(4):
+        world.start_vm()
+    world.advance(LEADERLESS_S + 1.0)
+
+
 def change_something(rng: random.Random, world: World, replaced_vms: int) -> None:
     """Kill, start or cut a VM, add or remove a server, or break a stream."""
     name = rng.choice(sorted(world.vms))
@@ -348,7 +374,12 @@
 
 
 def drive(
-    seed: int, world: World, *, passes_on: bool = False, replaced_vms: int = 4
+    seed: int,
+    world: World,
+    *,
+    passes_on: bool = False,
+    replaced_vms: int = 4,
+    kills_all: bool = False,
 ) -> None:
     """Play a day of streams, failures and roll-outs, drawn by the seed.
 
@@ -366,6 +397,8 @@
         if passes_on:
             world.begin_passed_on(*rng.choices(sorted(world.vms), k=2))
         change_something(rng, world, replaced_vms)
+        if kills_all and rng.random() < 0.03:
+            kill_all(rng, world)
         for stream_id in sorted(world.streams):
             name = rng.choice(sorted(world.vms))
             if world.may_resume(stream_id, name):
@@ -375,16 +408,35 @@
 
 class ModelCheckTests(unittest.TestCase):
     def test_no_stream_holds_events_of_two_versions(self) -> None:
-        run_state_machine_as_test(
-            StreamMachine,
-            settings=settings(
-                max_examples=60,
-                stateful_step_count=30,
-                deadline=None,
-                derandomize=True,
-                suppress_health_check=list(HealthCheck),
-            ),
-        )
+        for machine in (StreamMachine, KilledStreamMachine):
+            with self.subTest(machine=machine.__name__):
+                run_state_machine_as_test(
+                    machine,
+                    settings=settings(
+                        max_examples=60,
+                        stateful_step_count=30,
+                        deadline=None,
+                        derandomize=True,
+                        suppress_health_check=list(HealthCheck),
+                    ),
+                )
+
+    def test_no_stream_holds_events_of_two_versions_after_all_vms_were_killed(
+        self,
+    ) -> None:
+        for seed in range(SEEDS_KILLED):
+            world = World()
+            drive(seed, world, kills_all=True)
+            self.assertEqual(world.mixed, [], seed)
+            self.assertGreater(world.resumptions, 0, seed)
+
+    def test_streams_are_joined_after_all_vms_were_killed_without_the_store(
+        self,
+    ) -> None:
+        worlds = [World(has_store=False) for _ in range(SEEDS_KILLED)]
+        for seed, world in enumerate(worlds):
+            drive(seed, world, kills_all=True)
+        self.assertTrue(any(world.mixed for world in worlds))
 
     def test_the_machine_finds_a_breach_when_versions_are_ignored(self) -> None:
         with self.assertRaises(AssertionError):
--- a/testing/live/old_build_records.py
+++ b/testing/live/old_build_records.py
@@ -222,7 +222,8 @@
     since older builds do not write it.
     """
     async with _look_up("testing.vm.deployment.running_world")() as world:
-        plain = json.loads(world.store.topics["keyed.pond"][-1][1])
+        records = world.store.topics["keyed.pond"]
+        plain = json.loads([v for key, v in records if key == "leader"][-1])
     known = {"incarnation": "00000000", "address": "127.0.0.1:1"}
     plain.pop("era", None)
     return json.dumps({name: known.get(name, item) for name, item in plain.items()})
--- a/testing/vm/cluster.py
+++ b/testing/vm/cluster.py
@@ -7,6 +7,7 @@
 from _pistachiopond.http1.client import connect
 from _pistachiopond.http1.messages import HttpAddress, encode_request
 from _pistachiopond.observe.metrics import Metrics
+from _pistachiopond.vm.leader_election import LEADER_KEY
 from _pistachiopond.vm.program import Vm, make_vm
 from testing.vm.deployment import (
     MAX_BODY_BYTES,
@@ -82,9 +83,14 @@
 
     def leader(self) -> str:
         """Return the VM with the newest claim."""
-        _, value = self.store.topics["keyed.pond"][-1]
+        records = self.store.topics["keyed.pond"]
+        value = [value for key, value in records if key == LEADER_KEY][-1]
         return json.loads(value)["leader"]
 
+    def claim_count(self) -> int:
+        """Return how many claims of the lead the store has."""
+        return [key for key, _ in self.store.topics["keyed.pond"]].count(LEADER_KEY)
+
     async def kill(self, name: str) -> None:
         """End a VM at once, without a graceful shutdown."""
         for task in self.tasks.pop(name):
--- a/testing/vm/killed_fleet.py
+++ b/testing/vm/killed_fleet.py
@@ -32,8 +32,8 @@
 STREAMS: Final = 60
 READ_EVENTS: Final = 2
 DOWN_S: Final = 1.0
-# VMs that have run for longer know all that they need themselves.
-SETTLED_S: Final = 15.0
+# Longer than sets of versions are remembered.
+SETTLED_S: Final = 66.0
 SLOTS: Final = 100
 DEADLINE_MS: Final = "9000"
 PATH: Final = "/resume/x"
@@ -347,12 +347,15 @@
         Whether all streams must go on, as both versions serve.
     versions : tuple of str
         The versions of the servers at first.
+    settled_s : float
+        For how long the servers have served.
     """
 
     scenario: Scenario
     vms: int = 3
     all_go_on: bool = False
     versions: tuple[str, ...] = ("v1", "v1", "v2")
+    settled_s: float = SETTLED_S
 
 
 CASES: Final = (
@@ -365,6 +368,8 @@
     Case(replaced_while_streams_run, versions=("v1", "v1")),
     Case(new_version_comes_meanwhile),
     Case(killed_twice),
+    Case(both_serve, settled_s=1.0),
+    Case(replaced_while_streams_run, versions=("v1", "v1"), settled_s=3.0),
     Case(killed_twice_with_both, all_go_on=True),
 )
 
@@ -375,7 +380,7 @@
     await fleet.start(case.vms)
     for version in case.versions:
         await fleet.add_server(version)
-    await asyncio.sleep(SETTLED_S)
+    await asyncio.sleep(case.settled_s)
     try:
         await case.scenario(fleet)
         return await fleet.resume()
--- a/testing/vm/test_leader_election.py
+++ b/testing/vm/test_leader_election.py
@@ -83,10 +83,8 @@
         await wait_until(vm.leader_client.has_resigned, 3.0)
         self.assertTrue(self.cluster.all_have_replies(list(self.cluster.vms)))
         self.cluster.store.refuses = lambda path: False
-        claims = len(self.cluster.store.topics["keyed.pond"])
-        await wait_until(
-            lambda: len(self.cluster.store.topics["keyed.pond"]) > claims, 4.0
-        )
+        claims = self.cluster.claim_count()
+        await wait_until(lambda: self.cluster.claim_count() > claims, 4.0)
 
 
 class MemberCountTests(VirtualTimeTestCase):
--- a/testing/vm/test_store_restore.py
+++ b/testing/vm/test_store_restore.py
@@ -9,6 +9,7 @@
 from _pistachiopond.platform.store import KeyedRecord, Snapshot
 from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm import configuration_state
+from _pistachiopond.vm.leader_election import LEADER_KEY
 from _pistachiopond.vm.program import Vm
 from _pistachiopond.vm.topic_cache import REWRITE_S, TopicCache, TopicCallbacks
 from testing.virtual_time import VirtualTimeTestCase
@@ -111,7 +112,11 @@
         store.restore(copy)
         store.hangs = lambda path: False
         await self.assert_leader_returns()
-        claims = [json.loads(value) for _, value in store.topics["keyed.pond"]]
+        claims = [
+            json.loads(value)
+            for key, value in store.topics["keyed.pond"]
+            if key == LEADER_KEY
+        ]
         self.assertEqual(claims[-1]["era"], 1)
 
     async def test_a_configuration_written_at_a_repeated_offset_comes_into_force(
--- a/testing/vm/test_stream_versions.py
+++ b/testing/vm/test_stream_versions.py
@@ -12,6 +12,7 @@
 from _pistachiopond.decisions.stream_versions import (
     RECORD_REACH_S,
     RESUMPTION_GAP_S,
+    STREAM_MEMORY_S,
     ServedModel,
     StreamRecord,
     preferred_version,
@@ -198,6 +199,8 @@
             for name, version in (("s1", "old"), ("s2", "new")):
                 server = await deployment.add_server(name, "plain", version=version)
                 server.steps = [versioned_stream(version)] * 20
+            # The first server was alone for a moment.
+            await asyncio.sleep(STREAM_MEMORY_S + 1.0)
             for number in range(10):
                 answer = await call(
                     deployment.address,
