--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -5,6 +5,8 @@
 
 from result import Err, Ok, Result
 
+from _pistachiopond.schema.place_messages import PlaceReply, PlaceRequest, ServerRate
+
 
 class ModelUse(TypedDict):
     """The number of requests of one VM for a model or adapter.
@@ -67,11 +69,6 @@
 LostParts = tuple[str, int, str, float, list[str]]
 
 
-# A server and its start time, and the requests per second that it names for all VMs;
-# None if it no longer names any.
-ServerRate = tuple[str, int, float | None]
-
-
 class MemberReport(TypedDict):
     """A VM's report to the leader.
 
@@ -212,30 +209,6 @@
     may_run: bool
 
 
-class PlaceRequest(TypedDict):
-    """A request for the time of one request to a server that names a rate.
-
-    `servers` lists those that can run it, with the rates that the member knows.
-    `most_s` is how long it may wait, and `rank` its urgency, 0 for the most urgent.
-    """
-
-    number: int
-    servers: list[tuple[str, int, float]]
-    most_s: float
-    rank: int
-
-
-class PlaceReply(TypedDict):
-    """The reply: an index in the `servers` of the request, or -1, and a wait.
-
-    Without a server, the wait is the time after which the caller may come back.
-    """
-
-    number: int
-    index: int
-    wait_s: float
-
-
 class MemberMessage(TypedDict, total=False):
     """One line from a member: its report, or a message too urgent to wait for it.
 
@@ -258,8 +231,8 @@
     tokens: TokenRequest
     refusing: RefusingUpdate
     trial: TrialRequest
-    place: PlaceRequest
-    rates: list[ServerRate]
+    place: NotRequired[PlaceRequest]
+    rates: NotRequired[list[ServerRate]]
 
 
 class PacingReply(TypedDict):
@@ -302,8 +275,8 @@
     tried: TrialReply
     given: dict[str, float]
     origins: list[StreamOrigin]
-    placed: PlaceReply
-    rates: list[ServerRate]
+    placed: NotRequired[PlaceReply]
+    rates: NotRequired[list[ServerRate]]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -19,7 +19,6 @@
     MemberReport,
     ModelWait,
     PacingRequest,
-    PlaceRequest,
     RefusingUpdate,
     RelayedRecord,
     StreamOrigin,
@@ -27,6 +26,7 @@
     decode_line,
     encode_line,
 )
+from _pistachiopond.schema.place_messages import PlaceRequest
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet, LoadedModels, ModelRef
 from _pistachiopond.vm.model_usage import ModelUsage
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -36,8 +36,6 @@
     ModelWait,
     PacingReply,
     PacingRequest,
-    PlaceReply,
-    PlaceRequest,
     RefusingUpdate,
     StreamOrigin,
     SuspectList,
@@ -45,6 +43,7 @@
     decode_line,
     encode_line,
 )
+from _pistachiopond.schema.place_messages import PlaceReply, PlaceRequest
 from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.crash_watch import CrashWatch
--- a/src/_pistachiopond/vm/server_places.py
+++ b/src/_pistachiopond/vm/server_places.py
@@ -18,7 +18,11 @@
 )
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.schema.deployment import BackendServer, Incarnation
-from _pistachiopond.schema.peer_messages import PlaceReply, PlaceRequest, ServerRate
+from _pistachiopond.schema.place_messages import (
+    PlaceReply,
+    PlaceRequest,
+    ServerRate,
+)
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet
 
--- a/testing/live/old_build_processes.py
+++ b/testing/live/old_build_processes.py
@@ -369,8 +369,12 @@
     def last_claim(self) -> tuple[str, int]:
         """Return the VM that claimed leadership last, and the claim's fencing token."""
         records = self.store.topics.get("keyed.pond", [])
-        leader = json.loads(records[-1][1])["leader"] if records else ""
-        return leader, len(records) - 1
+        claims = [
+            (json.loads(value)["leader"], offset)
+            for offset, (key, value) in enumerate(records)
+            if key == "leader"
+        ]
+        return claims[-1] if claims else ("", -1)
 
     async def wait_until_led(self, leader: str, members: tuple[str, ...]) -> None:
         """Wait until a VM leads these members and all have found the servers.
