Versions after a kill: forms of the record, a store that was restored, no record

The leader looks at a history that is too long for a record when it has changed, not ten times a second.

--- a/src/_pistachiopond/vm/version_store.py
+++ b/src/_pistachiopond/vm/version_store.py
@@ -182,29 +182,23 @@
             await anyio.sleep(pause_s)
 
     def _is_due(self) -> bool:
-        leadership, now_s = self._leadership, boot_s()
         self._origins.refresh()
-        assert leadership.claim is not None
-        is_written = self._written is not None
-        if is_written and self._written[0] == leadership.claim.fence:
-            is_changed = self._origins.stored_changes != self._seen_changes
-            return is_changed or now_s - self._checked_s >= RENEW_PERIOD_S
-        return True
+        if self._origins.stored_changes != self._seen_changes:
+            return True
+        claim = self._leadership.claim
+        is_written = self._written is not None and claim is not None
+        if is_written and self._written[0] == claim.fence:
+            return boot_s() - self._checked_s >= RENEW_PERIOD_S
+        return boot_s() - self._checked_s >= RETRY_PAUSE_S
 
     async def _write(self) -> bool:
         """Write the record unless it is the same; return False if that failed."""
-        leadership = self._leadership
-        claim, end, changes = (
-            leadership.claim,
-            leadership.end,
-            self._origins.stored_changes,
-        )
+        claim, end = self._leadership.claim, self._leadership.end
         assert claim is not None and end is not None
+        changes = self._origins.stored_changes
         stored = self._origins.stored()
-        if stored is None:
-            return True
         self._checked_s = boot_s()
-        if self._written == (claim.fence, stored):
+        if stored is None or self._written == (claim.fence, stored):
             self._seen_changes = changes
             return True
         value = _encode(stored, claim.fence)
--- a/testing/vm/killed_fleet.py
+++ b/testing/vm/killed_fleet.py
@@ -17,6 +17,7 @@
 from _pistachiopond.http1.messages import HttpAddress, Request, encode_request
 from _pistachiopond.http1.server import Responder, ServerConnection
 from _pistachiopond.vm import leader_client, stream_origins
+from _pistachiopond.vm.version_store import VERSIONS_KEY
 from testing.virtual_time import run_in_virtual_time
 from testing.vm.cluster import Cluster
 from testing.vm.deployment import (
@@ -353,6 +354,25 @@
     await fleet.start_again()
 
 
+async def store_restored_before(fleet: KilledFleet) -> None:
+    """Let the store come back from an older copy some seconds before the kill."""
+    copy = fleet.cluster.store.copy()
+    await asyncio.sleep(4.0)
+    fleet.cluster.store.restore(copy)
+    await asyncio.sleep(4.0)
+    await old_version_leaves_before(fleet)
+
+
+async def record_missing(fleet: KilledFleet) -> None:
+    """Remove the record before the kill, as if the last leader had written none."""
+    await fleet.begin(STREAMS)
+    fleet.cluster.store.put("keyed.pond", VERSIONS_KEY, b"")
+    fleet.remove("v1")
+    await fleet.kill_all()
+    await asyncio.sleep(DOWN_S)
+    await fleet.start_again()
+
+
 class Case(NamedTuple):
     """A scenario, and what must go on in it.
 
@@ -384,6 +404,7 @@
     Case(replaced_while_streams_run, versions=("v1", "v1")),
     Case(new_version_comes_meanwhile),
     Case(killed_twice),
+    Case(store_restored_before),
     Case(both_serve, settled_s=1.0),
     Case(replaced_while_streams_run, versions=("v1", "v1"), settled_s=3.0),
     Case(killed_twice_with_both),
--- a/testing/vm/test_versions_after_kill.py
+++ b/testing/vm/test_versions_after_kill.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from testing.vm.killed_fleet import CASES, STREAMS, play_case
+from testing.vm.killed_fleet import CASES, STREAMS, Case, play_case, record_missing
 
 SEEDS = (11, 12)
 # Of the streams whose version still serves, where versions have come or gone. Where
@@ -26,3 +26,7 @@
                         most = 0.0
                     self.assertLessEqual(figures.stranded().total(), most, figures)
                     self.assertEqual(figures.begun.total(), STREAMS, figures)
+
+    def test_without_a_record_of_the_last_leader_no_stream_goes_on(self) -> None:
+        figures = play_case(Case(record_missing), SEEDS[0])
+        self.assertEqual(figures.statuses, {502: STREAMS})
