--- a/testing/vm/killed_fleet.py
+++ b/testing/vm/killed_fleet.py
@@ -43,6 +43,7 @@
 SLOTS: Final = 100
 DEADLINE_MS: Final = "9000"
 PATH: Final = "/resume/x"
+MAX_TRIES: Final = 4
 # The limits of customers are not the matter here.
 UNLIMITED: Final = {"ratePerS": 0, "burst": 0}
 
@@ -95,7 +96,8 @@
 class KilledFleet:
     """VMs, plain servers of two versions and callers of one run."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, limits_customers: bool = False) -> None:
+        self._limits_customers = limits_customers
         self.rng = random.Random(seed)
         self.cluster = Cluster()
         self.streams: list[Stream] = []
@@ -109,7 +111,9 @@
 
     async def start(self, vms: int) -> None:
         """Start the VMs."""
-        tenant = configuration(1)["tenants"][0] | UNLIMITED
+        tenant = configuration(1)["tenants"][0]
+        if not self._limits_customers:
+            tenant |= UNLIMITED
         await self.cluster.start(vms, tenants=[tenant])
         for name in self.cluster.vms:
             await self.open(name)
@@ -222,7 +226,7 @@
             await self.open(name)
 
     async def resume(self) -> Figures:
-        """Take all streams up again, twice where a refusal says so."""
+        """Take all streams up again; callers come back as refusals tell them."""
         begun = Counter(stream.versions[0] for stream in self.streams)
         statuses: Counter[int] = Counter()
         went_on_at: Counter[str] = Counter()
@@ -232,8 +236,8 @@
             nonlocal gone_on, joined
             status = 503
             retry_after_s = 0.0
-            for number in range(4):
-                if status != 503:
+            for number in range(MAX_TRIES):
+                if status not in (429, 503):
                     break
                 await asyncio.sleep(retry_after_s)
                 name = self.rng.choice(sorted(self._addresses))
