Limits: a refusal says when a leader deals the whole rate again

What callers saw: right after all VMs were killed at once, a customer within its rate was refused with 429 and told to come back after 0.05 s, when there was still no leader: 40 of 60 streams were refused four times. Cause: Retry-After came from the customer's rate alone. It now adds the time until a new leader has taken over, where none deals the whole rate. The first tries are refused as before; more tokens without a leader would risk the limit.

--- a/src/_pistachiopond/vm/admission.py
+++ b/src/_pistachiopond/vm/admission.py
@@ -187,7 +187,7 @@
             "leader_age_s": round(self._leader_client.reply_age_s(), 2),
             "is_paused": self._leader_client.is_allocation_paused(),
         }
-        wait_s = retry_delay_s(customer, cost)
+        wait_s = self._leader_client.allocation_wait_s() + retry_delay_s(customer, cost)
         return Err(Refusal(429, "rate_exceeded", wait_s, log_fields))
 
     def _spend_reserve(self, customer: CustomerSpec, cost: float) -> bool:
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple, final
 
-from _pistachiopond.decisions.leadership import Claim, Leadership
+from _pistachiopond.decisions.leadership import HANDOVER_S, Claim, Leadership
 from _pistachiopond.decisions.server_crashes import MAX_REPORTED
 from _pistachiopond.decisions.shared_limits import CustomerBalances
 from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
@@ -195,6 +195,16 @@
         """Return whether no leader allocates this VM parts of the whole rates."""
         return self._writer is None or not self._is_allocating
 
+    def allocation_wait_s(self) -> float:
+        """Return how long it takes until a leader allocates parts of the whole rates.
+
+        0 if one does. A new leader allocates only a part until it has taken over.
+        """
+        if not self.is_allocation_paused():
+            return 0.0
+        led_s = max(0.0, boot_s() - self._replies_since_s)
+        return max(0.0, HANDOVER_S - led_s)
+
     def has_replied_since(self, at_s: float) -> bool:
         """Return whether the leader has replied on tokens since `at_s`, by `boot_s`."""
         return self._tokens_reply_s >= at_s
