--- a/src/_pistachiopond/decisions/stream_versions.py
+++ b/src/_pistachiopond/decisions/stream_versions.py
@@ -135,12 +135,12 @@
         `member_known_s` ago at least.
         """
         is_old = self.known_s >= RESUMPTION_GAP_S
-        knows_all = is_old or (self.lacks_elders() and self.past == "known")
+        knows_all = is_old or (self.are_all_young() and self.past == "known")
         return (
             knows_all and self.entries_age_s <= member_known_s and not self.is_behind()
         )
 
-    def lacks_elders(self) -> bool:
+    def are_all_young(self) -> bool:
         """Return whether no VM has run for long enough to know all that matters.
 
         That is so after all VMs were lost at once. Then only the store's record tells
@@ -168,7 +168,7 @@
         return "version_unproved"
     if origin.basis == "only_version" and contact.is_cut_off():
         return "version_unproved"
-    if origin.basis in ("only_version", "computed") and contact.lacks_elders():
+    if origin.basis in ("only_version", "computed") and contact.are_all_young():
         if contact.past == "unread":
             return "version_unproved"
         if contact.past == "absent":
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -487,8 +487,13 @@
         return first_s
 
     def rate_limited(self) -> frozenset[str]:
-        """Return the servers that name a rate."""
-        return frozenset(name for name, _ in self.rates.named())
+        """Return the servers to which each request needs a place."""
+        now_s = boot_s()
+        return frozenset(
+            incarnation[0]
+            for incarnation in self.rates.named()
+            if self.rates.is_limited(incarnation, now_s)
+        )
 
     def paused(self) -> frozenset[str]:
         """Return the servers that asked this VM for a pause."""
--- a/src/_pistachiopond/vm/server_places.py
+++ b/src/_pistachiopond/vm/server_places.py
@@ -104,16 +104,11 @@
             Its urgency, 0 for the most urgent.
         """
         asked_s = boot_s()
-        rates = {
-            server.incarnation(): rate_per_s
-            for server in servers
-            if (
-                rate_per_s := self._fleet.rates.rate_per_s(
-                    server.incarnation(), asked_s
-                )
-            )
-            is not None
-        }
+        rates: dict[Incarnation, float] = {}
+        for server in servers:
+            rate_per_s = self._fleet.rates.rate_per_s(server.incarnation(), asked_s)
+            if rate_per_s is not None:
+                rates[server.incarnation()] = rate_per_s
         if not rates:
             # The rates have ended since the servers were chosen.
             return Place(servers[0], asked_s, asked_s + PLACE_VALID_S)
--- a/src/_pistachiopond/vm/stream_origins.py
+++ b/src/_pistachiopond/vm/stream_origins.py
@@ -259,7 +259,7 @@
 
     def needs_stored(self) -> bool:
         """Return whether this VM lacks what the store keeps for the loss of all VMs."""
-        return self._past == "unread" and self.contact().lacks_elders()
+        return self._past == "unread" and self.contact().are_all_young()
 
     def take_stored(
         self, stored: StoredVersions | None, records: Iterable[StreamOrigin]
@@ -311,7 +311,7 @@
         sets = self._versions.sets
         if not sets.is_known() or sets.known_s(boot_s()) >= RESUMPTION_GAP_S:
             return False
-        return self._past != "known" or not self.contact().lacks_elders()
+        return self._past != "known" or not self.contact().are_all_young()
 
     # Messages from and to other VMs.
 
--- a/src/_pistachiopond/vm/version_binding.py
+++ b/src/_pistachiopond/vm/version_binding.py
@@ -103,7 +103,7 @@
         contact = self._origins.contact()
         step = judge_resumption(origin, contact)
         is_named = self._resumed.first_attempt_id is not None
-        if step == "version_unproved" and (is_named or contact.lacks_elders()):
+        if step == "version_unproved" and (is_named or contact.are_all_young()):
             return Refusal(503, step, OTHER_VM_RETRY_AFTER_S, facts)
         if origin.version is None or step == "version_unknown":
             # A retry can't find out more, so the status promises nothing.
--- a/src/_pistachiopond/vm/version_store.py
+++ b/src/_pistachiopond/vm/version_store.py
@@ -37,7 +37,7 @@
 # How often the leader looks for changes, and other VMs whether they lead.
 CHECK_PERIOD_S: Final = 0.1
 LEAD_CHECK_PERIOD_S: Final = 0.25
-# How long the leader waits after a failed write.
+# How long the leader waits after a failed write, and other VMs after a failed read.
 RETRY_PAUSE_S: Final = 0.3
 # Sets that have ended are taken out of the record this often.
 RENEW_PERIOD_S: Final = 5.0
@@ -57,6 +57,8 @@
 
 
 class _Snapshot(NamedTuple):
+    """The first read of the claims; `stored` is None if its record proves nothing."""
+
     stored: StoredVersions | None
 
 
@@ -130,7 +132,9 @@
         """Read the streams of VMs that have gone, unless an older VM still runs."""
         while self._snapshot is None or self._origins.needs_stored():
             stored = None if self._snapshot is None else self._snapshot.stored
+            pause_s = READ_PAUSE_S
             if stored is not None:
+                pause_s = RETRY_PAUSE_S
                 result = await self._store.read_newest(STREAMS_TOPIC, STORE_TIMEOUT_S)
                 if result.is_ok():
                     streams = _decode_streams(result.ok().records)
@@ -139,7 +143,7 @@
                 if result.err().kind == "absent":
                     self._origins.take_stored(stored, ())
                     return
-            await anyio.sleep(READ_PAUSE_S)
+            await anyio.sleep(pause_s)
 
     async def _write_streams(self) -> None:
         while True:
--- a/testing/vm/test_rate_pairs.py
+++ b/testing/vm/test_rate_pairs.py
@@ -186,6 +186,11 @@
             await call_many(deployment, 1)
             self.assertEqual(deployment.vm.fleet.rate_limited(), {"s1"})
 
+    async def test_a_server_with_a_rate_beyond_all_use_counts_as_without(self) -> None:
+        async with one_rated_server(with_rate("1e9")) as (deployment, server):
+            self.assertEqual(await call_many(deployment, 10), [200] * 10)
+            self.assertEqual(deployment.vm.fleet.rate_limited(), frozenset())
+
     async def test_a_server_that_starts_again_has_no_rate(self) -> None:
         async with one_rated_server(with_rate()) as (deployment, server):
             server.steps = []
