--- a/testing/vm/test_rate_pairs.py
+++ b/testing/vm/test_rate_pairs.py
@@ -187,7 +187,7 @@
             self.assertEqual(deployment.vm.fleet.rate_limited(), {"s1"})
 
     async def test_a_server_with_a_rate_beyond_all_use_counts_as_without(self) -> None:
-        async with one_rated_server(with_rate("1e9")) as (deployment, server):
+        async with one_rated_server(with_rate("1e9")) as (deployment, _):
             self.assertEqual(await call_many(deployment, 10), [200] * 10)
             self.assertEqual(deployment.vm.fleet.rate_limited(), frozenset())
 
