Observability: which crashes count against which request, and what is refused

Now 'crash counted against a request', the digest and customer in 'request refused' and 'attempt failed', and the gauge pond_refused_requests. No decision changes.

--- a/src/_pistachiopond/decisions/crash_counts.py
+++ b/src/_pistachiopond/decisions/crash_counts.py
@@ -38,6 +38,24 @@
     started_ms: int
 
 
+class RequestCrash(NamedTuple):
+    """A crash that was counted against a request, for the log.
+
+    Attributes
+    ----------
+    lost : LostConnection
+        The request and the server's incarnation.
+    crashes : int
+        The number of crashes that count against the request.
+    after_s : float
+        The time from the report of the lost connection.
+    """
+
+    lost: LostConnection
+    crashes: int
+    after_s: float
+
+
 @final
 class CrashCounts:
     """Counts confirmed crashes by request."""
@@ -45,6 +63,7 @@
     def __init__(self) -> None:
         self._suspects = SuspectTable(CRASHES_TO_REFUSE)
         self._pending: dict[LostConnection, float] = {}
+        self._counted: list[RequestCrash] = []
 
     def record_lost_connection(self, lost: LostConnection, now_s: float) -> None:
         """Record a lost connection; the same one from several VMs counts once."""
@@ -78,12 +97,19 @@
                 crash_id = f"{lost.server_id}/{lost.started_ms}"
                 record = CrashRecord("confirmed", crash_id, (lost.fingerprint,))
                 self._suspects.apply(record, now_s)
+                crashes = self._suspects.crash_count(lost.fingerprint)
+                self._counted.append(RequestCrash(lost, crashes, now_s - seen_s))
                 is_any_confirmed = True
             elif now_s - seen_s < CONFIRMATION_TIMEOUT_S:
                 continue
             del self._pending[lost]
         return is_any_confirmed
 
+    def take_counted(self) -> list[RequestCrash]:
+        """Return the crashes that were counted since the last call."""
+        counted, self._counted = self._counted, []
+        return counted
+
     def view(self, now_s: float) -> SuspectView:
         """Return all requests that were running during a confirmed crash."""
         return self._suspects.view(now_s)
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -189,7 +189,11 @@
         """Return the refusal of a request that no server may be sent."""
         refused_for_s = self._refused_for_s()
         if refused_for_s > 0.0:
-            log_fields = {"service": self._admitted.service}
+            log_fields = {
+                "service": self._admitted.service,
+                "fingerprint": self._fingerprint(),
+                "customer": self._customer_name(),
+            }
             return Refusal(503, "crashes_servers", refused_for_s, log_fields)
         return None if self._binding is None else self._binding.resolve()
 
@@ -248,6 +252,10 @@
             return self._origin.fingerprint
         return make_fingerprint(self._exchange.request, self._admitted.caller)
 
+    def _customer_name(self) -> str | None:
+        customer = self._admitted.customer
+        return None if customer is None else customer.name
+
     async def handle_timeout(self) -> None:
         """Answer a request whose deadline has passed."""
         log_fields = {
@@ -520,6 +528,8 @@
             detail=outcome.detail,
             load=self._deps.fleet.load(server.server_id),
             left_s=round(left_s, 3),
+            fingerprint=self._fingerprint() if outcome.is_cut_off else None,
+            customer=self._customer_name(),
         )
         if outcome.is_cut_off:
             self._deps.suspects.record_lost_connection(self._fingerprint(), server)
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -263,15 +263,24 @@
         changes: list[PartChange] = []
         if self._deps.leadership.is_mine():
             changes = self._parts.update(incarnations, self.report_period_s(), now_s)
-            self._log_part_changes(changes, now_s)
         else:
             # Members tell the next leader what they know.
             self._parts = PartSuspects()
+        self._log_crashes(changes, now_s)
         has_changed = has_changed or self._parts.watched() != self._watched_parts
         if has_changed or changes:
             self._broadcast({"suspects": self._suspect_list([])})
 
-    def _log_part_changes(self, changes: list[PartChange], now_s: float) -> None:
+    def _log_crashes(self, changes: list[PartChange], now_s: float) -> None:
+        for counted in self._crashes.take_counted():
+            log_change(
+                "crash counted against a request",
+                fingerprint=counted.lost.fingerprint,
+                server=counted.lost.server_id,
+                started_ms=counted.lost.started_ms,
+                crashes=counted.crashes,
+                after_s=round(counted.after_s, 3),
+            )
         for crash in self._parts.take_counted():
             log_change(
                 "crash counted",
@@ -326,7 +335,7 @@
         for part, (for_s, level) in report.get("refused_parts", {}).items():
             self._parts.adopt(part, for_s, level, now_s)
         changes = self._parts.record_sound(report.get("sound_parts", ()), now_s)
-        self._log_part_changes(changes, now_s)
+        self._log_crashes(changes, now_s)
         if report["cleared"] or changes:
             self._broadcast({"suspects": self._suspect_list(report["cleared"])})
 
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -452,6 +452,11 @@
         "Requests that servers with a crash limit have refused to this VM.",
         lambda: vm.fleet.brittle.refusal_count,
     )
+    metrics.gauge(
+        "pond_refused_requests",
+        "Requests that this VM refuses, since they crash servers.",
+        vm.suspects.refused_count,
+    )
     metrics.gauge(
         "pond_refused_parts",
         "Parts of prompts that this VM refuses, since they crash servers.",
--- a/src/_pistachiopond/vm/suspects.py
+++ b/src/_pistachiopond/vm/suspects.py
@@ -53,6 +53,10 @@
         """Return whether the leader's list refuses any request."""
         return bool(self._refused_until_s)
 
+    def refused_count(self) -> int:
+        """Return the number of requests that are refused."""
+        return len(self._refused_until_s)
+
     def record_lost_connection(self, fingerprint: str, server: BackendServer) -> None:
         """Record that a server closed the connection before completing its response."""
         if len(self._lost_seen_s) >= MAX_LOST_CONNECTIONS:
