--- /dev/null
+++ b/testing/vm/test_crashing_requests.py
@@ -0,0 +1,35 @@
+"""Tests of requests that crash servers and that callers send again and again."""
+
+import unittest
+
+from testing.vm.crashing_requests import ALLOWED_LATE, CASES, play
+
+SEED = 11
+
+
+class CrashingRequestTests(unittest.TestCase):
+    def assert_stops(self, *names: str) -> None:
+        for case in CASES:
+            if case.name not in names:
+                continue
+            with self.subTest(case.name):
+                figures = play(case, SEED)
+                self.assertGreaterEqual(figures.crashes, 3, figures)
+                late = figures.late + figures.late_young
+                self.assertLessEqual(late, ALLOWED_LATE, figures)
+
+    def test_a_request_refused_while_it_waits_runs_no_more(self) -> None:
+        self.assert_stops("calm", "two servers", "unsafe", "many VMs")
+
+    def test_a_refusal_outlives_its_leader(self) -> None:
+        self.assert_stops("leader killed at each crash", "the lead moves later")
+
+    def test_a_refusal_outlives_all_vms(self) -> None:
+        self.assert_stops("all killed at the third crash", "all killed 4 s after it")
+
+    def test_another_key_of_the_customer_makes_no_other_request(self) -> None:
+        self.assert_stops("another key")
+
+
+if __name__ == "__main__":
+    unittest.main()
