Crashing requests: a refusal is asked for before each attempt, not at arrival only

Cause: the refusal by the whole request was decided once, at arrival, and the request ran later; that by parts was asked for before each attempt. Change: one question for both, before each attempt, at the send itself (the connection may have taken a while) and in each wait, which ends at once. Before: test_a_request_refused_while_it_waits_reaches_no_server failed, the request ran after the pause. After: 503 with the refusal's time.

--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -138,6 +138,7 @@
             self._binding,
             is_last_server=self._is_last_server,
             has_peer=lambda: self._choose_peer() is not None,
+            is_refused=self._is_refused,
         )
         splitter = None
         if is_stream:
@@ -153,7 +154,7 @@
     async def run(self) -> None:
         """Try servers until one answers or no further attempt is allowed."""
         deps = self._deps
-        refusal = self._early_refusal() or await self._part_refusal()
+        refusal = await self._early_refusal()
         if refusal is not None:
             await self._refuse(refusal)
             return
@@ -185,8 +186,18 @@
                 await self._finish(outcome._replace(detail="retry budget exhausted"))
                 return
 
-    def _early_refusal(self) -> Refusal | None:
+    async def _early_refusal(self) -> Refusal | None:
         """Return the refusal of a request that no server may be sent."""
+        refusal = await self._crash_refusal()
+        if refusal is None and self._binding is not None:
+            refusal = self._binding.resolve()
+        return refusal
+
+    async def _crash_refusal(self) -> Refusal | None:
+        """Return the refusal of a request that crashes servers, or whose parts do.
+
+        Asked before each attempt, since crashes are found while requests wait.
+        """
         refused_for_s = self._refused_for_s()
         if refused_for_s > 0.0:
             log_fields = {
@@ -195,7 +206,16 @@
                 "customer": self._customer_name(),
             }
             return Refusal(503, "crashes_servers", refused_for_s, log_fields)
-        return None if self._binding is None else self._binding.resolve()
+        return await self._part_refusal()
+
+    def _is_refused(self) -> bool:
+        """Return whether the request has been found to crash servers."""
+        if self._refused_for_s() > 0.0:
+            return True
+        watch = self._deps.suspects.parts
+        if not watch.has_refused() or self._is_trial:
+            return False
+        return watch.block_of(self._shared_parts()) is not None
 
     def _refused_for_s(self) -> float:
         suspects = self._deps.suspects
@@ -315,15 +335,13 @@
     async def _next_receiver(self) -> BackendServer | Peer | None:
         """Return the receiver of the next attempt, or None after ending the request."""
         receiver = await self._choose_receiver()
+        refusal = await self._crash_refusal()
+        if refusal is not None:
+            await self._finish_refused(refusal)
+            return None
         if receiver is None:
             await self._finish(Outcome("not_run", self._no_server_reason))
-            return None
-        # A part may have been refused since the last attempt, or during a wait.
-        refusal = await self._part_refusal()
-        if refusal is None:
-            return receiver
-        await self._finish_refused(refusal)
-        return None
+        return receiver
 
     async def _choose_receiver(self) -> BackendServer | Peer | None:
         """Return the server or the VM for the next attempt; None if there is none."""
--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -59,6 +59,7 @@
         *,
         is_last_server: Callable[[], bool],
         has_peer: Callable[[], bool],
+        is_refused: Callable[[], bool],
     ) -> None:
         """Prepare for a request.
 
@@ -75,12 +76,15 @@
             Returns whether the next server is the last that may run the request.
         has_peer : callable
             Returns whether another VM may take the request.
+        is_refused : callable
+            Returns whether the request must reach no server any more.
         """
         self._deps = deps
         self._admitted = admitted
         self._binding = binding
         self._is_last_server = is_last_server
         self._has_peer = has_peer
+        self._is_refused = is_refused
         caller = admitted.caller
         self.model_ref = ModelRef(admitted.service, caller.model, caller.adapter)
         self._prompt_id = caller.prompt[0].part_id if caller.prompt else None
@@ -100,7 +104,7 @@
         was_refused : bool
             Whether a server has said that it did not run the request.
         """
-        while True:
+        while not self._is_refused():
             self._place = None
             ranked = self._rank(frozenset(self.tried))
             limited = self._rank_limited(frozenset(self.tried))
@@ -124,6 +128,7 @@
             server = await self._pace(ranked)
             if server is not None:
                 return server
+        return None
 
     async def _pace(self, ranked: list[RankedServer]) -> BackendServer | None:
         """Return the server to send to now; None if all are to be ranked again."""
@@ -141,10 +146,11 @@
         """Return whether the request may be sent to the chosen server now.
 
         Since it was chosen, the server may have asked for a pause, begun to leave or
-        named a rate, and a place may have expired.
+        named a rate, a place may have expired, and the request may have been found to
+        crash servers.
         """
         now_s = boot_s()
-        if not self._deps.fleet.is_open(server):
+        if self._is_refused() or not self._deps.fleet.is_open(server):
             return False
         if not self._deps.fleet.rates.is_limited(server.incarnation(), now_s):
             return True
@@ -345,7 +351,7 @@
                     return ranked or None
                 if reach.is_unreachable(service) and not was_unreachable:
                     return []
-                if self.version_refusal() is not None:
+                if self.version_refusal() is not None or self._is_refused():
                     return []
                 is_crash_known = loop.time() >= crash_known_s
                 if is_crash_known and self.has_refusing_server() and self._has_peer():
--- a/testing/vm/test_suspects.py
+++ b/testing/vm/test_suspects.py
@@ -1,10 +1,12 @@
 """Tests of requests that crash the servers that run them."""
 
+import json
 import unittest
 from unittest.mock import patch
 
 from _pistachiopond.decisions.crash_counts import CRASHES_TO_REFUSE
-from _pistachiopond.http1.messages import HttpAddress
+from _pistachiopond.http1.messages import HttpAddress, Request
+from _pistachiopond.http1.server import Responder
 from _pistachiopond.platform.servers import decode_server
 from _pistachiopond.vm import suspects as suspects_module
 from _pistachiopond.vm.suspects import (
@@ -19,7 +21,7 @@
     server_entry,
     wait_until,
 )
-from testing.vm.fake_server import FakeServer, break_connection
+from testing.vm.fake_server import FakeServer, attempt_of, break_connection
 
 
 async def crash(
@@ -75,6 +77,27 @@
                 self.assertEqual(response.head.status, 200)
                 await wait_until(deployment.vm.suspects.is_empty)
 
+    async def test_a_request_refused_while_it_waits_reaches_no_server(self) -> None:
+        async with running_deployment() as deployment:
+            server = await deployment.add_server("s1", "plain")
+
+            async def pause_then_refuse(request: Request, responder: Responder) -> None:
+                headers = [
+                    (b"X-Attempt-Id", attempt_of(request)),
+                    (b"X-Not-Executed", b"1"),
+                    (b"Retry-After", b"0.3"),
+                ]
+                await responder.respond(503, headers, b"")
+                suspects = deployment.vm.suspects
+                suspects.has_refused = lambda: True
+                suspects.refused_for_s = lambda fingerprint: 900.0
+
+            server.steps = [pause_then_refuse]
+            response = await deployment.call("/safe/x")
+            self.assertEqual(json.loads(response.body)["code"], "crashes_servers")
+            self.assertEqual(float(response.head.value(b"retry-after") or 0), 900.0)
+            self.assertEqual(len(server.requests), 1)
+
     async def test_crashes_are_reported_again_to_a_new_leader(self) -> None:
         async with running_deployment() as deployment:
             server = await deployment.add_server("s1", "plain")
