Crashing requests: held while their crashes cannot be confirmed yet

Callers saw: where a request had crashed all servers of its service, it crashed them again as soon as they were back, and sound requests beside it found no server. Cause: a crash counts once its incarnation has gone. With no other server that accepts connections that is known only when the entry lapses, 3.6 s after the crash, but the servers are back after 3.3 s. Waiting for the refusal is ruled out: asking before each attempt changed nothing here. Change: a request is held, with a short Retry-After, once its confirmed and unconfirmed crashes together would be enough, until those entries must have lapsed. VMs say when a held request ran well, which ends it. Lost connections alone refuse nothing for longer. That a refusal outlives its leader is now checked with no late run where the lead moves later, since a hold alone brings it down to three.

--- a/src/_pistachiopond/decisions/crash_counts.py
+++ b/src/_pistachiopond/decisions/crash_counts.py
@@ -4,16 +4,23 @@
 requests lost the connection to their server. A crash is confirmed once that
 incarnation of the server is gone from the fleet; a lost connection alone is not
 counted.
+
+Where all servers of a service have crashed, that is known only when their entries
+lapse, after the first of them are back. So a request whose crashes would be enough with
+those that are not confirmed yet is held until they can be.
 """
 
 from collections.abc import Mapping
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.suspects import SuspectTable
+from _pistachiopond.schema.deployment import Incarnation
 from _pistachiopond.schema.suspects import CrashRecord, SuspectView
 
 # The operators allow three more retries after the third crash.
 CRASHES_TO_REFUSE: Final = 3
+# An entry lapses after three missed heartbeats, of 1.2 s by default, and is read then.
+ENTRY_LAPSE_S: Final = 4.6
 # A crashed server disappears from the fleet after three missed heartbeats, or a new
 # incarnation appears. A lost connection that is not confirmed by then is dropped.
 CONFIRMATION_TIMEOUT_S: Final = 15.0
@@ -60,7 +67,15 @@
 class CrashCounts:
     """Counts confirmed crashes by request."""
 
-    def __init__(self) -> None:
+    def __init__(self, entry_lapse_s: float = ENTRY_LAPSE_S) -> None:
+        """Initialise the counts without crashes.
+
+        Parameters
+        ----------
+        entry_lapse_s : float
+            The time after a crash in which the server's entry is gone.
+        """
+        self._entry_lapse_s = entry_lapse_s
         self._suspects = SuspectTable(CRASHES_TO_REFUSE)
         self._pending: dict[LostConnection, float] = {}
         self._counted: list[RequestCrash] = []
@@ -105,6 +120,21 @@
             del self._pending[lost]
         return is_any_confirmed
 
+    def held(self, now_s: float) -> dict[str, float]:
+        """Return the requests that are held, with the seconds until they may run."""
+        unconfirmed: dict[str, dict[Incarnation, float]] = {}
+        for lost, seen_s in self._pending.items():
+            left_s = seen_s + self._entry_lapse_s - now_s
+            if left_s > 0.0:
+                of_request = unconfirmed.setdefault(lost.fingerprint, {})
+                of_request[lost.server_id, lost.started_ms] = left_s
+        return {
+            fingerprint: max(of_request.values())
+            for fingerprint, of_request in unconfirmed.items()
+            if len(of_request) + self._suspects.crash_count(fingerprint)
+            >= CRASHES_TO_REFUSE
+        }
+
     def take_counted(self) -> list[RequestCrash]:
         """Return the crashes that were counted since the last call."""
         counted, self._counted = self._counted, []
--- a/src/_pistachiopond/schema/suspects.py
+++ b/src/_pistachiopond/schema/suspects.py
@@ -21,6 +21,10 @@
     standing: Literal["probation", "refused"]
     expires_in_s: float
 
+    def is_refused(self) -> bool:
+        """Return whether the request must not run."""
+        return self.standing == "refused"
+
 
 class SuspectView(NamedTuple):
     """All suspects known to a control daemon."""
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -8,7 +8,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple, final
 
-from _pistachiopond.decisions.crash_counts import CrashCounts, LostConnection
+from _pistachiopond.decisions.crash_counts import (
+    ENTRY_LAPSE_S,
+    CrashCounts,
+    LostConnection,
+)
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.part_suspects import (
     LostRequest,
@@ -104,6 +108,8 @@
         Called with the kind of each change of the refused parts of prompts.
     places : DealtPlaces or None
         Deals places at servers that name a rate; None deals none.
+    entry_lapse_s : float
+        The time after a server's crash in which its entry is gone.
     store_streams : callable
         Called with the streams' versions that are relayed, to keep them in the store.
     """
@@ -119,6 +125,7 @@
     crash_watch: CrashWatch | None = None
     part_changes: Callable[[str], None] = lambda _: None
     places: DealtPlaces | None = None
+    entry_lapse_s: float = ENTRY_LAPSE_S
     store_streams: Callable[[list[StreamOrigin]], None] = lambda _: None
 
 
@@ -143,7 +150,8 @@
         self._totals_s = float("-inf")
         self._relay_ring = RelayRing({})
         self._model_waits: dict[str, list[ModelWait]] = {}
-        self._crashes = CrashCounts()
+        self._crashes = CrashCounts(deps.entry_lapse_s)
+        self._held_requests: frozenset[str] = frozenset()
         self._parts = PartSuspects()
         self._watched_parts: list[str] = []
         self._prompt_pacer = PromptPacer()
@@ -303,14 +311,16 @@
     def _suspect_list(self, cleared: list[str]) -> SuspectList:
         now_s = boot_s()
         suspects = self._crashes.view(now_s).suspects
+        refused = {s.fingerprint: s.expires_in_s for s in suspects if s.is_refused()}
+        held = self._crashes.held(now_s)
+        self._held_requests = frozenset(held)
         refused_parts = self._parts.refusals()
         self._watched_parts = self._parts.watched()
         return {
-            "watched": [suspect.fingerprint for suspect in suspects],
+            "watched": sorted({*held, *(suspect.fingerprint for suspect in suspects)}),
             "refused": {
-                suspect.fingerprint: round(suspect.expires_in_s, 1)
-                for suspect in suspects
-                if suspect.standing == "refused"
+                fingerprint: round(for_s, 1)
+                for fingerprint, for_s in (held | refused).items()
             },
             "cleared": cleared,
             "watched_parts": self._watched_parts,
@@ -325,6 +335,7 @@
     def _record_crashes(self, report: MemberReport, now_s: float) -> None:
         for plain in report["cut_off"]:
             self._crashes.record_lost_connection(LostConnection(*plain), now_s)
+        has_news = bool(report["cut_off"]) and self._holds_more(now_s)
         for fingerprint in report["cleared"]:
             self._crashes.record_completed(fingerprint, now_s)
         for server_id, started_ms, request, age_s, parts in report.get(
@@ -336,9 +347,18 @@
             self._parts.adopt(part, for_s, level, now_s)
         changes = self._parts.record_sound(report.get("sound_parts", ()), now_s)
         self._log_crashes(changes, now_s)
-        if report["cleared"] or changes:
+        if report["cleared"] or changes or has_news:
             self._broadcast({"suspects": self._suspect_list(report["cleared"])})
 
+    def _holds_more(self, now_s: float) -> bool:
+        """Return whether requests are held of which the members do not know yet."""
+        new = self._crashes.held(now_s).keys() - self._held_requests
+        for fingerprint in sorted(new):
+            log_change(
+                "request held until its crashes are known", fingerprint=fingerprint
+            )
+        return bool(new)
+
     async def _serve_member(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -48,7 +48,7 @@
     make_line_excess_recorder,
     make_request_excess_recorder,
 )
-from _pistachiopond.vm.fleet import Fleet, ModelRef
+from _pistachiopond.vm.fleet import EXPIRY_HEARTBEATS, Fleet, ModelRef
 from _pistachiopond.vm.forward_dependencies import ForwardDependencies
 from _pistachiopond.vm.leader_client import LeaderClient, LeaderClientDependencies
 from _pistachiopond.vm.leader_election import LeaderElection
@@ -72,6 +72,8 @@
 METRICS_PORT: Final = 9464
 LOG_FLUSH_PERIOD_S: Final = 0.1
 MAINTENANCE_PERIOD_S: Final = 0.25
+# An entry that has lapsed is read, and the crash counted, within this time.
+ENTRY_READ_S: Final = 1.0
 PROBE_CHECK_PERIOD_S: Final = 0.1
 # Room for the header that a VM adds to a request that it passes on.
 MAX_RELAY_HEADER_BYTES: Final = 2_048
@@ -210,6 +212,7 @@
             crash_watch,
             _make_part_counter(metrics),
             dealt_places,
+            EXPIRY_HEARTBEATS * settings.heartbeat_s + ENTRY_READ_S,
             version_store.add_streams,
         )
     )
--- a/testing/decisions/test_crash_counts.py
+++ b/testing/decisions/test_crash_counts.py
@@ -5,6 +5,7 @@
 from _pistachiopond.decisions.crash_counts import (
     CONFIRMATION_TIMEOUT_S,
     CRASHES_TO_REFUSE,
+    ENTRY_LAPSE_S,
     CrashCounts,
     LostConnection,
 )
@@ -48,6 +49,29 @@
         self.assertFalse(counts.count_confirmed({}, CONFIRMATION_TIMEOUT_S + 2.0))
         self.assertEqual(standing(counts, CONFIRMATION_TIMEOUT_S + 3.0), {})
 
+    def test_a_request_is_held_once_unconfirmed_crashes_would_be_enough(self) -> None:
+        counts = CrashCounts()
+        crash(counts, "f", 0)
+        counts.record_lost_connection(LostConnection("f", "s2", 0), 1.0)
+        self.assertEqual(counts.held(1.0), {})
+        # The same crash, seen by another VM, and another request.
+        counts.record_lost_connection(LostConnection("f", "s2", 0), 1.1)
+        counts.record_lost_connection(LostConnection("g", "s3", 0), 1.1)
+        self.assertEqual(counts.held(1.1), {})
+        counts.record_lost_connection(LostConnection("f", "s3", 0), 1.5)
+        self.assertEqual(counts.held(1.5), {"f": ENTRY_LAPSE_S})
+        # The servers still have their entries, so they have not crashed.
+        self.assertEqual(counts.held(1.5 + ENTRY_LAPSE_S), {})
+        self.assertEqual(standing(counts, 1.5 + ENTRY_LAPSE_S), {"f": "probation"})
+
+    def test_a_completed_run_ends_a_hold(self) -> None:
+        counts = CrashCounts()
+        for number in range(CRASHES_TO_REFUSE):
+            counts.record_lost_connection(LostConnection("f", f"s{number}", 0), 0.0)
+        self.assertEqual(list(counts.held(0.1)), ["f"])
+        counts.record_completed("f", 0.2)
+        self.assertEqual(counts.held(0.2), {})
+
     def test_a_completed_run_clears_a_request(self) -> None:
         counts = CrashCounts()
         for number in range(CRASHES_TO_REFUSE - 1):
--- a/testing/vm/crashing_requests.py
+++ b/testing/vm/crashing_requests.py
@@ -365,6 +365,9 @@
         Its path.
     down_s : float
         How long a killed VM is away.
+    late_allowed : int
+        How many late runs the operators allow; 0 where the refusal has been known for
+        long.
     """
 
     name: str
@@ -375,6 +378,7 @@
     duration_s: float = 20.0
     path: str = "/safe/x"
     down_s: float = 0.5
+    late_allowed: int = ALLOWED_LATE
 
 
 CASES: Final = (
@@ -386,7 +390,9 @@
     Case("all killed at the third crash", all_killed_after(0.0)),
     Case("all killed 4 s after it", all_killed_after(4.0)),
     Case("another key", other_key, duration_s=10.0),
-    Case("the lead moves later", lead_moves_later, vms=3, duration_s=10.0),
+    Case(
+        "the lead moves later", lead_moves_later, vms=3, duration_s=10.0, late_allowed=0
+    ),
 )
 
 
--- a/testing/vm/test_crashing_requests.py
+++ b/testing/vm/test_crashing_requests.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from testing.vm.crashing_requests import ALLOWED_LATE, CASES, play
+from testing.vm.crashing_requests import CASES, play
 
 SEED = 11
 
@@ -16,9 +16,9 @@
                 figures = play(case, SEED)
                 self.assertGreaterEqual(figures.crashes, 3, figures)
                 late = figures.late + figures.late_young
-                self.assertLessEqual(late, ALLOWED_LATE, figures)
+                self.assertLessEqual(late, case.late_allowed, figures)
 
-    def test_a_request_refused_while_it_waits_runs_no_more(self) -> None:
+    def test_a_request_is_held_until_its_crashes_can_be_confirmed(self) -> None:
         self.assert_stops("calm", "two servers", "unsafe", "many VMs")
 
     def test_a_refusal_outlives_its_leader(self) -> None:
