Crashing requests: refusals and crashes outlive the leader that counted them

Callers saw: after the lead had moved, a request that had been refused crashed servers again, three at least each time. Cause: each VM replaced what it refused by the new leader's list, and that leader knew only the crashes that living VMs had seen within 60 s. Refused parts were kept and told already; whole requests were not. Change: the leader's list names the refused requests, and those in more than one crash, with their crashes; VMs keep these over leaders and tell the next one, which adds them up by crash. A hold is kept for its seconds and not told. A refusal adopted from an earlier leader lasts only for the rest of its time: the list gave all suspects the longer time of probation. Builds without the new field are served as before.

--- a/src/_pistachiopond/decisions/crash_counts.py
+++ b/src/_pistachiopond/decisions/crash_counts.py
@@ -15,7 +15,7 @@
 
 from _pistachiopond.decisions.suspects import SuspectTable
 from _pistachiopond.schema.deployment import Incarnation
-from _pistachiopond.schema.suspects import CrashRecord, SuspectView
+from _pistachiopond.schema.suspects import CrashRecord, RequestRecord, SuspectView
 
 # The operators allow three more retries after the third crash.
 CRASHES_TO_REFUSE: Final = 3
@@ -135,6 +135,14 @@
             >= CRASHES_TO_REFUSE
         }
 
+    def records(self, now_s: float) -> list[RequestRecord]:
+        """Return what a new leader has to know."""
+        return self._suspects.records(now_s)
+
+    def adopt(self, record: RequestRecord, now_s: float) -> bool:
+        """Add what an earlier leader knew; return whether this is new."""
+        return self._suspects.adopt(record, now_s)
+
     def take_counted(self) -> list[RequestCrash]:
         """Return the crashes that were counted since the last call."""
         counted, self._counted = self._counted, []
--- a/src/_pistachiopond/decisions/suspects.py
+++ b/src/_pistachiopond/decisions/suspects.py
@@ -8,7 +8,12 @@
 
 from typing import Final, NamedTuple, final
 
-from _pistachiopond.schema.suspects import CrashRecord, Suspect, SuspectView
+from _pistachiopond.schema.suspects import (
+    CrashRecord,
+    RequestRecord,
+    Suspect,
+    SuspectView,
+)
 
 # Probation after a crash that is only suspected, and after a confirmed one.
 SUSPECTED_S: Final = 120.0
@@ -16,6 +21,9 @@
 REFUSAL_S: Final = 900.0
 CRASHES_TO_REFUSE: Final = 2
 MAX_SUSPECTS: Final = 10_000
+# Bounds on what is kept of suspects elsewhere.
+MAX_RECORDS: Final = 256
+MAX_RECORDED_CRASHES: Final = 8
 PERMIT_LIFETIME_S: Final = 120.0
 
 
@@ -92,15 +100,52 @@
         }
         return SuspectView(
             tuple(
-                Suspect(
-                    fingerprint,
-                    "refused" if current.refused_until_s > now_s else "probation",
-                    current.until_s() - now_s,
-                )
+                _suspect(fingerprint, current, now_s)
                 for fingerprint, current in sorted(self._standings.items())
             )
         )
 
+    def records(self, now_s: float) -> list[RequestRecord]:
+        """Return what has to be kept of each suspect with more than one crash."""
+        known = [
+            RequestRecord(
+                fingerprint,
+                max(0.0, current.refused_until_s - now_s),
+                tuple(sorted(current.crash_ids)[:MAX_RECORDED_CRASHES]),
+            )
+            for fingerprint, current in self._standings.items()
+            if current.until_s() > now_s
+        ]
+        refused = [record for record in known if record.refused_for_s > 0.0]
+        others = [
+            record
+            for record in known
+            if record.refused_for_s <= 0.0 and len(record.crash_ids) > 1
+        ]
+        return (others + refused)[-MAX_RECORDS:]
+
+    def adopt(self, record: RequestRecord, now_s: float) -> bool:
+        """Add what an earlier table knew; return whether this is new."""
+        current = self._standings.get(record.fingerprint, _UNKNOWN)
+        is_known = current.until_s() > now_s
+        crash_ids = frozenset(record.crash_ids[:MAX_RECORDED_CRASHES])
+        if is_known:
+            crash_ids |= current.crash_ids
+        refused_for_s = min(record.refused_for_s, REFUSAL_S)
+        if len(crash_ids) >= self._crashes_to_refuse and refused_for_s <= 0.0:
+            refused_for_s = REFUSAL_S
+        was_refused = current.refused_until_s > now_s
+        if not (refused_for_s > 0.0 and not was_refused):
+            if is_known and crash_ids == current.crash_ids:
+                return False
+        self._standings[record.fingerprint] = _Standing(
+            crash_ids,
+            max(current.probation_until_s, now_s + PROBATION_S),
+            current.refused_until_s if was_refused else now_s + refused_for_s,
+        )
+        self._evict_oldest()
+        return True
+
     def _confirmed(
         self, current: _Standing, crash_id: str, ran_on_probation: bool, at_s: float
     ) -> _Standing:
@@ -144,6 +189,12 @@
         self._until_s.pop(fingerprint, None)
 
 
+def _suspect(fingerprint: str, current: _Standing, now_s: float) -> Suspect:
+    if current.refused_until_s > now_s:
+        return Suspect(fingerprint, "refused", current.refused_until_s - now_s)
+    return Suspect(fingerprint, "probation", current.probation_until_s - now_s)
+
+
 def _suspected(current: _Standing, at_s: float) -> _Standing:
     until_s = max(current.probation_until_s, at_s + SUSPECTED_S)
     return current._replace(probation_until_s=until_s)
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -69,6 +69,11 @@
 LostParts = tuple[str, int, str, float, list[str]]
 
 
+# A request that was running in crashes: its digest, for how many seconds it is refused,
+# and the crashes that count against it, each named by the server and its start.
+RequestCrashes = tuple[str, float, list[str]]
+
+
 class MemberReport(TypedDict):
     """A VM's report to the leader.
 
@@ -88,7 +93,8 @@
     are requests whose server ended the connection, `sound_parts` watched parts of
     prompts that ran well here, and `refused_parts` those that are refused here, as in
     `SuspectList`. Builds that count crashes by whole requests only send none of the
-    three.
+    three. `request_crashes` is what earlier leaders have told of whole requests; builds
+    that leave this to the leader send none.
     """
 
     member: str
@@ -108,6 +114,7 @@
     lost_parts: NotRequired[list[LostParts]]
     sound_parts: NotRequired[list[str]]
     refused_parts: NotRequired[dict[str, tuple[float, int]]]
+    request_crashes: NotRequired[list[RequestCrashes]]
 
 
 class LeaderReply(TypedDict):
@@ -252,7 +259,9 @@
     are those that VMs should report if they ran well; `refused_parts` has the number of
     seconds until trials begin, below zero after that, and how often the refusal has
     been renewed; `tied_parts` are refused parts that a trial may tell apart before;
-    `cleared_parts` are no longer refused.
+    `cleared_parts` are no longer refused. `request_crashes` are the requests that are
+    refused or were running in more than one crash, which members keep for the next
+    leader; builds whose members keep none don't send it.
     """
 
     watched: list[str]
@@ -262,6 +271,7 @@
     refused_parts: NotRequired[dict[str, tuple[float, int]]]
     tied_parts: NotRequired[list[str]]
     cleared_parts: NotRequired[list[str]]
+    request_crashes: NotRequired[list[RequestCrashes]]
 
 
 class LeaderMessage(TypedDict, total=False):
--- a/src/_pistachiopond/schema/suspects.py
+++ b/src/_pistachiopond/schema/suspects.py
@@ -26,6 +26,24 @@
         return self.standing == "refused"
 
 
+class RequestRecord(NamedTuple):
+    """What is to outlive its leader of a request that was running in crashes.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest of the request's content and its customer.
+    refused_for_s : float
+        How long it must not run; 0 if it may.
+    crash_ids : tuple of str
+        The confirmed crashes that count against it.
+    """
+
+    fingerprint: str
+    refused_for_s: float
+    crash_ids: tuple[str, ...]
+
+
 class SuspectView(NamedTuple):
     """All suspects known to a control daemon."""
 
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -42,7 +42,7 @@
 from _pistachiopond.vm.server_places import ServerPlaces, encode_rates
 from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.stream_origins import StreamOrigins
-from _pistachiopond.vm.suspects import Suspects
+from _pistachiopond.vm.suspects import Suspects, encode_records
 from _pistachiopond.vm.topic_cache import TopicCache, from_relayed
 
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -435,6 +435,7 @@
             "lost_parts": lost_parts,
             "sound_parts": sound_parts,
             "refused_parts": deps.suspects.parts.take_refusals(),
+            "request_crashes": encode_records(deps.suspects.take_records()),
         }
         if self.origins.lacks_history():
             report["versions_known_s"] = self.origins.contact().known_s
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -49,6 +49,7 @@
 )
 from _pistachiopond.schema.place_messages import PlaceReply, PlaceRequest
 from _pistachiopond.schema.store_position import StorePosition
+from _pistachiopond.schema.suspects import RequestRecord
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.crash_watch import CrashWatch
 from _pistachiopond.vm.peer_lines import (
@@ -61,6 +62,7 @@
 from _pistachiopond.vm.report_totals import Totals, add_wait, sum_reports
 from _pistachiopond.vm.server_places import DealtPlaces
 from _pistachiopond.vm.stream_origins import RecordBatch, StreamOrigins
+from _pistachiopond.vm.suspects import decode_records, encode_records
 from _pistachiopond.vm.topic_cache import TopicCache, to_relayed
 
 # Members that have not reported for this long are removed, and their connections are
@@ -330,6 +332,7 @@
             },
             "tied_parts": [p for p, refusal in refused_parts.items() if refusal.tied],
             "cleared_parts": self._parts.cleared(now_s),
+            "request_crashes": encode_records(self._crashes.records(now_s)),
         }
 
     def _record_crashes(self, report: MemberReport, now_s: float) -> None:
@@ -338,6 +341,10 @@
         has_news = bool(report["cut_off"]) and self._holds_more(now_s)
         for fingerprint in report["cleared"]:
             self._crashes.record_completed(fingerprint, now_s)
+        adopted = [
+            self.adopt_request(record, now_s)
+            for record in decode_records(report.get("request_crashes", ()))
+        ]
         for server_id, started_ms, request, age_s, parts in report.get(
             "lost_parts", ()
         ):
@@ -347,9 +354,21 @@
             self._parts.adopt(part, for_s, level, now_s)
         changes = self._parts.record_sound(report.get("sound_parts", ()), now_s)
         self._log_crashes(changes, now_s)
-        if report["cleared"] or changes or has_news:
+        if report["cleared"] or changes or has_news or any(adopted):
             self._broadcast({"suspects": self._suspect_list(report["cleared"])})
 
+    def adopt_request(self, record: RequestRecord, now_s: float) -> bool:
+        """Take over what an earlier leader knew; return whether this is new."""
+        is_new = self._crashes.adopt(record, now_s)
+        if is_new:
+            log_change(
+                "crashes of a request taken over",
+                fingerprint=record.fingerprint,
+                crashes=len(record.crash_ids),
+                refused_for_s=round(record.refused_for_s, 1),
+            )
+        return is_new
+
     def _holds_more(self, now_s: float) -> bool:
         """Return whether requests are held of which the members do not know yet."""
         new = self._crashes.held(now_s).keys() - self._held_requests
--- a/testing/decisions/test_suspects.py
+++ b/testing/decisions/test_suspects.py
@@ -13,7 +13,7 @@
     Permits,
     SuspectTable,
 )
-from _pistachiopond.schema.suspects import CrashRecord
+from _pistachiopond.schema.suspects import CrashRecord, RequestRecord
 
 
 def confirmed(
@@ -97,6 +97,39 @@
         self.assertEqual(standings(self.table, 1.0), before)
 
 
+class AdoptedRecordTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = SuspectTable(3)
+        for number in range(3):
+            self.table.apply(confirmed(f"c{number}", "bad"), float(number))
+        self.table.apply(confirmed("c0", "once"), 0.0)
+        for number in range(2):
+            self.table.apply(confirmed(f"c{number}", "twice"), 0.0)
+
+    def test_the_next_table_refuses_for_the_rest_of_the_time_only(self) -> None:
+        records = self.table.records(100.0)
+        self.assertEqual({r.fingerprint for r in records}, {"bad", "twice"})
+        new = SuspectTable(3)
+        self.assertEqual([new.adopt(r, 100.0) for r in records], [True, True])
+        self.assertEqual([new.adopt(r, 101.0) for r in records], [False, False])
+        self.assertEqual(
+            standings(new, 101.0), {"bad": "refused", "twice": "probation"}
+        )
+        self.assertAlmostEqual(new.refused_for_s("bad", 101.0), 801.0)
+        refused = [s for s in new.view(101.0).suspects if s.standing == "refused"]
+        self.assertAlmostEqual(refused[0].expires_in_s, 801.0)
+
+    def test_crashes_known_to_different_members_add_up(self) -> None:
+        new = SuspectTable(3)
+        new.adopt(RequestRecord("f", 0.0, ("c1", "c2")), 0.0)
+        new.adopt(RequestRecord("f", 0.0, ("c2", "c3")), 0.0)
+        self.assertTrue(new.is_refused("f", 1.0))
+        # What is adopted again does not refuse for longer.
+        for at_s in range(100, 800, 100):
+            new.adopt(RequestRecord("f", 900.0 - at_s, ("c1", "c2", "c3")), at_s)
+        self.assertFalse(new.is_refused("f", REFUSAL_S + 1.0))
+
+
 class PermitsTests(unittest.TestCase):
     def test_only_one_run_of_a_suspect_is_permitted_at_a_time(self) -> None:
         permits = Permits()
--- a/testing/vm/test_suspects.py
+++ b/testing/vm/test_suspects.py
@@ -2,12 +2,14 @@
 
 import json
 import unittest
+from typing import Any
 from unittest.mock import patch
 
 from _pistachiopond.decisions.crash_counts import CRASHES_TO_REFUSE
 from _pistachiopond.http1.messages import HttpAddress, Request
 from _pistachiopond.http1.server import Responder
 from _pistachiopond.platform.servers import decode_server
+from _pistachiopond.schema.peer_messages import SuspectList
 from _pistachiopond.vm import suspects as suspects_module
 from _pistachiopond.vm.suspects import (
     LOST_CONNECTION_RETENTION_S,
@@ -108,6 +110,54 @@
             self.assertEqual([c.server_id for c in lost_connections], ["s1"])
 
 
+def suspect_list(**fields: Any) -> SuspectList:
+    return {"watched": [], "refused": {}, "cleared": [], **fields}
+
+
+class LeaderListTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_s = 0.0
+        patcher = patch.object(suspects_module, "boot_s", lambda: self.now_s)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.suspects = Suspects()
+
+    def test_a_refusal_that_the_next_leader_does_not_know_is_kept_and_told(
+        self,
+    ) -> None:
+        ids = ["s1/1", "s2/1", "s3/1"]
+        crashes = [("bad", 900.0, ids), ("twice", 0.0, ids[:2])]
+        self.suspects.apply_list(
+            suspect_list(refused={"bad": 900.0}, request_crashes=crashes)
+        )
+        self.suspects.take_records()
+        self.now_s = 100.0
+        self.suspects.leader_changed()
+        self.suspects.apply_list(suspect_list(request_crashes=[]))
+        self.assertEqual(self.suspects.refused_for_s("bad"), 800.0)
+        told = {record.fingerprint: record for record in self.suspects.take_records()}
+        self.assertEqual(told["bad"].refused_for_s, 800.0)
+        self.assertEqual(told["twice"].crash_ids, ("s1/1", "s2/1"))
+        self.assertEqual(told["twice"].refused_for_s, 0.0)
+        self.assertEqual(self.suspects.take_records(), [])
+        self.suspects.apply_list(suspect_list(cleared=["bad"]))
+        self.assertEqual(self.suspects.refused_for_s("bad"), 0.0)
+
+    def test_a_hold_ends_by_itself_and_is_not_told_to_the_next_leader(self) -> None:
+        self.suspects.apply_list(suspect_list(refused={"f": 4.6}, request_crashes=[]))
+        self.suspects.leader_changed()
+        self.suspects.apply_list(suspect_list(request_crashes=[]))
+        self.assertEqual(self.suspects.refused_for_s("f"), 4.6)
+        self.assertEqual(self.suspects.take_records(), [])
+        self.now_s = 4.7
+        self.assertEqual(self.suspects.refused_for_s("f"), 0.0)
+
+    def test_a_list_of_a_leader_of_an_older_build_refuses_as_before(self) -> None:
+        self.suspects.apply_list(suspect_list(refused={"bad": 900.0}))
+        self.assertTrue(self.suspects.has_refused())
+        self.assertEqual(self.suspects.refused_for_s("bad"), 900.0)
+
+
 class RetentionTests(unittest.TestCase):
     def test_expired_lost_connections_make_room_for_new_ones(self) -> None:
         server = decode_server("s1", server_entry("plain", "10.0.0.1:80")).unwrap()
