Crashing requests: the store keeps what must outlive all VMs

Callers saw: after the loss of all VMs at once a refused request crashed three servers more, and more while it was learned anew. Cause: what all VMs knew of such requests was kept by VMs only. Change: the leader writes its records (digests, times and crashes; 256 at most) to a topic of their own, each time they change and each minute while there are any; each VM reads them when it starts and tells them to the leader. A new leader reads before it writes, and for 3 s does not replace the record by less.

--- a/src/_pistachiopond/platform/store.py
+++ b/src/_pistachiopond/platform/store.py
@@ -17,6 +17,7 @@
 SERVERS_TOPIC: Final = "keyed.servers"
 OWN_TOPIC: Final = "keyed.pond"
 STREAMS_TOPIC: Final = "keyed.pond-streams"
+REFUSALS_TOPIC: Final = "keyed.pond-refusals"
 
 # Rises by one whenever the store comes back from an older copy; in every answer.
 _ERA_HEADER: Final = b"store-era"
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -357,6 +357,10 @@
         if report["cleared"] or changes or has_news or any(adopted):
             self._broadcast({"suspects": self._suspect_list(report["cleared"])})
 
+    def request_records(self) -> list[RequestRecord]:
+        """Return what is to be kept of requests that were running in crashes."""
+        return self._crashes.records(boot_s())
+
     def adopt_request(self, record: RequestRecord, now_s: float) -> bool:
         """Take over what an earlier leader knew; return whether this is new."""
         is_new = self._crashes.adopt(record, now_s)
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -55,6 +55,7 @@
 from _pistachiopond.vm.leader_server import LeaderServer, LeaderServerDependencies
 from _pistachiopond.vm.peer_relays import PeerRelays
 from _pistachiopond.vm.placer import Placer, PlacerDependencies
+from _pistachiopond.vm.refusal_store import RefusalStore
 from _pistachiopond.vm.relay_handler import RelayHandler
 from _pistachiopond.vm.request_handler import RequestHandler, RequestMetrics
 from _pistachiopond.vm.server_places import DealtPlaces
@@ -103,6 +104,7 @@
     leader_client: LeaderClient
     election: LeaderElection
     version_store: VersionStore
+    refusal_store: RefusalStore
     leader_server: LeaderServer
     placer: Placer
     suspects: Suspects
@@ -292,6 +294,9 @@
         leader_client=leader_client,
         election=election,
         version_store=version_store,
+        refusal_store=RefusalStore(
+            store, leadership, suspects, leader_server.request_records
+        ),
         leader_server=leader_server,
         placer=placer,
         suspects=suspects,
@@ -384,6 +389,7 @@
             vm.leader_client.run,
             vm.election.run,
             vm.version_store.run,
+            vm.refusal_store.run,
         ):
             group.start_soon(work)
         group.start_soon(vm.placer.run)
--- a/src/_pistachiopond/vm/suspects.py
+++ b/src/_pistachiopond/vm/suspects.py
@@ -5,7 +5,7 @@
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.crash_counts import LostConnection
-from _pistachiopond.decisions.suspects import MAX_RECORDS, PROBATION_S
+from _pistachiopond.decisions.suspects import MAX_RECORDS, PROBATION_S, REFUSAL_S
 from _pistachiopond.http1.messages import Request
 from _pistachiopond.schema.deployment import BackendServer
 from _pistachiopond.schema.peer_messages import RequestCrashes, SuspectList
@@ -112,6 +112,10 @@
         held_until_s = self._held_until_s.get(fingerprint, now_s)
         return max(0.0, refused_until_s - now_s, held_until_s - now_s)
 
+    def tell_leader(self) -> None:
+        """Have the records told to the present leader again."""
+        self._has_new_leader = True
+
     def take_records(self) -> list[RequestRecord]:
         """Return what leaders have told of requests, once for each leader."""
         if not self._has_new_leader:
@@ -129,7 +133,7 @@
         now_s = boot_s()
         for name, refused_for_s, ids in records:
             known = self._records.pop(name, None)
-            refused_until_s = now_s + refused_for_s
+            refused_until_s = now_s + min(refused_for_s, REFUSAL_S)
             if known is not None:
                 refused_until_s = max(refused_until_s, known.refused_until_s)
             self._records[name] = _Record(ids, refused_until_s, now_s + PROBATION_S)
--- a/testing/vm/deployment.py
+++ b/testing/vm/deployment.py
@@ -272,7 +272,7 @@
     """Start all components of a VM except the listener for callers."""
     works: list[Coroutine[Any, Any, None]] = [f.run() for f in vm.followers]
     works += [vm.leader_client.run(), vm.election.run(), vm.placer.run()]
-    works.append(vm.version_store.run())
+    works += [vm.version_store.run(), vm.refusal_store.run()]
     works.append(vm.leader_server.run(*vm.settings.peer_address))
     works += [_take_over_requests(vm), _probe_servers(vm)]
     return [asyncio.ensure_future(work) for work in works]
