Crashing requests: a crash that is reported again holds no request

A leader that takes over hears of the same crash twice: from its predecessor's records and from the VM that lost the connection. Crashes are compared by the server's incarnation now. test_crashes_reported_again_to_a_new_leader_hold_no_request failed before (held for 4.5 s).

--- a/src/_pistachiopond/decisions/crash_counts.py
+++ b/src/_pistachiopond/decisions/crash_counts.py
@@ -14,7 +14,6 @@
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.suspects import SuspectTable
-from _pistachiopond.schema.deployment import Incarnation
 from _pistachiopond.schema.suspects import CrashRecord, RequestRecord, SuspectView
 
 # The operators allow three more retries after the third crash.
@@ -44,6 +43,10 @@
     server_id: str
     started_ms: int
 
+    def crash_id(self) -> str:
+        """Return the id of the crash that this is if the server has crashed."""
+        return f"{self.server_id}/{self.started_ms}"
+
 
 class RequestCrash(NamedTuple):
     """A crash that was counted against a request, for the log.
@@ -109,10 +112,9 @@
         is_any_confirmed = False
         for lost, seen_s in list(self._pending.items()):
             if incarnations.get(lost.server_id) != lost.started_ms:
-                crash_id = f"{lost.server_id}/{lost.started_ms}"
-                record = CrashRecord("confirmed", crash_id, (lost.fingerprint,))
+                record = CrashRecord("confirmed", lost.crash_id(), (lost.fingerprint,))
                 self._suspects.apply(record, now_s)
-                crashes = self._suspects.crash_count(lost.fingerprint)
+                crashes = len(self._suspects.crash_ids(lost.fingerprint))
                 self._counted.append(RequestCrash(lost, crashes, now_s - seen_s))
                 is_any_confirmed = True
             elif now_s - seen_s < CONFIRMATION_TIMEOUT_S:
@@ -122,18 +124,17 @@
 
     def held(self, now_s: float) -> dict[str, float]:
         """Return the requests that are held, with the seconds until they may run."""
-        unconfirmed: dict[str, dict[Incarnation, float]] = {}
+        unconfirmed: dict[str, dict[str, float]] = {}
         for lost, seen_s in self._pending.items():
             left_s = seen_s + self._entry_lapse_s - now_s
             if left_s > 0.0:
-                of_request = unconfirmed.setdefault(lost.fingerprint, {})
-                of_request[lost.server_id, lost.started_ms] = left_s
-        return {
-            fingerprint: max(of_request.values())
-            for fingerprint, of_request in unconfirmed.items()
-            if len(of_request) + self._suspects.crash_count(fingerprint)
-            >= CRASHES_TO_REFUSE
-        }
+                unconfirmed.setdefault(lost.fingerprint, {})[lost.crash_id()] = left_s
+        held = {}
+        for fingerprint, left_by_crash in unconfirmed.items():
+            crash_ids = self._suspects.crash_ids(fingerprint).union(left_by_crash)
+            if len(crash_ids) >= CRASHES_TO_REFUSE:
+                held[fingerprint] = max(left_by_crash.values())
+        return held
 
     def records(self, now_s: float) -> list[RequestRecord]:
         """Return what a new leader has to know."""
--- a/src/_pistachiopond/decisions/suspects.py
+++ b/src/_pistachiopond/decisions/suspects.py
@@ -87,9 +87,9 @@
         until_s = self._standings.get(fingerprint, _UNKNOWN).refused_until_s
         return max(0.0, until_s - now_s)
 
-    def crash_count(self, fingerprint: str) -> int:
-        """Return the number of confirmed crashes that count against the request."""
-        return len(self._standings.get(fingerprint, _UNKNOWN).crash_ids)
+    def crash_ids(self, fingerprint: str) -> frozenset[str]:
+        """Return the confirmed crashes that count against the request."""
+        return self._standings.get(fingerprint, _UNKNOWN).crash_ids
 
     def view(self, now_s: float) -> SuspectView:
         """Return all suspects with the time until each of them expires."""
--- a/testing/decisions/test_crash_counts.py
+++ b/testing/decisions/test_crash_counts.py
@@ -9,6 +9,7 @@
     CrashCounts,
     LostConnection,
 )
+from _pistachiopond.schema.suspects import RequestRecord
 
 
 def standing(counts: CrashCounts, now_s: float) -> dict[str, str]:
@@ -64,6 +65,14 @@
         self.assertEqual(counts.held(1.5 + ENTRY_LAPSE_S), {})
         self.assertEqual(standing(counts, 1.5 + ENTRY_LAPSE_S), {"f": "probation"})
 
+    def test_crashes_reported_again_to_a_new_leader_hold_no_request(self) -> None:
+        counts = CrashCounts()
+        ids = ("s1/0", "s2/0")
+        counts.adopt(RequestRecord("f", 0.0, ids), 0.0)
+        for number in (1, 2):
+            counts.record_lost_connection(LostConnection("f", f"s{number}", 0), 0.0)
+        self.assertEqual(counts.held(0.1), {})
+
     def test_a_completed_run_ends_a_hold(self) -> None:
         counts = CrashCounts()
         for number in range(CRASHES_TO_REFUSE):
