--- a/src/_pistachiopond/decisions/suspects.py
+++ b/src/_pistachiopond/decisions/suspects.py
@@ -127,17 +127,17 @@
     def adopt(self, record: RequestRecord, now_s: float) -> bool:
         """Add what an earlier table knew; return whether this is new."""
         current = self._standings.get(record.fingerprint, _UNKNOWN)
-        is_known = current.until_s() > now_s
-        crash_ids = frozenset(record.crash_ids[:MAX_RECORDED_CRASHES])
-        if is_known:
-            crash_ids |= current.crash_ids
+        known_ids: frozenset[str] = frozenset()
+        if current.until_s() > now_s:
+            known_ids = current.crash_ids
+        crash_ids = known_ids.union(record.crash_ids[:MAX_RECORDED_CRASHES])
         refused_for_s = min(record.refused_for_s, REFUSAL_S)
         if len(crash_ids) >= self._crashes_to_refuse and refused_for_s <= 0.0:
             refused_for_s = REFUSAL_S
         was_refused = current.refused_until_s > now_s
-        if not (refused_for_s > 0.0 and not was_refused):
-            if is_known and crash_ids == current.crash_ids:
-                return False
+        begins_refusal = refused_for_s > 0.0 and not was_refused
+        if crash_ids == known_ids and not begins_refusal:
+            return False
         self._standings[record.fingerprint] = _Standing(
             crash_ids,
             max(current.probation_until_s, now_s + PROBATION_S),
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -122,6 +122,7 @@
         self._refusal_code = ""
         self._is_trial = origin is not None and origin.is_trial
         self._parts: tuple[str, ...] | None = None
+        self._known_fingerprint = None if origin is None else origin.fingerprint
         caller = admitted.caller
         is_stream = admitted.route.kind == "stream"
         self._is_resumable_stream = is_stream and admitted.route.is_resumable
@@ -268,10 +269,10 @@
         self._deps.suspects.parts.record_lost(request, parts, server)
 
     def _fingerprint(self) -> str:
-        if self._origin is not None:
-            return self._origin.fingerprint
-        customer = self._customer_name() or ""
-        return make_fingerprint(self._exchange.request, customer)
+        if self._known_fingerprint is None:
+            customer = self._customer_name() or ""
+            self._known_fingerprint = make_fingerprint(self._exchange.request, customer)
+        return self._known_fingerprint
 
     def _customer_name(self) -> str | None:
         customer = self._admitted.customer
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -338,7 +338,7 @@
     def _record_crashes(self, report: MemberReport, now_s: float) -> None:
         for plain in report["cut_off"]:
             self._crashes.record_lost_connection(LostConnection(*plain), now_s)
-        has_news = bool(report["cut_off"]) and self._holds_more(now_s)
+        has_new_holds = bool(report["cut_off"]) and self._has_new_holds(now_s)
         for fingerprint in report["cleared"]:
             self._crashes.record_completed(fingerprint, now_s)
         adopted = [
@@ -354,7 +354,7 @@
             self._parts.adopt(part, for_s, level, now_s)
         changes = self._parts.record_sound(report.get("sound_parts", ()), now_s)
         self._log_crashes(changes, now_s)
-        if report["cleared"] or changes or has_news or any(adopted):
+        if report["cleared"] or changes or has_new_holds or any(adopted):
             self._broadcast({"suspects": self._suspect_list(report["cleared"])})
 
     def request_records(self) -> list[RequestRecord]:
@@ -373,7 +373,7 @@
             )
         return is_new
 
-    def _holds_more(self, now_s: float) -> bool:
+    def _has_new_holds(self, now_s: float) -> bool:
         """Return whether requests are held of which the members do not know yet."""
         new = self._crashes.held(now_s).keys() - self._held_requests
         for fingerprint in sorted(new):
