Old build beside new: samples are compared by name, so that a new one shifts no other

A class of records that only one build has made every later sample look changed. Samples are paired by name and number now; one that a build lacks still counts as a difference.

--- a/testing/live/old_build_records.py
+++ b/testing/live/old_build_records.py
@@ -16,6 +16,7 @@
 import tempfile
 import types
 import typing
+from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any, Final, get_args, get_origin, get_type_hints, is_typeddict
@@ -53,8 +54,7 @@
         ("new reads old", by_old, _run_build(new, "read", by_old)),
         ("old reads new", by_new, _run_build(old, "read", by_new)),
     ):
-        missing = {"group": "", "kind": "", "name": "", "text": ""}
-        for one, two in itertools.zip_longest(expected, found, fillvalue=missing):
+        for one, two in _paired(expected, found):
             if (one["kind"], one["text"]) != (two["kind"], two["text"]):
                 pairs = zip(one["text"], two["text"], strict=False)
                 equal = len(list(itertools.takewhile(lambda x: x[0] == x[1], pairs)))
@@ -66,6 +66,23 @@
         report(f"{group}, {sum(x['group'] == group for x in by_old)} samples", lines)
 
 
+def _paired(
+    expected: list[dict[str, str]], found: list[dict[str, str]]
+) -> Iterator[tuple[dict[str, str], dict[str, str]]]:
+    """Yield the samples of the same name and number; one build may have more."""
+    missing = {"group": "", "kind": "", "name": "", "text": ""}
+    named: list[dict[tuple[str, int], dict[str, str]]] = []
+    for samples in (expected, found):
+        counts: Counter[str] = Counter()
+        by_name: dict[tuple[str, int], dict[str, str]] = {}
+        for sample in samples:
+            by_name[sample["name"], counts[sample["name"]]] = sample
+            counts[sample["name"]] += 1
+        named.append(by_name)
+    for key in dict.fromkeys([*named[0], *named[1]]):
+        yield named[0].get(key, missing), named[1].get(key, missing)
+
+
 def _run_build(checkout: Path, action: str, samples: list[dict[str, str]]) -> list[Any]:
     path = f"{checkout / 'src'}:{checkout}"
     done = subprocess.run(
