Crashing requests: servers that are alive hold no request

Cause: a hold counted lost connections of which nothing else was known. Change: the leader checks each server that has ended a connection, and one that it hears of between 0.05 and 2 s later is alive; so a hold begins 0.7 s after the third loss at the earliest, and ends when the leader finds the server alive: members take the holds of the same leader as they are, and keep them over a change of leader only. A VM refuses by its records only while one is a refusal.

--- a/src/_pistachiopond/decisions/crash_counts.py
+++ b/src/_pistachiopond/decisions/crash_counts.py
@@ -10,16 +10,23 @@
 those that are not confirmed yet is held until they can be.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.suspects import SuspectTable
+from _pistachiopond.schema.deployment import Incarnation
 from _pistachiopond.schema.suspects import CrashRecord, RequestRecord, SuspectView
 
 # The operators allow three more retries after the third crash.
 CRASHES_TO_REFUSE: Final = 3
 # An entry lapses after three missed heartbeats, of 1.2 s by default, and is read then.
 ENTRY_LAPSE_S: Final = 4.6
+# What a server has sent before it ended may come this much later.
+LAST_BYTES_S: Final = 0.05
+# A server that is alive is heard of within the first time, two checks of the leader,
+# and no new process takes its address within the second.
+CHECK_S: Final = 0.7
+MAX_CHECK_S: Final = 2.0
 # A crashed server disappears from the fleet after three missed heartbeats, or a new
 # incarnation appears. A lost connection that is not confirmed by then is dropped.
 CONFIRMATION_TIMEOUT_S: Final = 15.0
@@ -66,6 +73,17 @@
     after_s: float
 
 
+@final
+class _Pending:
+    """A lost connection whose cause is not known yet."""
+
+    def __init__(self, seen_s: float) -> None:
+        self.seen_s = seen_s
+        # The last loss, and whether the server has been heard of since.
+        self.lost_s = seen_s
+        self.is_alive = False
+
+
 @final
 class CrashCounts:
     """Counts confirmed crashes by request."""
@@ -80,13 +98,16 @@
         """
         self._entry_lapse_s = entry_lapse_s
         self._suspects = SuspectTable(CRASHES_TO_REFUSE)
-        self._pending: dict[LostConnection, float] = {}
+        self._pending: dict[LostConnection, _Pending] = {}
         self._counted: list[RequestCrash] = []
 
     def record_lost_connection(self, lost: LostConnection, now_s: float) -> None:
         """Record a lost connection; the same one from several VMs counts once."""
-        if len(self._pending) < MAX_PENDING:
-            self._pending.setdefault(lost, now_s)
+        known = self._pending.get(lost)
+        if known is not None and known.is_alive:
+            known.lost_s, known.is_alive = now_s, False
+        elif known is None and len(self._pending) < MAX_PENDING:
+            self._pending[lost] = _Pending(now_s)
 
     def record_completed(self, fingerprint: str, now_s: float) -> None:
         """Clear a request that completed without crashing its server."""
@@ -110,7 +131,8 @@
             Whether any crash was confirmed.
         """
         is_any_confirmed = False
-        for lost, seen_s in list(self._pending.items()):
+        for lost, pending in list(self._pending.items()):
+            seen_s = pending.seen_s
             if incarnations.get(lost.server_id) != lost.started_ms:
                 record = CrashRecord("confirmed", lost.crash_id(), (lost.fingerprint,))
                 self._suspects.apply(record, now_s)
@@ -122,12 +144,27 @@
             del self._pending[lost]
         return is_any_confirmed
 
-    def held(self, now_s: float) -> dict[str, float]:
-        """Return the requests that are held, with the seconds until they may run."""
+    def held(
+        self, now_s: float, heard_s: Callable[[Incarnation], float]
+    ) -> dict[str, float]:
+        """Return the requests that are held, with the seconds until they may run.
+
+        Parameters
+        ----------
+        now_s : float
+            The time in seconds.
+        heard_s : callable
+            Returns when an incarnation was last heard of. One that is heard of soon
+            after it has ended a connection is alive.
+        """
         unconfirmed: dict[str, dict[str, float]] = {}
-        for lost, seen_s in self._pending.items():
-            left_s = seen_s + self._entry_lapse_s - now_s
-            if left_s > 0.0:
+        for lost, pending in self._pending.items():
+            heard_after_s = heard_s((lost.server_id, lost.started_ms)) - pending.lost_s
+            if LAST_BYTES_S < heard_after_s <= MAX_CHECK_S:
+                pending.is_alive = True
+            is_checked = now_s - pending.lost_s >= CHECK_S
+            left_s = pending.lost_s + self._entry_lapse_s - now_s
+            if is_checked and left_s > 0.0 and not pending.is_alive:
                 unconfirmed.setdefault(lost.fingerprint, {})[lost.crash_id()] = left_s
         held = {}
         for fingerprint, left_by_crash in unconfirmed.items():
--- a/src/_pistachiopond/decisions/server_silences.py
+++ b/src/_pistachiopond/decisions/server_silences.py
@@ -147,6 +147,11 @@
         since_s = now_s - state.resumed_s
         return since_s >= RAMP_S or running < 1 + slots * since_s / RAMP_S
 
+    def heard_s(self, incarnation: Incarnation) -> float:
+        """Return when the server last sent something; minus infinity if unknown."""
+        state = self._states.get(incarnation)
+        return -math.inf if state is None else state.heard_s
+
     def keep_only(self, present: Collection[Incarnation]) -> None:
         """Forget all servers but these."""
         for incarnation in self._states.keys() - present:
--- a/src/_pistachiopond/vm/crash_watch.py
+++ b/src/_pistachiopond/vm/crash_watch.py
@@ -63,6 +63,10 @@
         """Have this VM try servers that refuse other members."""
         self._reach.suspect(incarnations)
 
+    def heard_s(self, incarnation: Incarnation) -> float:
+        """Return when this VM last heard of a server, by `boot_s`."""
+        return self._fleet.heard_s(incarnation)
+
     def to_check(self) -> list[Incarnation]:
         """Return the servers that members are to try."""
         return self._to_check
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -96,6 +96,7 @@
         self._leaving_since_s: dict[tuple[str, int], float] = {}
         self._pauses = ServerPauses()
         self._silences = ServerSilences()
+        self._accepted_s: dict[Incarnation, float] = {}
         self.rates = NamedRates()
         # Called with what an answer has changed about a server's rate.
         self.on_rate: Callable[[Incarnation, float | None], None] = ignore_rate
@@ -179,6 +180,8 @@
                 del self._leaving_since_s[incarnation]
         self._pauses.drop_ended(now_s)
         self._silences.keep_only(present)
+        for incarnation in self._accepted_s.keys() - present:
+            del self._accepted_s[incarnation]
         self.rates.keep_only(present, now_s)
         self.refusals.keep_only(present)
         self.brittle.keep_only(present, now_s)
@@ -540,8 +543,14 @@
         ):
             self.wake_waiters()
 
+    def heard_s(self, incarnation: Incarnation) -> float:
+        """Return when this VM last heard of the server, by `boot_s`."""
+        accepted_s = self._accepted_s.get(incarnation, float("-inf"))
+        return max(accepted_s, self._silences.heard_s(incarnation))
+
     def connected(self, server: BackendServer) -> None:
         """Record that the server has accepted a connection."""
+        self._accepted_s[server.incarnation()] = boot_s()
         if not self.refusals.is_empty() and self.refusals.accepted(
             server.incarnation(), server.service
         ):
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -278,6 +278,7 @@
             self._parts = PartSuspects()
         self._log_crashes(changes, now_s)
         has_changed = has_changed or self._parts.watched() != self._watched_parts
+        has_changed |= self._held(now_s).keys() != self._held_requests
         if has_changed or changes:
             self._broadcast({"suspects": self._suspect_list([])})
 
@@ -314,7 +315,11 @@
         now_s = boot_s()
         suspects = self._crashes.view(now_s).suspects
         refused = {s.fingerprint: s.expires_in_s for s in suspects if s.is_refused()}
-        held = self._crashes.held(now_s)
+        held = self._held(now_s)
+        for fingerprint in sorted(held.keys() - self._held_requests):
+            log_change(
+                "request held until its crashes are known", fingerprint=fingerprint
+            )
         self._held_requests = frozenset(held)
         refused_parts = self._parts.refusals()
         self._watched_parts = self._parts.watched()
@@ -337,8 +342,10 @@
 
     def _record_crashes(self, report: MemberReport, now_s: float) -> None:
         for plain in report["cut_off"]:
-            self._crashes.record_lost_connection(LostConnection(*plain), now_s)
-        has_new_holds = bool(report["cut_off"]) and self._has_new_holds(now_s)
+            lost = LostConnection(*plain)
+            self._crashes.record_lost_connection(lost, now_s)
+            if self._deps.crash_watch is not None and self._deps.leadership.is_mine():
+                self._deps.crash_watch.check([(lost.server_id, lost.started_ms)])
         for fingerprint in report["cleared"]:
             self._crashes.record_completed(fingerprint, now_s)
         adopted = [
@@ -354,7 +361,7 @@
             self._parts.adopt(part, for_s, level, now_s)
         changes = self._parts.record_sound(report.get("sound_parts", ()), now_s)
         self._log_crashes(changes, now_s)
-        if report["cleared"] or changes or has_new_holds or any(adopted):
+        if report["cleared"] or changes or any(adopted):
             self._broadcast({"suspects": self._suspect_list(report["cleared"])})
 
     def request_records(self) -> list[RequestRecord]:
@@ -373,14 +380,12 @@
             )
         return is_new
 
-    def _has_new_holds(self, now_s: float) -> bool:
-        """Return whether requests are held of which the members do not know yet."""
-        new = self._crashes.held(now_s).keys() - self._held_requests
-        for fingerprint in sorted(new):
-            log_change(
-                "request held until its crashes are known", fingerprint=fingerprint
-            )
-        return bool(new)
+    def _held(self, now_s: float) -> dict[str, float]:
+        """Return the requests whose unconfirmed crashes are held against them."""
+        watch = self._deps.crash_watch
+        if watch is None:
+            return {}
+        return self._crashes.held(now_s, watch.heard_s)
 
     async def _serve_member(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/_pistachiopond/vm/suspects.py
+++ b/src/_pistachiopond/vm/suspects.py
@@ -71,17 +71,19 @@
         self._new_cleared: set[str] = set()
         self._watched: frozenset[str] = frozenset()
         self._records: dict[str, _Record] = {}
+        self._has_refused_record = False
         # Requests that are refused until their crashes are known.
         self._held_until_s: dict[str, float] = {}
         self._has_new_leader = True
+        self._is_first_list = True
 
     def is_empty(self) -> bool:
         """Return whether the leader suspects no request."""
         return not self._watched
 
     def has_refused(self) -> bool:
-        """Return whether any request may be refused."""
-        return bool(self._records or self._held_until_s)
+        """Return whether any request is refused, or was until a moment ago."""
+        return self._has_refused_record or bool(self._held_until_s)
 
     def refused_count(self) -> int:
         """Return the number of requests that are refused."""
@@ -147,6 +149,9 @@
             if record.until_s > now_s
         ]
         self._records = dict(kept[-MAX_RECORDS:])
+        self._has_refused_record = any(
+            record.refused_until_s > now_s for record in self._records.values()
+        )
         self._held_until_s = {
             name: until_s
             for name, until_s in self._held_until_s.items()
@@ -164,6 +169,7 @@
         self._forget_old_lost()
         self._new_lost = set(self._lost_seen_s)
         self._has_new_leader = True
+        self._is_first_list = True
         self.parts.leader_changed()
 
     def _forget_old_lost(self) -> None:
@@ -177,7 +183,7 @@
     def apply_list(self, plain: SuspectList) -> None:
         """Apply the leader's list; what it does not know stays refused here.
 
-        A new leader may not have heard of it yet.
+        A new leader may not have heard of it yet. Holds end with its second list.
         """
         self.parts.apply_list(plain)
         cleared = set(plain["cleared"])
@@ -190,10 +196,15 @@
         records = decode_records(plain.get("request_crashes", ()))
         self.learn(records)
         refused = {record.fingerprint for record in records if record.refused_for_s > 0}
-        for fingerprint in plain["refused"].keys() - refused:
-            until_s = boot_s() + plain["refused"][fingerprint]
-            known_s = self._held_until_s.get(fingerprint, until_s)
-            self._held_until_s[fingerprint] = max(known_s, until_s)
+        now_s = boot_s()
+        held_until_s = {
+            fingerprint: now_s + plain["refused"][fingerprint]
+            for fingerprint in plain["refused"].keys() - refused
+        }
+        if self._is_first_list:
+            held_until_s = self._held_until_s | held_until_s
+        self._is_first_list = False
+        self._held_until_s = held_until_s
 
 
 def encode_records(records: Iterable[RequestRecord]) -> list[RequestCrashes]:
