--- a/src/_pistachiopond/decisions/crash_counts.py
+++ b/src/_pistachiopond/decisions/crash_counts.py
@@ -23,9 +23,10 @@
 ENTRY_LAPSE_S: Final = 4.6
 # What a server has sent before it ended may come this much later.
 LAST_BYTES_S: Final = 0.05
-# A server that is alive is heard of within the first time, two checks of the leader,
-# and no new process takes its address within the second.
+# The leader checks a server within 0.1 s, and again after 0.5 s. One of which it has
+# heard nothing for this long may have crashed.
 CHECK_S: Final = 0.7
+# What is heard later may come from a new process at the server's address.
 MAX_CHECK_S: Final = 2.0
 # A crashed server disappears from the fleet after three missed heartbeats, or a new
 # incarnation appears. A lost connection that is not confirmed by then is dropped.
@@ -39,7 +40,7 @@
     Attributes
     ----------
     fingerprint : str
-        Digest of the request's content and its caller.
+        Digest of the request's content and its customer.
     server_id : str
         The backend server.
     started_ms : int
