Review: a request that crashes workers silently is never refused

A crash counts against a request only if its channel ended; one that waits at a silent worker until its deadline is no evidence, so the request crashes each worker that comes back.

--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -108,14 +108,26 @@
 
     def end(self) -> None:
         """End: close all channels, with what still runs, and remove the entry."""
+        self.stop_heartbeats()
+        self.close_channels()
+        self.store.put("keyed.servers", self.name, b"")
+        self.record.say(f"{self.name} has ended")
+
+    def stop_heartbeats(self) -> None:
+        """Write no more status reports."""
         for task in self._tasks:
             task.cancel()
+
+    def stop_listening(self) -> None:
+        """Take no new channels."""
         if self._server is not None:
             self._server.close()
+
+    def close_channels(self) -> None:
+        """Take no new channels and close the others."""
+        self.stop_listening()
         for writer in list(self._writers):
             writer.transport.abort()
-        self.store.put("keyed.servers", self.name, b"")
-        self.record.say(f"{self.name} has ended")
 
     async def _beat(self) -> None:
         while True:
