--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -11,7 +11,7 @@
 
 HEARTBEAT_S = 1.2
 # After the store's return a worker writes its entry again within two seconds.
-REWRITE_S = 1.5
+REWRITE_S = 1.8
 
 # Runs a request and writes its answer; returns whether the channel may be kept.
 Run = Callable[["Worker", Message, asyncio.StreamWriter], Awaitable[bool]]
