Logs: a line is written whatever its fields hold

What callers saw: none was served.

Circular fields, keys that are not text and numbers of more than 4,300 digits raised as well, and a line had no bound.

Change: text that UTF-8 has not is escaped; a line that cannot be formatted, or has more than 16 KiB, is replaced by a short one that says why.

--- a/src/_pistachiopond/observe/bounded_log_handler.py
+++ b/src/_pistachiopond/observe/bounded_log_handler.py
@@ -1,6 +1,7 @@
 """A log handler for standard output that never blocks and has bounded memory."""
 
 import errno
+import json
 import logging
 import os
 import select
@@ -18,6 +19,9 @@
 # Lines per second with the same message; more are dropped and counted.
 MAX_LINES_PER_S: Final = 40
 FLUSH_BYTES: Final = 32 * 1024
+# Of a longer line, the beginning is kept as text.
+MAX_LINE_BYTES: Final = 16 * 1024
+KEPT_CHARACTERS: Final = 2_000
 
 
 @final
@@ -43,7 +47,21 @@
         if seen > MAX_LINES_PER_S or len(self._lines) >= MAX_WAITING_LINES:
             self.dropped += 1
             return
-        self._lines.append(self.format(record).encode() + b"\n")
+        self._lines.append(self._encode(record) + b"\n")
+
+    def _encode(self, record: logging.LogRecord) -> bytes:
+        """Return the line; whatever its fields hold, this raises no exception."""
+        try:
+            text = self.format(record)
+        except Exception as error:
+            reason = f"the line cannot be formatted: {type(error).__name__}"
+            return _encode_replacement(record, reason, "")
+        # Text from outside may contain half of a surrogate pair, which UTF-8 has not.
+        line = text.encode("utf-8", "backslashreplace")
+        if len(line) > MAX_LINE_BYTES:
+            reason = f"the line has {len(line)} bytes"
+            return _encode_replacement(record, reason, text[:KEPT_CHARACTERS])
+        return line
 
     def flush_ready(self) -> None:
         """Write as much as standard output accepts without blocking."""
@@ -76,6 +94,16 @@
         return b"".join(taken)
 
 
+def _encode_replacement(record: logging.LogRecord, reason: str, text: str) -> bytes:
+    line = {
+        "level": record.levelname.lower(),
+        "message": str(record.msg)[:KEPT_CHARACTERS],
+        "shortened": reason,
+        "beginning": text,
+    }
+    return json.dumps(line).encode()
+
+
 def set_up_bounded_logs() -> BoundedLogHandler:
     """Send the process's log records to a new bounded handler, and return it."""
     flags.FLAGS.mark_as_parsed()
--- a/testing/observe/test_bounded_log_handler.py
+++ b/testing/observe/test_bounded_log_handler.py
@@ -42,6 +42,34 @@
         line = json.loads(os.read(self.read_fd, 65_536))
         self.assertEqual((line["message"], line["server"]), ("server gone", "s1"))
 
+    def read(self) -> dict[str, object]:
+        with patch("sys.stdout", _Stdout(self.write_fd)):
+            self.handler.flush_ready()
+        plain = json.loads(os.read(self.read_fd, 65_536))
+        assert isinstance(plain, dict)
+        return plain
+
+    def test_text_that_is_not_utf_8_raises_no_exception(self) -> None:
+        # A service named by half of a surrogate pair ended the process.
+        self.emit("server seen", 1.0, service="a\ud800")
+        line = self.read()
+        self.assertEqual(line["service"], "a\ud800")
+
+    def test_fields_that_cannot_be_formatted_are_left_out(self) -> None:
+        endless: list[object] = []
+        endless.append(endless)
+        for value in (endless, {(1, 2): 3}, 10**5000):
+            self.emit("server seen", 1.0, value=value)
+            line = self.read()
+            self.assertEqual(line["message"], "server seen")
+            self.assertIn("cannot be formatted", str(line["shortened"]))
+
+    def test_long_lines_are_shortened(self) -> None:
+        self.emit("server seen", 1.0, service="x" * 1_000_000)
+        line = self.read()
+        self.assertEqual(line["message"], "server seen")
+        self.assertLess(len(str(line["beginning"])), 3_000)
+
     def test_lines_over_the_rate_of_one_message_are_dropped(self) -> None:
         for _ in range(MAX_LINES_PER_S + 25):
             self.emit("request refused", 5.0)
