Decoding: typed messages with ranges, through one library

Cause: messages were decoded by hand, each with its own list of exceptions, and numbers had no range. int(inf) raises OverflowError, brackets RecursionError; neither was in a list. A number may also be decoded and fail where it is used (float of 400 digits, a division by 0 slots).

Ruled out: that the number alone does it.

Change: schema/json_decoding.py decodes through msgspec into TypedDicts, whose numbers have ranges. It has wheels for x86-64 and arm64, refuses non-finite numbers and halves of surrogate pairs, also in unknown fields, and raises one error for depth.

Lines between VMs keep json, since older builds send Infinity in them.

Result: the table of odd values raises nothing (12 tests); a test fails if a decoder is not in it; a VM's process serves beside all odd entries, before and after a restart (before: it ended).

--- a/src/_pistachiopond/platform/requests.py
+++ b/src/_pistachiopond/platform/requests.py
@@ -27,6 +27,8 @@
 EVENT_NUMBER_FIELDS: Final = frozenset({b"x-weight-versions"})
 # Attempt ids are short; a longer value is not one.
 _MAX_ATTEMPT_ID_BYTES: Final = 256
+# Of one request or of a part of its prompt; far more than a server's memory holds.
+MAX_TOKENS: Final = 1_000_000_000
 RETRY_AFTER: Final = b"Retry-After"
 # Removed from callers' requests, since only this system may send them to servers.
 _SYSTEM_HEADERS: Final = frozenset(
@@ -79,9 +81,9 @@
 def _decode(head: RequestHead, values: dict[bytes, str]) -> CallerRequest:
     model, _, adapter = values.get(b"x-model", "").partition("/")
     counts = values.get(b"x-token-counts")
-    tokens = [int(part) for part in counts.split(",")] if counts else None
-    if tokens is not None and (len(tokens) != 2 or min(tokens) < 0):
-        raise ValueError(f"{counts!r} is not a pair of token counts")
+    tokens = [_decode_tokens(part) for part in counts.split(",")] if counts else None
+    if tokens is not None and len(tokens) != 2:
+        raise ValueError(f"{counts[:100]!r} is not a pair of token counts")
     deadline_ms = values.get(b"x-deadline-ms")
     return CallerRequest(
         attempt_id=values[ATTEMPT_ID],
@@ -120,10 +122,17 @@
     parts = []
     for item in text.split(",") if text else ():
         part_id, _, tokens = item.strip().partition(":")
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, _decode_tokens(tokens)))
     return tuple(parts)
 
 
+def _decode_tokens(text: str) -> int:
+    tokens = int(text)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError(f"a number of tokens is not from 0 to {MAX_TOKENS}")
+    return tokens
+
+
 def encode_forwarded(request: Request, context: ForwardContext) -> Request:
     """Return the request in the form that is sent to a server."""
     headers = _forwarded_headers(request.head, context.resume_after)
--- a/src/_pistachiopond/platform/servers.py
+++ b/src/_pistachiopond/platform/servers.py
@@ -2,8 +2,10 @@
 
 import json
 import math
-from typing import Any, Final
+from functools import partial
+from typing import Annotated, Any, Final, Literal, NotRequired, TypedDict
 
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from _pistachiopond.http1.messages import (
@@ -13,10 +15,14 @@
     parse_address,
 )
 from _pistachiopond.schema.deployment import BackendServer
+from _pistachiopond.schema.json_decoding import Count, make_decoder
 from _pistachiopond.schema.model_orders import ModelOrder, OrderOutcome, ServerReport
 from _pistachiopond.schema.server_notice import NO_NOTICE, ServerNotice
 
-_STATES = {"ready": False, "draining": True}
+# Far more than a server runs at once. At least one, since load is divided by slots.
+MAX_SLOTS: Final = 1_000_000
+# Of a whole number in a header.
+MAX_DIGITS: Final = 9
 # In all answers of a server that is shutting down.
 _LEAVING_HEADER: Final = b"server-leaving"
 _PAUSE_HEADER: Final = b"retry-after"
@@ -26,42 +32,77 @@
 _RATE_HEADER: Final = b"server-limit"
 
 
+class _NamedItem(TypedDict):
+    name: str
+
+
+class _ModelItem(TypedDict):
+    name: str
+    adapters: NotRequired[list[str | _NamedItem] | None]
+
+
+class _LocalWeights(TypedDict):
+    inMemory: NotRequired[list[str | _NamedItem] | None]
+    onDisk: NotRequired[list[str | _NamedItem] | None]
+
+
+class _Entry(TypedDict):
+    service: str
+    address: str
+    zone: str
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    # In a report this field counts orders; in an entry, heartbeats.
+    sequence: Count
+    born: NotRequired[Count]
+    # Of the server's software, not of its weights; of any type.
+    version: NotRequired[Any]
+    models: NotRequired[list[_ModelItem] | None]
+    atHand: NotRequired[_LocalWeights | None]
+
+
+class _Report(TypedDict):
+    models: list[_ModelItem]
+    busy: bool
+    sequence: Count
+    coming: NotRequired[list[str] | None]
+
+
+_decode_entry: Final = make_decoder(_Entry)
+_decode_plain_report: Final = make_decoder(_Report)
+
+
 def decode_server(server_id: str, value: bytes) -> Result[BackendServer, str]:
     """Return the server in a record's value, or the reason why it is invalid.
 
     Other writers may store entries of any shape under the servers' keys.
     """
-    try:
-        return Ok(_decode_server(server_id, json.loads(value)))
-    except KeyError as error:
-        return Err(f"field missing or state unknown: {error}")
-    except (AttributeError, TypeError, ValueError) as error:
-        return Err(str(error))
+    if not server_id.isascii() or not server_id.isprintable() or not server_id:
+        return Err("the server's id cannot be sent in a header")
+    return _decode_entry(value).and_then(partial(_make_server, server_id))
 
 
-def _decode_server(server_id: str, plain: dict[str, Any]) -> BackendServer:
-    for name in ("service", "address", "zone", "state"):
-        if not isinstance(plain[name], str):
-            found = type(plain[name]).__name__
-            raise TypeError(f"the field {name!r} is not a string but {found}")
-    for name in ("slots", "sequence"):
-        if not isinstance(plain[name], int) or isinstance(plain[name], bool):
-            found = type(plain[name]).__name__
-            raise TypeError(f"the field {name!r} is not an integer but {found}")
-    local_weights = plain.get("atHand") or {}
-    return BackendServer(
+def _make_server(server_id: str, entry: _Entry) -> Result[BackendServer, str]:
+    try:
+        address = parse_address(entry["address"])
+        software_version = _decode_software_version(entry.get("version"))
+    except (ValueError, RecursionError) as error:
+        return Err(str(error))
+    local_weights = entry.get("atHand") or {}
+    server = BackendServer(
         server_id=server_id,
-        started_ms=int(plain.get("born", 0)),
-        service=plain["service"],
-        address=parse_address(plain["address"]),
-        data_centre=plain["zone"],
-        slots=plain["slots"],
-        is_leaving=_STATES[plain["state"]],
-        models=_decode_models(plain.get("models") or []),
+        started_ms=entry.get("born", 0),
+        service=entry["service"],
+        address=address,
+        data_centre=entry["zone"],
+        slots=entry["slots"],
+        is_leaving=entry["state"] == "draining",
+        models=_decode_models(entry.get("models") or []),
         models_in_memory=_decode_names(local_weights.get("inMemory")),
         models_on_disk=_decode_names(local_weights.get("onDisk")),
-        software_version=_decode_software_version(plain.get("version")),
+        software_version=software_version,
     )
+    return Ok(server)
 
 
 def _decode_software_version(value: Any) -> str:
@@ -71,15 +112,14 @@
     return value if isinstance(value, str) else json.dumps(value, sort_keys=True)
 
 
-def _decode_models(plain: list[dict[str, Any]]) -> dict[str, tuple[str, ...]]:
-    return {item["name"]: _decode_names(item.get("adapters")) for item in plain}
+def _decode_models(items: list[_ModelItem]) -> dict[str, tuple[str, ...]]:
+    return {item["name"]: _decode_names(item.get("adapters")) for item in items}
 
 
-def _decode_names(plain: Any) -> tuple[str, ...]:
-    names = []
-    for item in plain or ():
-        names.append(str(item["name"]) if isinstance(item, dict) else str(item))
-    return tuple(names)
+def _decode_names(items: list[str | _NamedItem] | None) -> tuple[str, ...]:
+    return tuple(
+        item if isinstance(item, str) else item["name"] for item in items or ()
+    )
 
 
 def _decode_adapter_in_transit(text: str) -> tuple[str, str]:
@@ -190,9 +230,10 @@
 
 
 def _decode_crash_limit(text: str) -> int:
-    if not text.isascii() or not text.strip().isdigit():
-        raise ValueError(f"the crash limit is not a whole number: {text!r}")
-    return int(text)
+    digits = text.strip()
+    if not text.isascii() or not digits.isdigit() or len(digits) > MAX_DIGITS:
+        raise ValueError(f"the crash limit is not a whole number: {text[:100]!r}")
+    return int(digits)
 
 
 def _decode_pause(text: str) -> float:
@@ -210,25 +251,22 @@
 
 def decode_report(body: bytes) -> Result[ServerReport, str]:
     """Return a server's report, or the reason why it is invalid."""
-    try:
-        plain = json.loads(body)
-        models = _decode_models(plain["models"])
-        has_unknown_base = False
-        for item in plain.get("coming") or ():
-            # An adapter in transit has been counted as an order and takes a slot, but
-            # is not yet among the adapters of its model.
-            model, adapter = _decode_adapter_in_transit(item)
-            if model not in models:
-                has_unknown_base = True
-            elif adapter not in models[model]:
-                models[model] += (adapter,)
-        return Ok(
-            ServerReport(
-                models=models,
-                is_busy=bool(plain["busy"]) or has_unknown_base,
-                # In a report this field counts orders; in an entry, heartbeats.
-                order_count=int(plain["sequence"]),
-            )
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        return Err(f"{type(error).__name__}: {error}")
+    return _decode_plain_report(body).map(_make_report)
+
+
+def _make_report(plain: _Report) -> ServerReport:
+    models = _decode_models(plain["models"])
+    has_unknown_base = False
+    for item in plain.get("coming") or ():
+        # An adapter in transit has been counted as an order and takes a slot, but
+        # is not yet among the adapters of its model.
+        model, adapter = _decode_adapter_in_transit(item)
+        if model not in models:
+            has_unknown_base = True
+        elif adapter not in models[model]:
+            models[model] += (adapter,)
+    return ServerReport(
+        models=models,
+        is_busy=plain["busy"] or has_unknown_base,
+        order_count=plain["sequence"],
+    )
--- a/src/_pistachiopond/platform/store.py
+++ b/src/_pistachiopond/platform/store.py
@@ -5,12 +5,19 @@
 import struct
 from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Any, Final, Literal, NamedTuple
+from typing import Any, Final, Literal, NamedTuple, TypedDict
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
 
 from _pistachiopond.http1.messages import CompleteResponse, Request, RequestHead
+from _pistachiopond.observe.logs import log_warning
+from _pistachiopond.schema.json_decoding import (
+    MAX_WHOLE_NUMBER,
+    Count,
+    check_type,
+    make_decoder,
+)
 from _pistachiopond.schema.store_position import StorePosition
 
 OPERATOR_TOPIC: Final = "keyed.op"
@@ -25,6 +32,8 @@
 # Of one read of a topic's newest records, over all of its pages.
 MAX_SNAPSHOT_BYTES: Final = 64 * 1024 * 1024
 MAX_SNAPSHOT_PAGES: Final = 1_000
+# Of a whole number in a header.
+MAX_DIGITS: Final = 16
 
 _LENGTH: Final = struct.Struct(">I")
 _OFFSETS: Final = struct.Struct(">QQ")
@@ -148,6 +157,37 @@
     era: int
 
 
+class _Page(NamedTuple):
+    """A page of a snapshot.
+
+    `next_key` is the key after which the next page begins; None if there is none.
+    """
+
+    records: list[KeyedRecord]
+    next_key: str | None
+    end: StorePosition
+
+
+class _NewestItem(TypedDict):
+    key: str
+    # In base64.
+    value: str
+    offset: Count
+
+
+class _NewestPage(TypedDict):
+    items: list[Any]
+    more: bool
+    end: Count
+
+
+class _Appended(TypedDict):
+    offset: Count
+
+
+_decode_appended: Final = make_decoder(_Appended)
+
+
 def make_store_client(call: Call) -> StoreClient:
     """Return a client that uses `call` to send each HTTP request."""
 
@@ -181,18 +221,18 @@
             size_bytes += len(answer.ok().body)
             if size_bytes > MAX_SNAPSHOT_BYTES:
                 detail = f"a snapshot of more than {MAX_SNAPSHOT_BYTES} bytes"
-                return Err(StoreFailure("malformed", detail, page.ok()[2].era))
-            items, has_more, page_end = page.ok()
-            records += items
+                return Err(_malformed(detail, page.ok().end.era))
+            records += page.ok().records
             # Records may be written between two pages, so the tail must be read from
             # the end that the first page shows.
-            end = page_end if end is None else end
-            if not has_more or not items:
+            end = page.ok().end if end is None else end
+            next_key = page.ok().next_key
+            if next_key is None:
                 return Ok(Snapshot(tuple(records), end))
-            if items[-1].key == query.get("after"):
-                detail = f"a page ends at the key {items[-1].key[:100]!r} as the last"
-                return Err(StoreFailure("malformed", detail, end.era))
-            query["after"] = items[-1].key
+            if next_key == query.get("after"):
+                detail = f"a page ends at the key {next_key[:100]!r} as the last"
+                return Err(_malformed(detail, end.era))
+            query["after"] = next_key
         detail = f"a snapshot of more than {MAX_SNAPSHOT_PAGES} pages"
         return Err(StoreFailure("malformed", detail, 0 if end is None else end.era))
 
@@ -269,15 +309,18 @@
     Raises
     ------
     ValueError
-        When the header is not a whole number.
+        When the header is not a whole number in the range of `Count`.
     """
     value = reply.head.value(_ERA_HEADER)
     if value is None:
         return 0
     text = value.decode("latin-1").strip()
-    if not text.isdecimal():
-        raise ValueError(f"the store's era is not a whole number: {text!r}")
-    return int(text)
+    if not text.isdecimal() or not text.isascii() or len(text) > MAX_DIGITS:
+        raise ValueError(f"the store's era is not a whole number: {text[:100]!r}")
+    era = int(text)
+    if era > MAX_WHOLE_NUMBER:
+        raise ValueError(f"the store's era is out of range: {era}")
+    return era
 
 
 def _check_era(
@@ -315,29 +358,51 @@
     return Err(StoreFailure("refused", detail, era))
 
 
-def _decode_newest(
-    answer: _Answer,
-) -> Result[tuple[list[KeyedRecord], bool, StorePosition], StoreFailure]:
+def _decode_newest(answer: _Answer) -> Result[_Page, StoreFailure]:
     try:
+        # Other writers choose the keys, and an invalid one must not hide the others; so
+        # each item is checked by itself, after a lenient decoding of the page.
         plain = json.loads(answer.body)
-        records = [
-            KeyedRecord(
-                StorePosition(answer.era, int(item["offset"])),
-                item["key"],
-                base64.b64decode(item["value"]),
-            )
-            for item in plain["items"]
-        ]
-        end = StorePosition(answer.era, int(plain["end"]))
-        return Ok((records, bool(plain["more"]), end))
-    except (KeyError, TypeError, ValueError) as error:
-        detail = f"{type(error).__name__}: {error}"
-        return Err(StoreFailure("malformed", detail, answer.era))
+    except (ValueError, RecursionError) as error:
+        return Err(_malformed(f"{type(error).__name__}: {error}", answer.era))
+    page = check_type(_NewestPage, plain)
+    if page.is_err():
+        return Err(_malformed(page.err(), answer.era))
+    items = [
+        check_type(_NewestItem, item).and_then(partial(_make_record, answer.era))
+        for item in page.ok()["items"]
+    ]
+    for item in items:
+        if item.is_err():
+            log_warning("record of the store cannot be read", reason=item.err())
+    next_key = None
+    if items and page.ok()["more"]:
+        if items[-1].is_err():
+            detail = f"the last record of a page cannot be read: {items[-1].err()}"
+            return Err(_malformed(detail, answer.era))
+        next_key = items[-1].ok().key
+    records = [item.ok() for item in items if item.is_ok()]
+    end = StorePosition(answer.era, page.ok()["end"])
+    return Ok(_Page(records, next_key, end))
+
+
+def _make_record(era: int, item: _NewestItem) -> Result[KeyedRecord, str]:
+    try:
+        # A key that cannot be encoded could not be named in a call either.
+        item["key"].encode()
+        value = base64.b64decode(item["value"])
+    except ValueError as error:
+        return Err(str(error))
+    return Ok(KeyedRecord(StorePosition(era, item["offset"]), item["key"], value))
 
 
 def _decode_append(answer: _Answer) -> Result[StorePosition, StoreFailure]:
-    try:
-        return Ok(StorePosition(answer.era, int(json.loads(answer.body)["offset"])))
-    except (KeyError, TypeError, ValueError) as error:
-        detail = f"{type(error).__name__}: {error}"
-        return Err(StoreFailure("malformed", detail, answer.era))
+    return (
+        _decode_appended(answer.body)
+        .map(lambda plain: StorePosition(answer.era, plain["offset"]))
+        .map_err(lambda reason: _malformed(reason, answer.era))
+    )
+
+
+def _malformed(reason: str, era: int) -> StoreFailure:
+    return StoreFailure("malformed", reason, era)
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -298,7 +298,7 @@
     """Return the message in a line, or an error text."""
     try:
         plain = json.loads(line)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err(str(error))
     if not isinstance(plain, dict):
         return Err("the message is not a JSON object")
--- a/src/_pistachiopond/vm/leader_election.py
+++ b/src/_pistachiopond/vm/leader_election.py
@@ -11,14 +11,17 @@
 
 import json
 from collections.abc import Callable
-from typing import Final, final
+from typing import Final, NotRequired, TypedDict, final
 
 import anyio
+from result import Err, Ok, Result
 
 from _pistachiopond.decisions.leader_reach import claim_handicap_s, should_hand_over
 from _pistachiopond.decisions.leadership import Claim, Leadership
+from _pistachiopond.http1.messages import parse_address
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.store import OWN_TOPIC, KeyedRecord, StoreClient
+from _pistachiopond.schema.json_decoding import Count, make_decoder
 from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.schema.vm_settings import VmSettings
 from _pistachiopond.vm.clock import boot_s
@@ -218,6 +221,17 @@
     """Ignore the records; this VM keeps no others than claims."""
 
 
+class _PlainClaim(TypedDict):
+    leader: str
+    incarnation: str
+    address: str
+    # Builds that do not know eras write none.
+    era: NotRequired[Count]
+
+
+_decode_claim: Final = make_decoder(_PlainClaim)
+
+
 def _newest_claim(records: tuple[KeyedRecord, ...]) -> Claim | None:
     claims = [claim for claim in map(_decode, records) if claim is not None]
     return claims[-1] if claims else None
@@ -226,12 +240,19 @@
 def _decode(record: KeyedRecord) -> Claim | None:
     if record.key != LEADER_KEY or not record.value:
         return None
-    try:
-        plain = json.loads(record.value)
-        # Builds that do not know eras write none.
-        position = StorePosition(int(plain.get("era", 0)), record.position.offset)
-        return Claim(position, plain["leader"], plain["incarnation"], plain["address"])
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        offset = record.position.offset
-        log_warning("claim cannot be read", offset=offset, reason=str(error))
+    offset = record.position.offset
+    decoded = _decode_claim(record.value).and_then(_check_address)
+    if decoded.is_err():
+        log_warning("claim cannot be read", offset=offset, reason=decoded.err())
         return None
+    plain = decoded.ok()
+    position = StorePosition(plain.get("era", 0), offset)
+    return Claim(position, plain["leader"], plain["incarnation"], plain["address"])
+
+
+def _check_address(plain: _PlainClaim) -> Result[_PlainClaim, str]:
+    try:
+        parse_address(plain["address"])
+    except ValueError as error:
+        return Err(str(error))
+    return Ok(plain)
--- a/src/_pistachiopond/vm/refusal_store.py
+++ b/src/_pistachiopond/vm/refusal_store.py
@@ -8,13 +8,14 @@
 
 import json
 from collections.abc import Callable
-from typing import Final, final
+from typing import Final, TypedDict, final
 
 import anyio
 
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.store import REFUSALS_TOPIC, StoreClient
+from _pistachiopond.schema.json_decoding import Amount, make_decoder
 from _pistachiopond.schema.suspects import RequestRecord
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.suspects import Suspects, decode_records, encode_records
@@ -31,6 +32,13 @@
 _Content = dict[str, tuple[bool, tuple[str, ...]]]
 
 
+class _StoredRequests(TypedDict):
+    requests: list[tuple[str, Amount, list[str]]]
+
+
+_decode_stored: Final = make_decoder(_StoredRequests)
+
+
 @final
 class RefusalStore:
     """Reads the record when this VM starts, and writes it while this VM leads."""
@@ -102,11 +110,11 @@
         return True
 
     def _learn(self, value: bytes) -> None:
-        try:
-            records = decode_records(json.loads(value)[RECORDS_KEY])
-        except (LookupError, TypeError, ValueError) as error:
-            log_warning("requests that crash servers unreadable", reason=str(error))
+        decoded = _decode_stored(value)
+        if decoded.is_err():
+            log_warning("requests that crash servers unreadable", reason=decoded.err())
             return
+        records = decode_records(decoded.ok()["requests"])
         self._written = _content_of(records)
         self._suspects.learn(records)
         self._suspects.tell_leader()
--- a/src/_pistachiopond/vm/relay_messages.py
+++ b/src/_pistachiopond/vm/relay_messages.py
@@ -5,8 +5,9 @@
 """
 
 import json
-from typing import Final
+from typing import Annotated, Final, NotRequired, TypedDict
 
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from _pistachiopond.http1.messages import Request, RequestHead, ResponseHead
@@ -16,14 +17,34 @@
     promises_not_run,
 )
 from _pistachiopond.schema.caller_request import ResponseKind
+from _pistachiopond.schema.json_decoding import Count, Number, make_decoder
 from _pistachiopond.schema.relayed_request import RelayedRequest
 
 RELAY_HEADER: Final = b"Pond-Relay"
 VERDICT_HEADER: Final = b"Pond-Verdict"
+# Far beyond the ranks that operators give.
+MAX_RANK: Final = 1_000_000
 NOT_RUN: Final = b"not_run"
 MAY_HAVE_RUN: Final = b"may_have_run"
 
 
+class _Header(TypedDict):
+    """The fields of `RelayedRequest`; older builds send neither of the last two."""
+
+    route: str
+    service: str
+    customer: str | None
+    rank: Annotated[int, Meta(ge=-MAX_RANK, le=MAX_RANK)]
+    left_s: Number
+    max_servers: Count
+    fingerprint: str
+    first_attempt_id: NotRequired[str | None]
+    is_trial: NotRequired[bool]
+
+
+_decode_header: Final = make_decoder(_Header)
+
+
 def encode_relay(
     request: Request, relayed: RelayedRequest, resume_after: str | None
 ) -> Request:
@@ -40,21 +61,10 @@
     values = head.values(RELAY_HEADER.lower())
     if len(values) != 1:
         return Err(f"{len(values)} headers {RELAY_HEADER.decode()} instead of one")
-    try:
-        plain = json.loads(values[0])
-        relayed = RelayedRequest(
-            route=str(plain["route"]),
-            service=str(plain["service"]),
-            customer=None if plain["customer"] is None else str(plain["customer"]),
-            rank=int(plain["rank"]),
-            left_s=float(plain["left_s"]),
-            max_servers=int(plain["max_servers"]),
-            fingerprint=str(plain["fingerprint"]),
-            first_attempt_id=plain.get("first_attempt_id"),
-            is_trial=plain.get("is_trial") is True,
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        return Err(f"{type(error).__name__}: {error}")
+    decoded = _decode_header(values[0])
+    if decoded.is_err():
+        return Err(decoded.err())
+    relayed = RelayedRequest(**decoded.ok())
     headers = [item for item in head.headers if item[0].lower() != RELAY_HEADER.lower()]
     plain_head = RequestHead(head.method, head.target, headers)
     return Ok((Request(plain_head, request.body), relayed))
--- a/src/_pistachiopond/vm/version_store.py
+++ b/src/_pistachiopond/vm/version_store.py
@@ -15,9 +15,10 @@
 import itertools
 import json
 from collections import deque
-from typing import Any, Final, NamedTuple, final
+from typing import Annotated, Final, NamedTuple, TypedDict, final
 
 import anyio
+from msgspec import Meta
 
 from _pistachiopond.decisions.leadership import Claim, Leadership
 from _pistachiopond.decisions.stream_versions import ServedModel, StoredVersions
@@ -28,6 +29,7 @@
     KeyedRecord,
     StoreClient,
 )
+from _pistachiopond.schema.json_decoding import Count, Number, make_decoder
 from _pistachiopond.schema.peer_messages import StreamOrigin
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.stream_origins import StreamOrigins
@@ -231,6 +233,18 @@
         return True
 
 
+class _Versions(TypedDict):
+    fence: Count
+    models: list[tuple[str, str, list[dict[str, Count]]]]
+
+
+_decode_versions: Final = make_decoder(_Versions)
+# A stream and its version.
+_decode_batch: Final = make_decoder(
+    list[Annotated[list[str | Number], Meta(min_length=2)]]
+)
+
+
 def _encode(stored: StoredVersions, fence: int) -> bytes:
     plain = {
         "fence": fence,
@@ -246,38 +260,36 @@
     """Return the content of a record, or None if it proves nothing."""
     if not record.value:
         return None
-    try:
-        plain: dict[str, Any] = json.loads(record.value)
-        if plain["fence"] != fence:
-            log_change(
-                "record of versions is of another claim",
-                fence=fence,
-                record_fence=plain["fence"],
-            )
-            return None
-        return StoredVersions(
-            {
-                ServedModel(service, model): [
-                    {str(name): int(weight) for name, weight in weights.items()}
-                    for weights in sets
-                ]
-                for service, model, sets in plain["models"]
-            }
+    decoded = _decode_versions(record.value)
+    if decoded.is_err():
+        log_warning("record of versions cannot be read", reason=decoded.err())
+        return None
+    plain = decoded.ok()
+    if plain["fence"] != fence:
+        log_change(
+            "record of versions is of another claim",
+            fence=fence,
+            record_fence=plain["fence"],
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        log_warning("record of versions cannot be read", reason=str(error))
         return None
+    return StoredVersions(
+        {ServedModel(service, model): sets for service, model, sets in plain["models"]}
+    )
 
 
 def _decode_streams(records: tuple[KeyedRecord, ...]) -> list[StreamOrigin]:
     """Return the streams in the order in which they were written."""
     streams: list[StreamOrigin] = []
     for record in sorted(records, key=lambda item: item.position):
-        try:
-            plain = json.loads(record.value) if record.value else []
-            streams += [(str(item[0]), str(item[1]), 0.0) for item in plain]
-        except (LookupError, TypeError, ValueError) as error:
+        if not record.value:
+            continue
+        decoded = _decode_batch(record.value)
+        if decoded.is_err():
             log_warning(
-                "versions of streams cannot be read", key=record.key, reason=str(error)
+                "versions of streams cannot be read",
+                key=record.key,
+                reason=decoded.err(),
             )
+            continue
+        streams += [(str(item[0]), str(item[1]), 0.0) for item in decoded.ok()]
     return streams
