Containment: an unexpected exception ends one message, request or task

What callers saw: with a server whose answers name a crash limit of 400 digits, no request of the service was answered, and all VMs ended.

Cause: an exception that no caller expects left the topic's reader, the maintenance, or the connection to the leader, and ended the task group of the process. In a request's handler, a detached task or a member's connection it reached asyncio's default handler, with no structured line and no counter.

Change: observe/containment.py. A record, a line between VMs, a request, a maintenance step and a task each end alone; all are counted (pond_unexpected_errors) and logged, with the traceback once for each cause. A request is answered 503 if no server was sent it and 502 if one was; that it was sent is recorded before anything that may raise. The channel of a line whose message is half applied is closed. What still ends the process: settings that cannot be read, an address that cannot be listened on, a failure of the start.

--- a/src/_pistachiopond/http1/server.py
+++ b/src/_pistachiopond/http1/server.py
@@ -28,6 +28,7 @@
     encode_response_head,
 )
 from _pistachiopond.http1.sockets import enable_dead_peer_detection
+from _pistachiopond.observe.containment import record_unexpected
 
 # Reading is paused while this many requests wait for the one in progress, or while the
 # bodies of those that wait have as many bytes as one may have.
@@ -524,7 +525,8 @@
         self._phase_started_s = self._context.now_s()
         if not task.cancelled() and task.exception() is not None:
             self.abort()
-            raise RuntimeError("a request handler failed") from task.exception()
+            record_unexpected("request", task.exception())
+            return
         if self._transport is None:
             return
         self._start_next()
--- a/src/_pistachiopond/observe/logs.py
+++ b/src/_pistachiopond/observe/logs.py
@@ -63,6 +63,13 @@
     absl_logging.get_absl_logger().warning(message, extra={"fields": fields})
 
 
+def log_error(message: str, error: BaseException | None, **fields: Any) -> None:
+    """Write one line at the level of errors, with the error's traceback if given."""
+    absl_logging.get_absl_logger().error(
+        message, exc_info=error, extra={"fields": fields}
+    )
+
+
 def _format_utc(seconds: float) -> str:
     timestamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
     return f"{timestamp}.{int(seconds % 1 * 1000):03d}Z"
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -243,9 +243,10 @@
             encode_request(encoded.head, encoded.body),
             lambda head: is_response_to(attempt_id, head),
         )
+        # Before anything that may raise, since a refusal would promise the contrary.
+        self.may_have_run = True
         target.record_sent()
         self._used_connections.add(connection)
-        self.may_have_run = True
         self._on_sent()
         head = await self._read_head(connection)
         if head is None:
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -14,7 +14,8 @@
 from _pistachiopond.decisions.dispatch_types import FailureKind
 from _pistachiopond.decisions.event_splitter import EventSplitter
 from _pistachiopond.http1.messages import Request
-from _pistachiopond.http1.server import Responder
+from _pistachiopond.http1.server import ClientGoneError, Responder
+from _pistachiopond.observe.containment import record_unexpected
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.platform.requests import EVENT_NUMBER_FIELDS
 from _pistachiopond.schema.deployment import BackendServer
@@ -90,6 +91,11 @@
                 deps.shutdown.request_timeouts.discard(timeout)
     except TimeoutError:
         await forwarded.handle_timeout()
+    except ClientGoneError:
+        raise
+    except Exception as error:
+        record_unexpected("request", error, request=admitted.caller.attempt_id)
+        await forwarded.handle_unexpected()
     finally:
         forwarded.refund_if_not_run()
         forwarded.log_parts()
@@ -297,6 +303,15 @@
         else:
             await self._refuse(Refusal(503, "time_is_up", RETRY_SOON_S, log_fields))
 
+    async def handle_unexpected(self) -> None:
+        """Answer a request after an unexpected exception."""
+        if self._responder.has_started:
+            self._responder.abort()
+        elif self._count_possible_runs():
+            await self._refuse(Refusal(502, "unclear", None))
+        else:
+            await self._refuse(Refusal(503, "internal_error", RETRY_SOON_S))
+
     def refund_if_not_run(self) -> None:
         """Refund the rate limit tokens if certainly no server ran the request."""
         if self._origin is None and not self._count_possible_runs():
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -10,6 +10,7 @@
 from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
 from _pistachiopond.decisions.stream_versions import STREAM_MEMORY_S
 from _pistachiopond.http1.messages import HttpAddress, parse_address
+from _pistachiopond.observe.containment import record_unexpected
 from _pistachiopond.observe.logs import log_warning
 from _pistachiopond.schema.deployment import CustomerSpec, Incarnation
 from _pistachiopond.schema.peer_messages import (
@@ -327,7 +328,7 @@
         except ExceptionGroup as errors:
             _, rest = errors.split((OSError, TimeoutError, ValueError))
             if rest is not None:
-                raise
+                record_unexpected("peer_message", rest.exceptions[0])
             self._connection_lost(claim, errors.exceptions[0])
         finally:
             self._writer = None
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -28,6 +28,7 @@
 from _pistachiopond.decisions.server_crashes import MemberView
 from _pistachiopond.decisions.shared_limits import UsageAllocator, UsageReport
 from _pistachiopond.decisions.stream_versions import LEADER_CHANGE_S
+from _pistachiopond.observe.containment import record_unexpected
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.store import KeyedRecord
 from _pistachiopond.schema.deployment import CustomerSpec, Incarnation
@@ -402,6 +403,9 @@
             ValueError,
         ) as error:
             self._record_end(error)
+        except Exception as error:
+            # What the message has changed is in doubt. The member connects again.
+            record_unexpected("peer_message", error)
         except asyncio.CancelledError:
             # At process exit; asyncio's stream callback would log the cancellation as
             # an error.
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -29,6 +29,7 @@
 from _pistachiopond.http1.client import ExchangeError
 from _pistachiopond.http1.messages import Request
 from _pistachiopond.http1.pool import send_request
+from _pistachiopond.observe.containment import start_contained
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.requests import is_response_to_call
 from _pistachiopond.platform.servers import (
@@ -322,9 +323,7 @@
     def _start_task(
         self, work: "asyncio.coroutines.Coroutine[None, None, None]"
     ) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        start_contained("call to a server", work, self._tasks)
 
     async def _request_report(self, inventory: ServerInventory) -> None:
         server = inventory.server
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -31,6 +31,12 @@
     BoundedLogHandler,
     set_up_bounded_logs,
 )
+from _pistachiopond.observe.containment import (
+    UNEXPECTED_ERRORS,
+    contain_callbacks,
+    contained,
+    keep_running,
+)
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.platform.settings import read_vm_settings, settings_path
@@ -360,39 +366,39 @@
         log_handler.flush_ready()
 
     async def probe(_: float) -> None:
-        vm.reach.probe(vm.pools)
+        with contained("maintenance", step="probe"):
+            vm.reach.probe(vm.pools)
 
-    async def maintain(now_s: float) -> None:
+    def enforce_timeouts() -> None:
+        now_s = timer.now_s()
         for connection in [*connections, *plain_connections]:
             connection.enforce_timeouts(now_s)
-        deployment = vm.state.deployment()
-        services = {} if deployment is None else deployment.services
-        vm.pools.relax_idle_limits(MAINTENANCE_PERIOD_S)
-        vm.pools.close_unused(
-            vm.fleet.servers, services, vm.leader_client.member_count()
-        )
-        vm.relays.close_unused()
-        vm.fleet.remove_expired()
-        vm.leader_client.origins.refresh()
-        vm.leader_server.drop_silent_members()
-        vm.leader_server.confirm_crashes()
-        vm.usage.cap(vm.state.customers())
 
+    steps = (enforce_timeouts, *_maintenance_steps(vm))
+
+    async def maintain(_: float) -> None:
+        for step in steps:
+            with contained("maintenance", step=step.__qualname__):
+                step()
+
+    # What ends the process: settings that cannot be read, an address that cannot be
+    # listened on, and an exception while the tasks are started.
+    contain_callbacks()
     async with anyio.create_task_group() as group:
         group.start_soon(watch_signals, stopping, watch.request_check)
-        group.start_soon(watch.run)
+        group.start_soon(keep_running, "settings", watch.run)
         group.start_soon(every, timer, LOG_FLUSH_PERIOD_S, flush)
         group.start_soon(every, timer, MAINTENANCE_PERIOD_S, maintain)
         group.start_soon(every, timer, PROBE_CHECK_PERIOD_S, probe)
-        for work in (
-            *[f.run for f in vm.followers],
-            vm.leader_client.run,
-            vm.election.run,
-            vm.version_store.run,
-            vm.refusal_store.run,
+        for name, work in (
+            *[(f"topic {f.topic}", f.run) for f in vm.followers],
+            ("leader client", vm.leader_client.run),
+            ("election", vm.election.run),
+            ("versions", vm.version_store.run),
+            ("refusals", vm.refusal_store.run),
+            ("placement", vm.placer.run),
         ):
-            group.start_soon(work)
-        group.start_soon(vm.placer.run)
+            group.start_soon(keep_running, name, work)
         group.start_soon(vm.leader_server.run, *settings.peer_address)
         await _listen_for_requests(vm, connections, stopping.is_set)
         for address, handler in (
@@ -413,10 +419,34 @@
         group.cancel_scope.cancel()
 
 
+def _maintenance_steps(vm: Vm) -> tuple[Callable[[], None], ...]:
+    def close_unused_connections() -> None:
+        deployment = vm.state.deployment()
+        services = {} if deployment is None else deployment.services
+        vm.pools.relax_idle_limits(MAINTENANCE_PERIOD_S)
+        vm.pools.close_unused(
+            vm.fleet.servers, services, vm.leader_client.member_count()
+        )
+        vm.relays.close_unused()
+
+    def cap_usage() -> None:
+        vm.usage.cap(vm.state.customers())
+
+    return (
+        close_unused_connections,
+        vm.fleet.remove_expired,
+        vm.leader_client.origins.refresh,
+        vm.leader_server.drop_silent_members,
+        vm.leader_server.confirm_crashes,
+        cap_usage,
+    )
+
+
 def _register_gauges(
     vm: Vm, connections: set[ServerConnection], log_handler: BoundedLogHandler
 ) -> None:
     metrics = vm.metrics
+    metrics.registry.register(UNEXPECTED_ERRORS)
     metrics.gauge(
         "pond_log_lines_dropped", "Dropped lines.", lambda: log_handler.dropped
     )
--- a/src/_pistachiopond/vm/server_reach.py
+++ b/src/_pistachiopond/vm/server_reach.py
@@ -8,6 +8,7 @@
 from _pistachiopond.decisions.server_reachability import Reachability
 from _pistachiopond.http1.client import ExchangeError
 from _pistachiopond.http1.pool import ConnectOutcome
+from _pistachiopond.observe.containment import start_contained
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.schema.deployment import BackendServer, Incarnation
 from _pistachiopond.vm.clock import boot_s
@@ -101,9 +102,7 @@
                 self._start_probe(self._probe_server(pools, server))
 
     def _start_probe(self, work: Coroutine[None, None, object]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._probes.add(task)
-        task.add_done_callback(self._probes.discard)
+        start_contained("probe", work, self._probes)
 
     async def _check_server(self, pools: ServerPools, server: BackendServer) -> None:
         """Find out whether a server refuses connections while another accepts."""
--- a/src/_pistachiopond/vm/topic_cache.py
+++ b/src/_pistachiopond/vm/topic_cache.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
+from _pistachiopond.observe.containment import contained
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.platform.store import KeyedRecord, Snapshot
 from _pistachiopond.schema.peer_messages import RelayedRecord, TopicProof
@@ -112,14 +113,14 @@
                 is_newer = record.position > known.position
                 self._records[record.key] = record if is_newer else known
                 return
-            is_changed = apply(record)
+            is_changed = _apply_contained(apply, record)
             if is_changed or known is None:
                 self._records[record.key] = record
         else:
             if known is not None and record.position <= known.position:
                 return
             self._records[record.key] = record
-            is_changed = apply(record)
+            is_changed = _apply_contained(apply, record)
         # Most records are server heartbeats, which change nothing and are not relayed.
         if is_changed and self.on_change is not None:
             self.on_change([record])
@@ -185,6 +186,16 @@
         return True
 
 
+def _apply_contained(apply: Callable[[KeyedRecord], bool], record: KeyedRecord) -> bool:
+    """Apply a record; one that cannot be applied counts as a change.
+
+    It is relayed, since VMs of other builds may be able to apply it.
+    """
+    with contained("record", key=record.key, offset=record.position.offset):
+        return apply(record)
+    return True
+
+
 def to_relayed(topic: str, record: KeyedRecord) -> RelayedRecord:
     """Return a record in the form that is sent to other VMs."""
     return {
--- a/src/_pistachiopond/vm/topic_follower.py
+++ b/src/_pistachiopond/vm/topic_follower.py
@@ -94,7 +94,7 @@
             answer, while the leader retries for all VMs.
         """
         self._store = store
-        self._topic = topic.name
+        self.topic = topic.name
         self._pause_s = topic.pause_s
         self._cache = cache
         self._is_relayed = is_relayed
@@ -116,7 +116,7 @@
 
     async def _read_snapshot(self) -> None:
         sent_s = boot_s()
-        result = await self._store.read_newest(self._topic, SNAPSHOT_TIMEOUT_S)
+        result = await self._store.read_newest(self.topic, SNAPSHOT_TIMEOUT_S)
         if result.is_err():
             await self._record_failure(result.err())
             return
@@ -133,14 +133,14 @@
         wait_s = 0.0 if self._is_failing else wait_s
         margin_s = PROBE_TIMEOUT_S if self._is_failing else READ_TIMEOUT_MARGIN_S
         result = await self._store.read_tail(
-            self._topic, position, wait_s, wait_s + margin_s
+            self.topic, position, wait_s, wait_s + margin_s
         )
         if result.is_err():
             failure = result.err()
             if failure.kind in ("expired", "restored"):
                 log_change(
                     "position unknown to the store, reading a snapshot",
-                    topic=self._topic,
+                    topic=self.topic,
                     era=position.era,
                     offset=position.offset,
                     reason=failure.detail,
@@ -163,7 +163,7 @@
             # position is not the one that the cache was filled from.
             log_warning(
                 "topic ends before the cached position, reading a snapshot",
-                topic=self._topic,
+                topic=self.topic,
             )
             self._cache.next_position = None
             return
@@ -174,7 +174,7 @@
 
     def _record_success(self) -> None:
         if self._is_failing:
-            log_change("store answers again", topic=self._topic)
+            log_change("store answers again", topic=self.topic)
         self._is_failing = False
         self._retry_pause_s = INITIAL_RETRY_PAUSE_S
 
@@ -182,7 +182,7 @@
         if not self._is_failing:
             log_warning(
                 "store does not answer",
-                topic=self._topic,
+                topic=self.topic,
                 kind=failure.kind,
                 detail=failure.detail,
             )
