--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -4,6 +4,7 @@
 import gc
 import secrets
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from itertools import product
@@ -38,6 +39,7 @@
     keep_running,
 )
 from _pistachiopond.observe.logs import log_change
+from _pistachiopond.observe.loop_stalls import LoopStalls
 from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.platform.settings import read_vm_settings, settings_path
 from _pistachiopond.platform.store import (
@@ -362,7 +364,10 @@
 
     watch = SettingsWatch(path, settings, partial(apply_bounds, vm))
 
-    async def flush(_: float) -> None:
+    stalls = LoopStalls(metrics, LOG_FLUSH_PERIOD_S, time.process_time)
+
+    async def flush(now_s: float) -> None:
+        stalls.tick(now_s)
         log_handler.flush_ready()
 
     async def probe(_: float) -> None:
