Fleet: an entry that repeats what an answer has said is relayed

Cause: the leader relays an entry if it changes something for itself. Where an answer had told it that the server leaves, the entry with that state changed nothing, and the leader's proof moved the other VMs past it.

Change: the fleet keeps what each entry states, apart from what answers have said, and an entry counts as another one if it states something else than the one before. Deletions and entries that cannot be read are treated in the same way.

Result: the new test in test_topic_cache fails before (0 != 1). Heartbeats are still not relayed.

--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -91,6 +91,8 @@
         self._drain_s = drain_s
         self.servers: dict[str, BackendServer] = {}
         self._by_service: dict[str, dict[str, BackendServer]] = {}
+        # As their entries describe them, whatever their answers have said.
+        self._stated: dict[str, BackendServer] = {}
         self._expired_until_s: dict[str, float] = {}
         self._removed_s: dict[tuple[str, int], float] = {}
         self._leaving_since_s: dict[tuple[str, int], float] = {}
@@ -122,16 +124,30 @@
     # Updates from the topic of server entries.
 
     def apply(self, record: KeyedRecord) -> bool:
-        """Apply the newest entry of a server; return whether it changes anything."""
+        """Apply the newest entry of a server; return whether it is another one.
+
+        An entry may say what this VM has learned from the server's answers. Other VMs
+        may not have, so it counts as another one all the same.
+        """
         if not record.value:
-            return self._entry_deleted(record.key)
+            is_other = self._record_stated(record.key, None)
+            return self._entry_deleted(record.key) or is_other
         decoded = decode_server(record.key, record.value)
         if decoded.is_err():
             log_warning(
                 "server entry cannot be read", server=record.key, reason=decoded.err()
             )
-            return self._entry_deleted(record.key)
-        return self._add_or_update(decoded.ok())
+            is_other = self._record_stated(record.key, None)
+            return self._entry_deleted(record.key) or is_other
+        is_other = self._record_stated(record.key, decoded.ok())
+        return self._add_or_update(decoded.ok()) or is_other
+
+    def _record_stated(self, name: str, server: BackendServer | None) -> bool:
+        """Keep what a server's entry says; return whether the one before said else."""
+        known = self._stated.pop(name, None)
+        if server is not None:
+            self._stated[name] = server
+        return known != server
 
     def apply_copied(self, record: KeyedRecord) -> bool:
         """Apply an entry found when the store has come back from an older copy.
--- a/testing/vm/test_topic_cache.py
+++ b/testing/vm/test_topic_cache.py
@@ -4,6 +4,7 @@
 from unittest.mock import patch
 
 from _pistachiopond.platform.store import KeyedRecord
+from _pistachiopond.schema.server_notice import NO_NOTICE
 from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm import fleet as fleet_module
 from _pistachiopond.vm.fleet import EXPIRY_HEARTBEATS, Fleet
@@ -54,6 +55,19 @@
         self.assertEqual(self.write(gone=True), 0)
         self.assertEqual(self.write(), 1)
 
+    def test_an_entry_that_says_what_an_answer_has_said_is_relayed(self) -> None:
+        # Other VMs sent a leaving server requests until it ended, since the leader knew
+        # from an answer that it left and did not relay the entry.
+        self.write()
+        server = self.fleet.servers["s1"]
+        self.fleet.apply_notice(server, NO_NOTICE._replace(is_leaving=True))
+        self.assertTrue(self.fleet.servers["s1"].is_leaving)
+        self.assertEqual(self.write(), 0)
+        self.assertEqual(self.write(state="draining"), 1)
+        self.assertEqual(self.write(state="draining"), 0)
+        self.assertEqual(self.write(gone=True), 1)
+        self.assertEqual(self.write(gone=True), 0)
+
     def test_an_entry_rewritten_after_a_store_outage_is_relayed(self) -> None:
         self.write()
         self.cache.mark_current(self.now_s)
