--- a/src/_pistachiopond/vm/refusal_store.py
+++ b/src/_pistachiopond/vm/refusal_store.py
@@ -15,7 +15,7 @@
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.store import REFUSALS_TOPIC, StoreClient
-from _pistachiopond.schema.json_decoding import Amount, make_decoder
+from _pistachiopond.schema.json_decoding import Number, make_decoder
 from _pistachiopond.schema.suspects import RequestRecord
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.suspects import Suspects, decode_records, encode_records
@@ -33,7 +33,7 @@
 
 
 class _StoredRequests(TypedDict):
-    requests: list[tuple[str, Amount, list[str]]]
+    requests: list[tuple[str, Number, list[str]]]
 
 
 _decode_stored: Final = make_decoder(_StoredRequests)
