Versions: a record from an older copy of the store proves nothing

Cause: a VM that starts takes the record of versions for complete if it names the fence of the newest claim. In a store that has come back from a copy, both are from before the copy, and the record lacks what was written since. The claim names the era that its writer knew, and the answer names the store's; they were not compared.

Change: if no leader has claimed in the store's era, the record proves nothing, as if the last leader had written none. So does a missing claim in a later era than the first.

--- a/src/_pistachiopond/vm/leader_election.py
+++ b/src/_pistachiopond/vm/leader_election.py
@@ -72,9 +72,9 @@
         self._members_unreachable = members_unreachable
         self._claims_read_s = float("-inf")
         # Called with the records and the newest claim of each snapshot.
-        self.on_snapshot: Callable[[tuple[KeyedRecord, ...], Claim | None], None] = (
-            _ignore_snapshot
-        )
+        self.on_snapshot: Callable[
+            [tuple[KeyedRecord, ...], Claim | None, int], None
+        ] = _ignore_snapshot
         self.is_stopping = False
 
     async def run(self) -> None:
@@ -123,12 +123,12 @@
         if result.is_err():
             failure = result.err()
             if failure.kind == "absent":
-                self.on_snapshot((), None)
+                self.on_snapshot((), None, failure.era)
                 self._record_claim(None, StorePosition(failure.era, 0), sent_s)
             return
         snapshot = result.ok()
         claim = _newest_claim(snapshot.records)
-        self.on_snapshot(snapshot.records, claim)
+        self.on_snapshot(snapshot.records, claim, snapshot.end.era)
         self._record_claim(claim, snapshot.end, sent_s)
 
     async def _renew_authority(self) -> None:
@@ -217,7 +217,9 @@
         return -1 if self._leadership.claim is None else self._leadership.claim.fence
 
 
-def _ignore_snapshot(records: tuple[KeyedRecord, ...], claim: Claim | None) -> None:
+def _ignore_snapshot(
+    records: tuple[KeyedRecord, ...], claim: Claim | None, era: int
+) -> None:
     """Ignore the records; this VM keeps no others than claims."""
 
 
--- a/src/_pistachiopond/vm/version_store.py
+++ b/src/_pistachiopond/vm/version_store.py
@@ -94,19 +94,33 @@
         self._batch_count = 0
 
     def take_snapshot(
-        self, records: tuple[KeyedRecord, ...], claim: Claim | None
+        self, records: tuple[KeyedRecord, ...], claim: Claim | None, era: int
     ) -> None:
         """Take a read of the topic of claims, of which the first one counts.
 
+        If no leader has claimed in the store's era, the store has come back from an
+        older copy since the last claim, and the record may be older than the last one.
+
         Parameters
         ----------
         records : tuple of KeyedRecord
             The topic's newest records.
         claim : Claim or None
-            The newest claim among them; None if no VM has ever led.
+            The newest claim among them; None if there is none.
+        era : int
+            The store's era.
         """
         if self._snapshot is not None:
             return
+        if era > 0 and (claim is None or claim.position.era < era):
+            log_change(
+                "versions in the store are from an older copy",
+                era=era,
+                claim_era=None if claim is None else claim.position.era,
+            )
+            self._snapshot = _Snapshot(None)
+            self._origins.take_stored(None, ())
+            return
         if claim is None:
             # No VM has run before, so no stream has begun.
             self._snapshot = _Snapshot(None)
--- a/testing/vm/killed_fleet.py
+++ b/testing/vm/killed_fleet.py
@@ -151,6 +151,11 @@
             for connection in list(self._server_connections[name]):
                 connection.abort()
 
+    def forget(self, version: str) -> None:
+        """Expect no entries of a version; its servers go on."""
+        for name in [n for n, known in self._servers.items() if known == version]:
+            del self._servers[name]
+
     @staticmethod
     def _step(version: str) -> Callable[..., Coroutine[Any, Any, None]]:
         async def step(request: Request, responder: Responder) -> None:
@@ -367,6 +372,23 @@
     await old_version_leaves_before(fleet)
 
 
+async def store_restored_meanwhile(fleet: KilledFleet) -> None:
+    """Let the store come back, while no VM runs, from a copy without v2.
+
+    The servers of v2 have not written their entries again when callers come back.
+    """
+    copy = fleet.cluster.store.copy()
+    for _ in range(2):
+        await fleet.add_server("v2")
+    await asyncio.sleep(1.0)
+    await fleet.begin(STREAMS)
+    await fleet.kill_all()
+    fleet.cluster.store.restore(copy)
+    fleet.forget("v2")
+    await asyncio.sleep(DOWN_S)
+    await fleet.start_again()
+
+
 async def record_missing(fleet: KilledFleet) -> None:
     """Remove the record before the kill, as if the last leader had written none."""
     await fleet.begin(STREAMS)
--- a/testing/vm/test_version_store.py
+++ b/testing/vm/test_version_store.py
@@ -68,9 +68,13 @@
 
 class ReadingTests(VirtualTimeTestCase):
     async def read(
-        self, store: VersionStore, records: tuple[KeyedRecord, ...], claim: Claim | None
+        self,
+        store: VersionStore,
+        records: tuple[KeyedRecord, ...],
+        claim: Claim | None,
+        era: int = 0,
     ) -> None:
-        store.take_snapshot(records, claim)
+        store.take_snapshot(records, claim, era)
         running = asyncio.ensure_future(store.run())
         await asyncio.sleep(1.0)
         running.cancel()
@@ -92,6 +96,24 @@
         self.assertEqual(origins.contact().past, "known")
         self.assertEqual(client.reads, 0)
 
+    async def test_a_record_proves_nothing_after_the_store_came_back_older(
+        self,
+    ) -> None:
+        for claim, era, past in (
+            (CLAIM, 0, "known"),
+            (CLAIM, 1, "absent"),
+            (None, 1, "absent"),
+            (CLAIM._replace(position=StorePosition(2, 7)), 2, "known"),
+            (CLAIM._replace(position=StorePosition(2, 7)), 3, "absent"),
+        ):
+            with self.subTest(claim=claim, era=era):
+                store, origins, _ = make_store()
+                fence = 0 if claim is None else claim.fence
+                value = json.dumps(VALID | {"fence": fence}).encode()
+                record = KeyedRecord(StorePosition(era, 8), VERSIONS_KEY, value)
+                await self.read(store, (record,), claim, era)
+                self.assertEqual(origins.contact().past, past)
+
     async def test_a_claim_without_a_record_proves_nothing(self) -> None:
         store, origins, _ = make_store()
         await self.read(store, (), CLAIM)
--- a/testing/vm/test_versions_after_kill.py
+++ b/testing/vm/test_versions_after_kill.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from testing.vm.killed_fleet import CASES, STREAMS, Case, play_case, record_missing
+from testing.vm.killed_fleet import (
+    CASES,
+    STREAMS,
+    Case,
+    play_case,
+    record_missing,
+    store_restored_meanwhile,
+)
 
 SEEDS = (11, 12)
 # Of the streams whose version still serves, where versions have come or gone. Where
@@ -27,6 +34,17 @@
                     self.assertLessEqual(figures.stranded().total(), most, figures)
                     self.assertEqual(figures.begun.total(), STREAMS, figures)
 
+    def test_no_stream_is_joined_after_the_store_came_back_older_meanwhile(
+        self,
+    ) -> None:
+        # The record of versions in the copy lacked the version that had begun them.
+        for seed in SEEDS:
+            case = Case(store_restored_meanwhile, versions=("v1", "v1"))
+            figures = play_case(case, seed)
+            self.assertEqual(figures.joined, 0, figures)
+            self.assertLessEqual(figures.statuses.keys(), {200, 502}, figures)
+            self.assertEqual(figures.begun.keys(), {"v1", "v2"}, figures)
+
     def test_without_a_record_of_the_last_leader_no_stream_goes_on(self) -> None:
         figures = play_case(Case(record_missing), SEEDS[0])
         self.assertEqual(figures.statuses, {502: STREAMS})
