Store: a process that starts on what may be an older copy confirms it first

What callers saw: all VMs are killed while the store is away, and it comes back from a copy that still has a withdrawn key.

Cause: a running VM waits 2.2 s after the store's return until it takes the copy for complete. One that starts then has no earlier era to compare with, and took its first read for current at once.

Change: a process whose first record is of a later era than 0 takes the copy for current when a read shows all that was written until 2.2 s later, or when a leader that knows states how current the relayed records are. A leader that does not know states nothing, in the form that older builds understand. Until then the VM accepts no keys and is not ready; where the store never came back, or beside a leader, nothing changes.

--- a/src/_pistachiopond/vm/topic_cache.py
+++ b/src/_pistachiopond/vm/topic_cache.py
@@ -69,6 +69,8 @@
         # The era of the first record and then of the last snapshot or proof. A snapshot
         # of a later era is an older copy.
         self._read_era: int | None = None
+        # Until then, what this process read at its start may be an older copy.
+        self._confirmed_from_s = float("-inf")
         self.next_position: StorePosition | None = None
         self.current_as_of_s = float("-inf")
         self.on_change: Callable[[list[KeyedRecord]], None] | None = None
@@ -133,6 +135,9 @@
         self._era = era
         if known is None:
             self._read_era = era
+            if era > 0:
+                # The store has come back at some time, perhaps just before.
+                self._confirmed_from_s = boot_s() + REWRITE_S
             return
         log_change("store came back from an older copy", era=era, earlier_era=known)
         if self.next_position is not None and self.next_position.era < era:
@@ -140,17 +145,30 @@
         self._callbacks.store_restored()
 
     def mark_current(self, at_s: float) -> None:
-        """Record that all records written until `at_s` have been applied."""
+        """Record that all records written until `at_s` have been applied.
+
+        A process that starts when the store may just have come back from an older copy
+        has nothing to compare the copy with. So it takes no copy for current until what
+        was lost has been written again, or a leader that knows confirms it.
+        """
         self.current_as_of_s = max(self.current_as_of_s, at_s)
-        self._callbacks.mark_current(at_s)
+        if at_s >= self._confirmed_from_s:
+            self._callbacks.mark_current(at_s)
+
+    def is_confirmed(self) -> bool:
+        """Return whether the copy is known not to be an older one."""
+        return self.current_as_of_s >= self._confirmed_from_s
 
     def records(self) -> list[KeyedRecord]:
         """Return the newest record of each key."""
         return list(self._records.values())
 
     def proof(self) -> TopicProof:
-        """Return the age of the copy, and the position to continue reading from."""
-        position = self.next_position
+        """Return the age of the copy, and the position to continue reading from.
+
+        A copy that is not confirmed proves nothing, so it has no position.
+        """
+        position = self.next_position if self.is_confirmed() else None
         return {
             "age_s": round(boot_s() - self.current_as_of_s, 3),
             "next_offset": -1 if position is None else position.offset,
@@ -180,6 +198,7 @@
             return False
         self._enter_era(position.era)
         self._read_era = position.era
+        self._confirmed_from_s = float("-inf")
         known = self.next_position
         self.next_position = position if known is None else max(position, known)
         self.mark_current(asked_s - proof["age_s"])
--- a/src/_pistachiopond/vm/topic_follower.py
+++ b/src/_pistachiopond/vm/topic_follower.py
@@ -127,7 +127,8 @@
 
     async def _read_tail(self, position: StorePosition) -> None:
         sent_s = boot_s()
-        wait_s = TAIL_WAIT_S if sent_s > self._short_waits_until_s else RESTORED_WAIT_S
+        is_short = sent_s <= self._short_waits_until_s or not self._cache.is_confirmed()
+        wait_s = RESTORED_WAIT_S if is_short else TAIL_WAIT_S
         # After a failure the read does not wait for records, so that the first answer
         # shows the store's return at once.
         wait_s = 0.0 if self._is_failing else wait_s
--- a/testing/vm/test_store_restore.py
+++ b/testing/vm/test_store_restore.py
@@ -101,6 +101,46 @@
             self.cluster.launch(name, address)
         await self.assert_leader_returns()
 
+    async def test_a_process_that_starts_on_a_copy_accepts_no_withdrawn_key(
+        self,
+    ) -> None:
+        # The copy still had a key that had been withdrawn, and all VMs were new.
+        store = self.cluster.store
+        copy = store.copy()
+        plain = configuration(2)
+        plain["tenants"][0]["apiKeys"] = ["other-key"]
+        withdrawn = json.dumps(plain).encode()
+        store.put("keyed.op", "config", withdrawn)
+        await wait_until(lambda: self.all_vms(lambda vm: version_of(vm) == 2))
+        address = next(iter(self.cluster.vms.values())).settings.store_address
+        for name in list(self.cluster.vms):
+            await self.cluster.kill(name)
+        store.restore(copy)
+        loop = asyncio.get_running_loop()
+        returned_s = loop.time()
+        for name in list(self.cluster.vms):
+            self.cluster.launch(name, address)
+        # What was lost is written again within about two seconds.
+        while loop.time() < returned_s + 2.0:
+            for vm in self.cluster.vms.values():
+                may_use = vm.state.may_use_keys() and vm.state.table is not None
+                self.assertFalse(may_use and version_of(vm) == 1)
+                self.assertFalse(vm.state.is_fresh())
+            await asyncio.sleep(0.05)
+        store.put("keyed.op", "config", withdrawn)
+        await wait_until(
+            lambda: self.all_vms(
+                lambda vm: version_of(vm) == 2 and vm.state.may_use_keys()
+            ),
+            2.0,
+        )
+        # One that starts beside a leader that knows need not wait.
+        name = next(n for n in self.cluster.tasks if n != self.cluster.leader())
+        await self.cluster.kill(name)
+        self.cluster.launch(name, address)
+        state = self.cluster.vms[name].state
+        await wait_until(lambda: state.is_fresh() and state.may_use_keys(), 1.0)
+
     async def test_a_claim_appended_after_the_return_is_not_taken_for_valid(
         self,
     ) -> None:
