--- a/testing/observe/test_containment.py
+++ b/testing/observe/test_containment.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from absl import logging as absl_logging
 from prometheus_client import CollectorRegistry, generate_latest
 
 from _pistachiopond.observe import containment
@@ -16,6 +17,7 @@
     keep_running,
     start_contained,
 )
+from testing.plugins.unexpected_errors import UnexpectedErrorsPlugin
 from testing.unexpected_errors import expected_errors
 from testing.virtual_time import VirtualTimeTestCase
 
@@ -38,7 +40,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.lines = _Lines()
-        logger = containment.log_error.__globals__["absl_logging"].get_absl_logger()
+        logger = absl_logging.get_absl_logger()
         logger.addHandler(self.lines)
         self.addCleanup(logger.removeHandler, self.lines)
         causes = patch.object(containment, "_known_causes", set())
@@ -113,8 +115,6 @@
 
 class PluginTests(unittest.TestCase):
     def test_a_contained_exception_fails_the_test(self) -> None:
-        from testing.plugins.unexpected_errors import UnexpectedErrorsPlugin
-
         class Event:
             outcome = "passed"
             expected = True
