Requests: an exception outside of forwarding closes the connection

An exception while forward answers a request whose deadline has passed, or while it ends, left forward, and the handler above answered 503 although a server might have begun the request: a promise that it had not run.

Change: the handler above no longer answers. The connection counts and logs the exception, and closes, which promises nothing. Within forward, as before, the request is answered by whether a server was sent it.

--- a/src/_pistachiopond/vm/request_handler.py
+++ b/src/_pistachiopond/vm/request_handler.py
@@ -6,15 +6,14 @@
 from prometheus_client import Counter
 
 from _pistachiopond.http1.messages import Request
-from _pistachiopond.http1.server import ClientGoneError, Responder
-from _pistachiopond.observe.containment import record_unexpected
+from _pistachiopond.http1.server import Responder
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.observe.metrics import LatencyHistogram, Metrics
 from _pistachiopond.platform.requests import decode_request
 from _pistachiopond.vm.admission import Admission
 from _pistachiopond.vm.forward import forward
 from _pistachiopond.vm.forward_dependencies import ForwardDependencies
-from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, send_refusal
+from _pistachiopond.vm.refusals import Refusal, send_refusal
 
 # One of this many forwarded requests is logged.
 LOG_SAMPLE_INTERVAL: Final = 200
@@ -62,14 +61,6 @@
         outcome = "left"
         try:
             outcome = await self._handle(request, responder, arrival_s)
-        except ClientGoneError:
-            raise
-        except Exception as error:
-            # `forward` answers the requests that it fails for, so none was sent.
-            record_unexpected("request", error)
-            if not responder.has_started:
-                refusal = Refusal(503, "internal_error", RETRY_SOON_S)
-                await send_refusal(responder, "", refusal)
         finally:
             elapsed_s = asyncio.get_running_loop().time() - arrival_s
             self._metrics.requests.labels(outcome).inc()
