Placement: what a plan costs no longer grows with models times servers

Cause: each plan computed the free memory of each server again for each model that needs a replica, and each computation looked at all models.

Change: a plan sorts the servers once for each size of models (`decisions/hosting_options.py`) and looks at few of them for each model. The decisions are the same.

On 6,000 random fleets with three plans each, the old and the new code gave the same 34,339 orders. 36 tests of placement pass, one known red as before.

--- a/src/_pistachiopond/decisions/engine_fleet.py
+++ b/src/_pistachiopond/decisions/engine_fleet.py
@@ -230,15 +230,23 @@
         self.unloading.pop(model, None)
         self.models.pop(model, None)
 
-    def free_mb(self, spec: EngineSpec) -> float:
-        """Return the free memory that is left after reserving all adapter slots."""
-        largest_adapter_mb = max(
-            (m.adapter_mb for m in spec.models.values()), default=0.0
-        )
-        reserved_mb = (
-            max(0, spec.adapter_slots - self.adapter_count()) * largest_adapter_mb
-        )
-        return self.unused_mb(spec) - reserved_mb
+    def free_mb(self, spec: EngineSpec, adapter_mb: float) -> float:
+        """Return the free memory that is left after reserving all adapter slots.
+
+        Parameters
+        ----------
+        spec : EngineSpec
+            The models' sizes.
+        adapter_mb : float
+            The memory of the largest adapter, as `largest_adapter_mb` returns it.
+        """
+        free_slots = max(0, spec.adapter_slots - self.adapter_count())
+        return self.unused_mb(spec) - free_slots * adapter_mb
+
+
+def largest_adapter_mb(spec: EngineSpec) -> float:
+    """Return the memory of the largest adapter of any model."""
+    return max((model.adapter_mb for model in spec.models.values()), default=0.0)
 
 
 @final
--- a/src/_pistachiopond/decisions/model_plan.py
+++ b/src/_pistachiopond/decisions/model_plan.py
@@ -14,7 +14,17 @@
 from types import MappingProxyType
 from typing import Final, NamedTuple, final
 
-from _pistachiopond.decisions.engine_fleet import EngineFleet, ServerInventory
+from _pistachiopond.decisions.engine_fleet import (
+    EngineFleet,
+    ServerInventory,
+    largest_adapter_mb,
+)
+from _pistachiopond.decisions.hosting_options import (
+    HostingIndex,
+    HostingNeed,
+    HostingServer,
+    Removal,
+)
 from _pistachiopond.schema.model_orders import ModelOrder
 
 # Concurrent requests up to which a replica keeps the time to the first event short, as
@@ -44,8 +54,6 @@
 LAST_REPLICA_COST: Final = 1.5
 LAST_REPLICA_USE_COST: Final = 3.0
 SURPLUS_REPLICA_COST: Final = 0.05
-# Cost of each second that a load takes, in the same unit.
-LOAD_COST_PER_S: Final = 1.0
 # An unload waits for the requests in progress; each adds this cost, up to a maximum
 # number of requests.
 RUNNING_REQUEST_COST: Final = 0.5
@@ -53,9 +61,6 @@
 # A model with more demand than this gets a second replica, so that it survives the loss
 # of a server.
 SECOND_REPLICA_DEMAND: Final = 3.0
-# A server that is loading a model accepts no adapter orders, so each second of the load
-# costs this much more on servers that hold models with adapters in demand.
-ADAPTER_SERVER_COST_FACTOR: Final = 1.2
 # Benefit of a replica for each request above the busy share, and for each server's
 # worth of adapter slots that adapters in demand lack: requests for an adapter without a
 # slot wait until it is loaded.
@@ -237,20 +242,7 @@
 
 class _ReplicaNeed(NamedTuple):
     benefit: float
-    model: str
-    needs_more: bool
-    # In recent demand, and on no server that may host it.
-    is_missing: bool
-    # The only software version whose servers may host it; None for any.
-    software_version: str | None
-
-
-class _HostingOption(NamedTuple):
-    cost: float
-    load: float
-    server_id: str
-    inventory: ServerInventory
-    victim: str | None
+    hosting: HostingNeed
 
 
 def plan_models(inputs: PlanInputs, now_s: float) -> list[ModelOrder]:
@@ -259,17 +251,23 @@
     ordered_servers: set[str] = set()
     ordered_models: set[str] = set()
     needs = _replica_needs(inputs)
-    _drop_reservations(inputs.fleet, {need.model for need in needs})
+    _drop_reservations(inputs.fleet, {need.hosting.model for need in needs})
+
+    def may_load(inventory: ServerInventory, model: str) -> bool:
+        is_free = not inputs.fleet.is_store_load(inventory, model)
+        return is_free or inputs.load_rate_limit.may_load(now_s)
+
+    index = HostingIndex(inputs.fleet, _hosting_servers(inputs, now_s), may_load)
     for need in needs:
-        model, version = need.model, need.software_version
+        model, version = need.hosting.model, need.hosting.software_version
         if version is None and model in ordered_models:
             # A replica that one version needs serves the requests for any, too.
             continue
-        option = _best_hosting_option(inputs, need, ordered_servers, now_s)
+        option = index.best(need.hosting, ordered_servers)
         if option is None or option.cost >= need.benefit:
             continue
         inventory = option.inventory
-        if not _may_load(inputs, inventory, model, now_s):
+        if not may_load(inventory, model):
             continue
         ordered_servers.add(inventory.server.server_id)
         ordered_models.add(model)
@@ -284,13 +282,6 @@
     return orders
 
 
-def _may_load(
-    inputs: PlanInputs, inventory: ServerInventory, model: str, now_s: float
-) -> bool:
-    is_free = not inputs.fleet.is_store_load(inventory, model)
-    return is_free or inputs.load_rate_limit.may_load(now_s)
-
-
 def _replica_needs(inputs: PlanInputs) -> list[_ReplicaNeed]:
     """Return the models that need a replica, the highest benefit first."""
     reservations = _reservations(inputs.fleet)
@@ -302,15 +293,17 @@
         benefit = _benefit(inputs, model, replicas)
         is_missing = replicas == 0 and inputs.demand_history.use_share(model) > 0.0
         if benefit > 0.0:
-            needs.append(_ReplicaNeed(benefit, model, True, is_missing, None))
+            hosting = HostingNeed(model, True, is_missing, None)
+            needs.append(_ReplicaNeed(benefit, hosting))
         elif incoming:
-            needs.append(_ReplicaNeed(SECOND_BENEFIT, model, False, is_missing, None))
+            hosting = HostingNeed(model, False, is_missing, None)
+            needs.append(_ReplicaNeed(SECOND_BENEFIT, hosting))
     needs.sort(key=_need_order, reverse=True)
     return needs
 
 
 def _need_order(need: _ReplicaNeed) -> tuple[float, str, str]:
-    return need.benefit, need.model, need.software_version or ""
+    return need.benefit, need.hosting.model, need.hosting.software_version or ""
 
 
 def _version_needs(
@@ -330,10 +323,12 @@
     return [
         _ReplicaNeed(
             _waiting_benefit(others + wait.waiting, max(others_s, wait.waiting_s)),
-            model,
-            needs_more=version not in incoming_versions,
-            is_missing=True,
-            software_version=version,
+            HostingNeed(
+                model,
+                needs_more=version not in incoming_versions,
+                is_missing=True,
+                software_version=version,
+            ),
         )
         for version, wait in demand.waiting_at.items()
         if wait.waiting > 0 and version not in held_versions
@@ -381,78 +376,40 @@
     return max(1.0, fleet.spec.slots * BUSY_SLOT_SHARE)
 
 
-def _best_hosting_option(
-    inputs: PlanInputs, need: _ReplicaNeed, ordered_servers: set[str], now_s: float
-) -> _HostingOption | None:
-    model = need.model
-    options = []
-    for inventory in inputs.fleet.servers.values():
-        name = inventory.server.server_id
-        if name in ordered_servers or not _takes_orders(
-            inventory, inputs.unhealthy_servers
-        ):
-            continue
-        if model in inventory.models or inventory.reserved_for not in ("", model):
-            continue
-        if name in inputs.rate_limited_servers and inventory.reserved_for != model:
-            continue
-        if need.software_version not in (None, inventory.server.software_version):
-            continue
-        option = _hosting_option(inputs, inventory, need, now_s)
-        if option is None:
-            continue
-        if inventory.reserved_for == model:
-            # A model was unloaded here for this one, so the cost is already paid.
-            return option._replace(cost=float("-inf"))
-        if need.needs_more:
-            options.append(option)
-    return min(options, default=None, key=lambda option: option[:3])
-
-
-def _hosting_option(
-    inputs: PlanInputs, inventory: ServerInventory, need: _ReplicaNeed, now_s: float
-) -> _HostingOption | None:
-    fleet = inputs.fleet
-    model = need.model
-    name = inventory.server.server_id
-    load = inputs.server_load.get(name, 0.0)
-    load_delay = LOAD_COST_PER_S * fleet.load_duration_s(inventory, model)
-    load_cost = load_delay
-    if any(inputs.adapters.get(held) for held in inventory.models):
-        load_cost += ADAPTER_SERVER_COST_FACTOR * load_delay
-    required_mb = fleet.spec.models[model].memory_mb
-    free_mb = inventory.free_mb(fleet.spec)
-    if free_mb >= required_mb:
-        if need.is_missing:
-            if not _may_load(inputs, inventory, model, now_s):
-                return None
-            # Callers of the model are refused while the memory stays free, so however
-            # long the load takes, it makes none of them wait longer.
-            load_cost -= load_delay
-        return _HostingOption(load_cost, load / fleet.spec.slots, name, inventory, None)
-    costs = []
+def _hosting_servers(inputs: PlanInputs, now_s: float) -> list[HostingServer]:
+    """Return the servers that take orders, with what their models cost to remove."""
+    spec = inputs.fleet.spec
+    adapter_mb = largest_adapter_mb(spec)
+    return [
+        HostingServer(
+            inventory=inventory,
+            free_mb=inventory.free_mb(spec, adapter_mb),
+            utilisation=inputs.server_load.get(name, 0.0) / spec.slots,
+            has_adapters=any(inputs.adapters.get(held) for held in inventory.models),
+            takes_any=name not in inputs.rate_limited_servers,
+            removals=_removals(inputs, inventory, now_s),
+        )
+        for name, inventory in inputs.fleet.servers.items()
+        if _takes_orders(inventory, inputs.unhealthy_servers)
+    ]
+
+
+def _removals(
+    inputs: PlanInputs, inventory: ServerInventory, now_s: float
+) -> list[Removal]:
+    spec = inputs.fleet.spec
+    removals = []
     for held in inventory.models:
         if now_s < inventory.kept_until_s.get(held, now_s):
             continue
-        spec = fleet.spec.models.get(held)
-        freed_mb = spec.memory_mb if spec is not None else fleet.spec.memory_mb
-        if free_mb + freed_mb >= required_mb:
-            running = min(
-                MAX_COUNTED_REQUESTS, inputs.running_requests.get((name, held), 0)
-            )
-            costs.append(
-                (
-                    _removal_cost(inputs, inventory, held)
-                    + RUNNING_REQUEST_COST * running,
-                    held,
-                )
-            )
-    if not costs:
-        return None
-    cost, victim = min(costs)
-    return _HostingOption(
-        cost + load_cost, load / fleet.spec.slots, name, inventory, victim
-    )
+        running = inputs.running_requests.get((inventory.server.server_id, held), 0)
+        cost = _removal_cost(inputs, inventory, held)
+        cost += RUNNING_REQUEST_COST * min(MAX_COUNTED_REQUESTS, running)
+        # A model that is no longer in the configuration has no known size.
+        model = spec.models.get(held)
+        freed_mb = spec.memory_mb if model is None else model.memory_mb
+        removals.append(Removal(cost, held, freed_mb))
+    return sorted(removals)
 
 
 def _removal_cost(inputs: PlanInputs, inventory: ServerInventory, model: str) -> float:
