VM's process: no library is needed beyond those deployed with it

Cause: decisions/dispatch_types.py, of which pond-vm needs one name, imports the schema of the other programs and with it pydantic. deploy/requirements.txt does not list it.

Change: that name has a module of its own, decisions/failure_kinds.py.

--- a/src/_pistachiopond/decisions/dispatch_types.py
+++ b/src/_pistachiopond/decisions/dispatch_types.py
@@ -1,16 +1,13 @@
 """Events and actions of the dispatcher, used by live processes and by replay."""
 
-from typing import Literal, NamedTuple
+from typing import NamedTuple
 
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.schema.manifest import Manifest, Urgency
 from _pistachiopond.schema.routing import RoutingView
 from _pistachiopond.schema.suspects import CrashReport, SuspectView
 from _pistachiopond.schema.verdict import Failure, Verdict
 
-FailureKind = Literal[
-    "connect", "reset", "timeout", "silent", "refused", "server_error", "mismatch"
-]
-
 
 class RequestFacts(NamedTuple):
     """The properties of a request that dispatching depends on; not its content.
--- a/src/_pistachiopond/decisions/ejection.py
+++ b/src/_pistachiopond/decisions/ejection.py
@@ -12,7 +12,7 @@
 from statistics import median
 from typing import Final, NamedTuple, final
 
-from _pistachiopond.decisions.dispatch_types import FailureKind
+from _pistachiopond.decisions.failure_kinds import FailureKind
 
 FAILURE_POINTS: Final[dict[FailureKind, int]] = {
     "connect": 3,
--- a/src/_pistachiopond/decisions/server_silences.py
+++ b/src/_pistachiopond/decisions/server_silences.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection
 from typing import Final, final
 
-from _pistachiopond.decisions.dispatch_types import FailureKind
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.schema.deployment import Incarnation
 
 # A sound server is silent for no longer than this.
--- a/src/_pistachiopond/entry/attempts.py
+++ b/src/_pistachiopond/entry/attempts.py
@@ -15,9 +15,9 @@
     AttemptFailed,
     AttemptFinished,
     Event,
-    FailureKind,
     StartAttempt,
 )
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.entry.connections import excess_of
 from _pistachiopond.entry.exchange import Exchange
 from _pistachiopond.http1.message_bounds import Excess
--- a/src/_pistachiopond/replay/fault_injection.py
+++ b/src/_pistachiopond/replay/fault_injection.py
@@ -4,10 +4,10 @@
 from typing import TYPE_CHECKING, Final, final
 
 from _pistachiopond.decisions.dispatch_types import (
-    FailureKind,
     ManifestChanged,
     ViewReceived,
 )
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.replay.engine import FakeEngine
 from _pistachiopond.replay.fake_control import FakeServer
 from _pistachiopond.replay.faults import Fault, Scenario
--- a/src/_pistachiopond/replay/simulator.py
+++ b/src/_pistachiopond/replay/simulator.py
@@ -17,7 +17,6 @@
     AttemptFinished,
     CancelAttempt,
     Event,
-    FailureKind,
     FirstToken,
     ManifestChanged,
     Progress,
@@ -27,6 +26,7 @@
     Tick,
     ViewReceived,
 )
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.decisions.routing import Place
 from _pistachiopond.replay.central_queue import CentralQueue
 from _pistachiopond.replay.engine import NEVER, FakeEngine, Job, JobEvent
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -7,8 +7,8 @@
 import anyio
 
 from _pistachiopond.decisions.brittle_servers import ServerState
-from _pistachiopond.decisions.dispatch_types import FailureKind
 from _pistachiopond.decisions.ejection import Ejector
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.decisions.server_choice import (
     MAX_RANKED,
     Candidate,
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -11,8 +11,8 @@
     may_retry,
     should_give_up,
 )
-from _pistachiopond.decisions.dispatch_types import FailureKind
 from _pistachiopond.decisions.event_splitter import EventSplitter
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.http1.messages import Request
 from _pistachiopond.http1.server import ClientGoneError, Responder
 from _pistachiopond.observe.containment import record_unexpected
--- a/testing/decisions/dispatch_fixtures.py
+++ b/testing/decisions/dispatch_fixtures.py
@@ -8,12 +8,12 @@
     Action,
     Arrived,
     AttemptFailed,
-    FailureKind,
     Refuse,
     RequestFacts,
     StartAttempt,
     ViewReceived,
 )
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.decisions.routing import Place
 from _pistachiopond.schema.routing import ResidentModel, RoutingView, ServerView
 from _pistachiopond.schema.verdict import Verdict
--- a/testing/decisions/test_server_silences.py
+++ b/testing/decisions/test_server_silences.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from _pistachiopond.decisions.dispatch_types import FailureKind
 from _pistachiopond.decisions.ejection import Ejector
+from _pistachiopond.decisions.failure_kinds import FailureKind
 from _pistachiopond.decisions.server_silences import (
     LATE_PROBE_S,
     MAX_SOUND_SILENCE_S,
