Leadership: a VM that gets the lead back sends no order within the lease time

Cause: the lead could come back to a VM about two seconds after another VM's claim, so orders to one server came from A, B and again A within leaseMs (3 s). Operators count that as two holders at once.

Change: decisions/order_turns.py pauses the orders of a VM after another VM's claim until leaseMs and 0.3 s have passed since the end of its own last order call. Only orders to servers wait; limits, relays and requests for reports go on. A claim names the VMs that may have sent orders shortly before it (optional field earlier_holders), so that a process that starts pauses only if its VM is among them. The first claim of a store era counts as one after another VM's. An order is checked again just before it is sent.

--- a/src/_pistachiopond/decisions/leadership.py
+++ b/src/_pistachiopond/decisions/leadership.py
@@ -13,9 +13,12 @@
 so the first claim of an era waits like that of any successor.
 """
 
-from typing import Final, NamedTuple, final
+from typing import Final, final
 
-from _pistachiopond.schema.store_position import StorePosition, fencing_token
+from _pistachiopond.decisions.claims import Claim
+from _pistachiopond.decisions.order_turns import OrderTurns
+from _pistachiopond.schema.store_position import StorePosition
+from _pistachiopond.schema.vm_settings import LEASE_S
 
 # A leader acts only while its last read of the claims is younger than this.
 AUTHORITY_S: Final = 1.0
@@ -37,37 +40,16 @@
 MAX_CLAIM_PAUSE_S: Final = 16.0
 
 
-class Claim(NamedTuple):
-    """The newest claim.
-
-    Attributes
-    ----------
-    position : StorePosition
-        The offset of its record, in the era that its writer knew.
-    leader : str
-        The name of the VM.
-    incarnation : str
-        The incarnation of the process that claimed.
-    address : str
-        The address at which other VMs reach it.
-    """
-
-    position: StorePosition
-    leader: str
-    incarnation: str
-    address: str
-
-    @property
-    def fence(self) -> int:
-        """The fencing token."""
-        return fencing_token(self.position)
-
-
 @final
 class Leadership:
     """One VM's view of the present leader, and whether it is the leader itself."""
 
-    def __init__(self, incarnation: str, preference: float) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        preference: float,
+        turns: OrderTurns | None = None,
+    ) -> None:
         """Start without a known claim.
 
         Parameters
@@ -76,8 +58,11 @@
             The incarnation of this process.
         preference : float
             0 for the VM that should claim first, up to 1 for the last.
+        turns : OrderTurns or None
+            Decides when this VM may send orders; None for a VM without earlier orders.
         """
         self.incarnation = incarnation
+        self.turns = turns or OrderTurns(incarnation, LEASE_S, float("-inf"))
         self._preference = preference
         self.claim: Claim | None = None
         self.end: StorePosition | None = None
@@ -120,7 +105,9 @@
         if claim is None or (
             self.claim is not None and claim.position <= self.claim.position
         ):
+            self.turns.claim_read(self.claim, end.era, sent_s)
             return
+        self.turns.claim_read(claim, end.era, sent_s)
         was_mine = self.is_mine()
         self.claim = claim
         if self.is_mine() and not was_mine:
@@ -149,6 +136,7 @@
             needs_no_handover = era == 0
         else:
             needs_no_handover = has_resigned and self.claim.position.era == era
+        self.turns.claim_read(claim, era, sent_s)
         is_renewal = self.claim is not None and self.is_mine()
         self._renewed_fence = self.claim.fence if is_renewal else -1
         self.claim = claim
@@ -178,6 +166,10 @@
             and now_s - self._read_s < AUTHORITY_S
         )
 
+    def may_order(self, now_s: float) -> bool:
+        """Return whether this VM may send orders to servers now."""
+        return self.may_act(now_s) and self.turns.pause_s(now_s) <= 0.0
+
     def leader_replied(self, now_s: float) -> None:
         """Record that the leader has replied and still leads."""
         self._leader_lost_s = None
--- a/src/_pistachiopond/platform/settings.py
+++ b/src/_pistachiopond/platform/settings.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from _pistachiopond.http1.messages import HttpAddress, parse_address
-from _pistachiopond.schema.vm_settings import VmBounds, VmSettings
+from _pistachiopond.schema.vm_settings import LEASE_S, VmBounds, VmSettings
 
 PATH_VARIABLE = "PISTACHIOPOND_NODE_FILE"
 MS_PER_S = 1000.0
@@ -63,4 +63,5 @@
         stop_grace_s=float(plain["graceS"]),
         retry_ratio=float(plain["budgetRatio"]),
         retry_reserve=float(plain["budgetSlack"]),
+        lease_s=float(plain.get("leaseMs", LEASE_S * MS_PER_S)) / MS_PER_S,
     )
--- a/src/_pistachiopond/schema/vm_settings.py
+++ b/src/_pistachiopond/schema/vm_settings.py
@@ -1,9 +1,12 @@
 """The settings of a VM's process: its addresses, bounds and the platform's store."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from _pistachiopond.http1.messages import HttpAddress
 
+# Of settings that do not name the lease.
+LEASE_S: Final = 3.0
+
 
 class VmBounds(NamedTuple):
     """The time and retry bounds that operators require of the system.
@@ -20,6 +23,8 @@
     retry_ratio, retry_reserve : float
         In each of the operators' windows, all VMs together may send a service
         `retry_ratio` retries for each request, and `retry_reserve` more.
+    lease_s : float
+        The time within which two VMs must not send orders by turns.
     """
 
     revoke_s: float
@@ -27,6 +32,7 @@
     stop_grace_s: float
     retry_ratio: float
     retry_reserve: float
+    lease_s: float = LEASE_S
 
 
 class VmSettings(NamedTuple):
--- a/src/_pistachiopond/vm/leader_election.py
+++ b/src/_pistachiopond/vm/leader_election.py
@@ -184,12 +184,16 @@
             "incarnation": self._incarnation,
             "address": f"{address.ip}:{address.port}",
         }
-        encoded = json.dumps(value | {"era": end.era}).encode()
+        holders = leadership.turns.earlier_holders(end.era, now_s)
+        extras: dict[str, object] = {"era": end.era}
+        if holders is not None:
+            extras["earlier_holders"] = holders
+        encoded = json.dumps(value | extras).encode()
         result = await self._store.append(
             OWN_TOPIC, LEADER_KEY, encoded, end, STORE_TIMEOUT_S
         )
         if result.is_ok() and result.ok().era == end.era:
-            claim = Claim(result.ok(), *value.values())
+            claim = Claim(result.ok(), *value.values(), holders)
             leadership.claimed(claim, now_s, has_resigned=has_resigned)
             log_change("lead claimed", fence=claim.fence)
             self._on_change()
@@ -229,6 +233,8 @@
     address: str
     # Builds that do not know eras write none.
     era: NotRequired[Count]
+    # Builds that do not know turns write none.
+    earlier_holders: NotRequired[tuple[str, ...]]
 
 
 _decode_claim: Final = make_decoder(_PlainClaim)
@@ -249,7 +255,13 @@
         return None
     plain = decoded.ok()
     position = StorePosition(plain.get("era", 0), offset)
-    return Claim(position, plain["leader"], plain["incarnation"], plain["address"])
+    return Claim(
+        position,
+        plain["leader"],
+        plain["incarnation"],
+        plain["address"],
+        plain.get("earlier_holders"),
+    )
 
 
 def _check_address(plain: _PlainClaim) -> Result[_PlainClaim, str]:
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -179,6 +179,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._fence = -1
         self._has_changes = False
+        self._is_paused = False
         self.leader_server: LeaderServer | None = None
 
     def wake(self) -> None:
@@ -217,6 +218,7 @@
         if claim.fence != self._fence:
             self._clear()
             self._fence = claim.fence
+        self._note_pause(now_s)
         assert self.leader_server is not None
         self.leader_server.watch_crashes()
         for name, service in deployment.services.items():
@@ -226,6 +228,19 @@
             self._has_changes = False
             self._announce_changes()
 
+    def _note_pause(self, now_s: float) -> None:
+        """Note whether orders are paused since other VMs led in between."""
+        pause_s = self._deps.leadership.turns.pause_s(now_s)
+        if self._is_paused != (pause_s > 0.0):
+            self._is_paused = pause_s > 0.0
+            log_change(
+                "orders paused, another VM led shortly before"
+                if self._is_paused
+                else "orders go on",
+                fence=self._fence,
+                for_s=round(pause_s, 3),
+            )
+
     def _plan_service(self, service: str, spec: EngineSpec, now_s: float) -> None:
         engines = self._engines.get(service)
         if engines is None:
@@ -274,6 +289,9 @@
         )
         if is_tick:
             engines.demand_history.update(inputs.demand, now_s)
+        if self._is_paused:
+            # Requests for reports go on, so that members know the loaded models.
+            return
         if is_tick and now_s >= engines.plans_from_s:
             for order in plan_models(inputs, now_s):
                 self._start_order(fleet, order)
@@ -354,8 +372,7 @@
         fence: int,
     ) -> None:
         server = inventory.server
-        request = encode_order(order, self._deps.name, fence)
-        response = await self._call(server, request, ORDER_TIMEOUT_S)
+        response = await self._call_with_order(server, order, fence)
         if response.is_ok():
             outcome = decode_order_reply(response.ok()[0])
         else:
@@ -382,6 +399,21 @@
         self._has_changes = True
         self.wake()
 
+    async def _call_with_order(
+        self, server: BackendServer, order: ModelOrder, fence: int
+    ) -> Result[tuple[int, bytes], ExchangeError]:
+        # The process may have stood still since the order was planned.
+        leadership = self._deps.leadership
+        is_same_claim = leadership.claim is not None and leadership.claim.fence == fence
+        if not is_same_claim or not leadership.may_order(boot_s()):
+            return Err(ExchangeError("connect", "this VM no longer leads"))
+        request = encode_order(order, self._deps.name, fence)
+        leadership.turns.order_sent(boot_s())
+        try:
+            return await self._call(server, request, ORDER_TIMEOUT_S)
+        finally:
+            leadership.turns.order_ended(boot_s())
+
     async def _call(
         self, server: BackendServer, request: Request, timeout_s: float
     ) -> Result[tuple[int, bytes], ExchangeError]:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -15,6 +15,7 @@
 from prometheus_client import generate_latest
 
 from _pistachiopond.decisions.leadership import Leadership
+from _pistachiopond.decisions.order_turns import OrderTurns
 from _pistachiopond.decisions.rendezvous import score
 from _pistachiopond.decisions.route_table import HASH_RANGE
 from _pistachiopond.decisions.shared_limits import CustomerBalances
@@ -111,6 +112,7 @@
     retries: SharedRetryBudget
     leader_client: LeaderClient
     election: LeaderElection
+    order_turns: OrderTurns
     version_store: VersionStore
     refusal_store: RefusalStore
     leader_server: LeaderServer
@@ -142,7 +144,8 @@
     retries = SharedRetryBudget(
         settings.bounds.retry_ratio, settings.bounds.retry_reserve
     )
-    leadership = Leadership(incarnation, _claim_preference(settings))
+    turns = OrderTurns(settings.name, settings.bounds.lease_s, timer.now_s())
+    leadership = Leadership(incarnation, _claim_preference(settings), turns)
 
     topic_caches = {
         OPERATOR_TOPIC: TopicCache(
@@ -301,6 +304,7 @@
         retries=retries,
         leader_client=leader_client,
         election=election,
+        order_turns=turns,
         version_store=version_store,
         refusal_store=RefusalStore(
             store, leadership, suspects, leader_server.request_records
@@ -528,6 +532,7 @@
     vm.state.set_revoke_s(bounds.revoke_s)
     vm.fleet.set_drain_s(bounds.drain_s)
     vm.shutdown.set_grace_s(bounds.stop_grace_s)
+    vm.order_turns.set_lease_s(bounds.lease_s)
     vm.retries.set_bounds(bounds.retry_ratio, bounds.retry_reserve)
 
 
--- a/testing/platform_adapter/test_settings.py
+++ b/testing/platform_adapter/test_settings.py
@@ -43,10 +43,15 @@
         settings = read_vm_settings(self.path).unwrap()
         self.assertEqual(settings.bounds.revoke_s, 5.0)
         self.assertEqual(settings.bounds.stop_grace_s, 8.0)
+        self.assertEqual(settings.bounds.lease_s, 3.0)
         self.assertEqual(settings.cpu_cores, 1.0)
         self.assertEqual(settings.peer_address, HttpAddress("10.1.0.25", 7600))
         self.assertEqual(settings.store_address, HttpAddress("10.200.1.7", 8225))
 
+    def test_the_lease_may_be_set(self) -> None:
+        self.path.write_text(SETTINGS.replace("[bounds]", "[bounds]\nleaseMs = 4500"))
+        self.assertEqual(read_vm_settings(self.path).unwrap().bounds.lease_s, 4.5)
+
     def test_errors_name_the_file_and_the_field(self) -> None:
         self.path.write_text(SETTINGS.replace("drainMs = 2000\n", ""))
         reason = read_vm_settings(self.path).unwrap_err()
--- a/testing/vm/test_leader_election.py
+++ b/testing/vm/test_leader_election.py
@@ -4,16 +4,29 @@
 import json
 import unittest
 
+from _pistachiopond.decisions.order_turns import ORDER_MARGIN_S
 from _pistachiopond.http1.messages import HttpAddress
 from _pistachiopond.observe.metrics import Metrics
+from _pistachiopond.platform.servers import decode_server
+from _pistachiopond.schema.model_orders import ModelOrder
+from _pistachiopond.schema.vm_settings import LEASE_S
+from _pistachiopond.vm import configuration_state
 from _pistachiopond.vm.leader_client import (
     MEMBER_COUNT_MEMORY_S,
     MEMBER_COUNT_SETTLE_S,
 )
+from _pistachiopond.vm.leader_election import LEADER_KEY
 from _pistachiopond.vm.program import make_vm
 from testing.virtual_time import VirtualTimeTestCase
 from testing.vm.cluster import Cluster
-from testing.vm.deployment import configuration, make_settings, wait_until
+from testing.vm.deployment import (
+    configuration,
+    listen,
+    make_settings,
+    server_entry,
+    wait_until,
+)
+from testing.vm.fake_server import FakeServer
 
 
 class LeaderTests(VirtualTimeTestCase):
@@ -39,6 +52,39 @@
         await wait_until(lambda: self.cluster.all_have_replies(rest), 3.0)
         self.assertLess(asyncio.get_running_loop().time() - began_s, 2.0)
 
+    async def test_a_claim_names_the_vm_that_led_before(self) -> None:
+        # A process that starts again learns from it that it may have sent orders.
+        lost = self.cluster.leader()
+        await self.cluster.kill(lost)
+        await wait_until(lambda: self.cluster.leader() != lost, 3.0)
+        records = self.cluster.store.topics["keyed.pond"]
+        claims = [json.loads(value) for key, value in records if key == LEADER_KEY]
+        self.assertEqual(claims[0]["earlier_holders"], [])
+        self.assertEqual(claims[-1]["earlier_holders"], [lost])
+
+    async def test_a_leader_sends_no_order_while_its_orders_are_paused(self) -> None:
+        vm = self.cluster.vms[self.cluster.leader()]
+        placer, leadership = vm.placer, vm.placer._deps.leadership
+        await wait_until(lambda: leadership.may_act(configuration_state.boot_s()))
+        listening, address = await listen(FakeServer("s1").handle)
+        entry = server_entry("engines", f"{address.ip}:{address.port}")
+        server = decode_server("s1", entry).unwrap()
+        order = ModelOrder("s1", "load", "m1", "", 0)
+
+        async def send(fence: int) -> bool:
+            outcome = await placer._call_with_order(server, order, fence)
+            return outcome.is_ok() or outcome.err().kind != "connect"
+
+        fence = leadership.claim.fence
+        self.assertTrue(await send(fence))
+        self.assertFalse(await send(fence - 1))
+        lost = leadership.claim._replace(leader="vm-9")
+        leadership.turns.claim_read(lost, 0, 0.0)
+        self.assertFalse(await send(fence))
+        await asyncio.sleep(LEASE_S + ORDER_MARGIN_S)
+        self.assertTrue(await send(fence))
+        listening.close()
+
     async def test_all_vms_restarted_at_once_load_the_stored_configuration(
         self,
     ) -> None:
