Customer limits: refused callers are told a time that is kept for them

Cause: the Retry-After of a refusal by a customer's limit was 2 x cost / rate of the one request. When the customer's callers together ask for several times the rate, they all return into the same empty bucket and are refused again.

Change: the leader books the refill for refused requests one behind the other and tells the time in its reply to the request for tokens. All message fields are optional; without a leader, or with an older one, the former rules hold.

--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -94,7 +94,9 @@
     prompts that ran well here, and `refused_parts` those that are refused here, as in
     `SuspectList`. Builds that count crashes by whole requests only send none of the
     three. `request_crashes` is what earlier leaders have told of whole requests; builds
-    that leave this to the leader send none.
+    that leave this to the leader send none. `lists_waiting` says that the member
+    lists in `TokenRequest` the requests that wait for tokens, so that `usage` asks for
+    none for them.
     """
 
     member: str
@@ -115,6 +117,7 @@
     sound_parts: NotRequired[list[str]]
     refused_parts: NotRequired[dict[str, tuple[float, int]]]
     request_crashes: NotRequired[list[RequestCrashes]]
+    lists_waiting: NotRequired[bool]
 
 
 class LeaderReply(TypedDict):
@@ -131,6 +134,8 @@
     a leader that sends it takes `RefusingUpdate`. `versions` answers
     `versions_known_s` and is missing while the leader itself may lack some.
     `deals_places` is sent by a leader that takes `PlaceRequest` and rates of servers.
+    `room_s` has the customers whose refused requests were promised a return, with the
+    time until there are tokens that are not promised.
     """
 
     number: int
@@ -146,6 +151,7 @@
     to_check: NotRequired[list[tuple[str, int]]]
     versions: NotRequired[VersionHistoryMessage]
     deals_places: NotRequired[bool]
+    room_s: NotRequired[dict[str, float]]
 
 
 class RefusingUpdate(TypedDict):
@@ -180,12 +186,29 @@
 class TokenRequest(TypedDict):
     """Sent when a member runs short of tokens of a customer.
 
-    `usage` is the customer's entry in a report.
+    `usage` is the customer's entry in a report. `waiting` lists the requests without
+    tokens: a number, a digest that a refused request and its return have in common, its
+    tokens, those that the member lacks for it, and the longest time after which the
+    caller would return. Builds that don't send it get tokens for all of their requests
+    together.
     """
 
     member: str
     customer: str
     usage: tuple[float, float, float, float]
+    waiting: NotRequired[list[tuple[int, str, float, float, float]]]
+
+
+class WaitingAnswer(TypedDict):
+    """The reply to `waiting` of a `TokenRequest`.
+
+    `granted` has the number and tokens of each request that gets them, and `waits_s`
+    the time until each of the others should return.
+    """
+
+    customer: str
+    granted: list[tuple[int, float]]
+    waits_s: list[tuple[int, float]]
 
 
 class PacingRequest(TypedDict):
@@ -284,6 +307,7 @@
     paced: PacingReply
     tried: TrialReply
     given: dict[str, float]
+    waiting: NotRequired[WaitingAnswer]
     origins: list[StreamOrigin]
     placed: NotRequired[PlaceReply]
     rates: NotRequired[list[ServerRate]]
--- a/src/_pistachiopond/vm/admission.py
+++ b/src/_pistachiopond/vm/admission.py
@@ -1,6 +1,7 @@
 """Admission control: route, API key and rate limit of a caller's request."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
 from result import Err, Ok, Result
@@ -11,7 +12,12 @@
     request_cost,
     urgency_rank,
 )
-from _pistachiopond.decisions.shared_limits import CustomerBalances, retry_delay_s
+from _pistachiopond.decisions.shared_limits import (
+    MAX_WAIT_S,
+    MIN_WAIT_S,
+    CustomerBalances,
+    retry_delay_s,
+)
 from _pistachiopond.http1.messages import RequestHead
 from _pistachiopond.platform.requests import decode_request
 from _pistachiopond.schema.caller_request import CallerRequest
@@ -27,6 +33,9 @@
 # and reads no reply does not end it.
 MAX_TOKEN_POLLS: Final = 6
 TOKEN_POLL_PERIOD_S: Final = 0.02
+# With a longer wait told, a request is refused without more polls. During a shorter
+# one, tokens that other VMs return may still come.
+LONG_WAIT_S: Final = 0.5
 # Retry-After while this VM stops; another VM can serve the request immediately.
 STOPPING_RETRY_AFTER_S: Final = 0.02
 
@@ -78,7 +87,10 @@
         self._leader_client = leader_client
 
     async def admit(
-        self, caller: CallerRequest, arrival_s: float
+        self,
+        caller: CallerRequest,
+        arrival_s: float,
+        digest: Callable[[str], str] = lambda _: "",
     ) -> Result[Admitted, Refusal]:
         """Return the admitted request, or the refusal to answer with.
 
@@ -88,6 +100,8 @@
             The decoded request.
         arrival_s : float
             When the request's first byte arrived, on the event loop's clock.
+        digest : callable
+            Returns, for the customer's name, a digest that the request's retries share.
         """
         table = self._state.table
         if table is None:
@@ -115,7 +129,7 @@
         )
         if customer is None or customer.rate_per_s <= 0:
             return Ok(admitted)
-        return await self._charge(admitted, customer)
+        return await self._charge(admitted, customer, digest)
 
     def refund(self, admitted: Admitted) -> None:
         """Return the rate limit tokens of a request that no server has run."""
@@ -145,7 +159,10 @@
         return Refusal(503, code, RETRY_SOON_S, log_fields)
 
     async def _charge(
-        self, admitted: Admitted, customer: CustomerSpec
+        self,
+        admitted: Admitted,
+        customer: CustomerSpec,
+        digest: Callable[[str], str],
     ) -> Result[Admitted, Refusal]:
         caller = admitted.caller
         tokens = None
@@ -162,17 +179,20 @@
             customer, cost
         ):
             return Ok(charged)
-        self._usage.add_shortfall(customer.name, cost, loop.time())
+        number = self._usage.begin_wait(
+            customer.name,
+            digest(customer.name),
+            cost,
+            started_s + _caller_end_s(admitted) - loop.time(),
+            started_s,
+        )
         try:
-            for _ in range(MAX_TOKEN_POLLS):
-                if loop.time() >= admitted.end_s:
-                    break
-                self._leader_client.request_tokens(customer.name)
-                await asyncio.sleep(TOKEN_POLL_PERIOD_S)
-                if self._usage.try_spend(customer, cost, loop.time()):
-                    return Ok(charged)
+            has_tokens = await self._wait_for_tokens(charged, customer, number)
+            return_s = self._usage.return_s(customer.name, number)
         finally:
-            self._usage.remove_shortfall(customer.name, cost)
+            self._usage.end_wait(customer.name, number)
+        if has_tokens:
+            return Ok(charged)
         if (
             self._leader_client.is_allocation_paused()
             or not self._leader_client.has_replied_since(started_s)
@@ -186,10 +206,52 @@
             "balance": round(self._usage.balance(customer.name), 1),
             "leader_age_s": round(self._leader_client.reply_age_s(), 2),
             "is_paused": self._leader_client.is_allocation_paused(),
+            "is_wait_told": return_s is not None,
         }
-        wait_s = self._leader_client.allocation_wait_s() + retry_delay_s(customer, cost)
+        wait_s = self._retry_after_s(customer, cost, return_s)
         return Err(Refusal(429, "rate_exceeded", wait_s, log_fields))
 
+    async def _wait_for_tokens(
+        self, charged: Admitted, customer: CustomerSpec, number: int
+    ) -> bool:
+        """Request tokens from the leader; return whether they came in time."""
+        usage, name = self._usage, customer.name
+        loop = asyncio.get_running_loop()
+        for _ in range(MAX_TOKEN_POLLS):
+            if loop.time() >= charged.end_s:
+                break
+            self._leader_client.request_tokens(name)
+            await asyncio.sleep(TOKEN_POLL_PERIOD_S)
+            if usage.try_spend_waiting(name, number):
+                return True
+            return_s = usage.return_s(name, number)
+            if return_s is not None and return_s > boot_s() + LONG_WAIT_S:
+                break
+        return False
+
+    def _retry_after_s(
+        self, customer: CustomerSpec, cost: float, return_s: float | None
+    ) -> float:
+        """Return when a refused request should return.
+
+        Parameters
+        ----------
+        customer : CustomerSpec
+            Whose request it is.
+        cost : float
+            The tokens that it needs.
+        return_s : float or None
+            When the leader expects its tokens; None if it has not said so.
+        """
+        now_s = boot_s()
+        if return_s is not None:
+            return max(MIN_WAIT_S, return_s - now_s)
+        refill_s = cost / customer.rate_per_s
+        room_s = self._usage.expected_return_s(customer.name) - now_s + refill_s
+        local_s = self._leader_client.allocation_wait_s()
+        local_s += retry_delay_s(customer, cost)
+        return max(local_s, min(room_s, MAX_WAIT_S))
+
     def _spend_reserve(self, customer: CustomerSpec, cost: float) -> bool:
         members = self._leader_client.reserve_member_count()
         return self._usage.try_spend_reserve(customer, cost, members, boot_s())
@@ -209,6 +271,13 @@
     return None if route is None else _waiting_time_s(route, caller)
 
 
+def _caller_end_s(admitted: Admitted) -> float:
+    """Return until when the caller waits, beyond the limit of the route."""
+    route, caller = admitted.route, admitted.caller
+    patience_s = route.timeout_s if caller.deadline_s is None else caller.deadline_s
+    return admitted.end_s - _waiting_time_s(route, caller) + patience_s
+
+
 def _waiting_time_s(route: Route, caller: CallerRequest) -> float:
     if caller.deadline_s is None:
         return route.timeout_s
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -24,6 +24,7 @@
     RelayedRecord,
     StreamOrigin,
     TrialRequest,
+    WaitingAnswer,
     decode_line,
     encode_line,
 )
@@ -186,6 +187,9 @@
                 "member": deps.name,
                 "customer": customer,
                 "usage": tuple(usage),
+                "waiting": [
+                    tuple(request) for request in deps.usage.waiting(customer, now_s)
+                ],
             }
         }
         # A leader that has resigned still allocates while no member has left it.
@@ -380,6 +384,8 @@
             self._apply_loaded_models(update)
         if "given" in message:
             self._add_tokens(message["given"])
+        if "waiting" in message:
+            self._take_waiting_answer(message["waiting"])
         if "paced" in message:
             self.pacing.take_reply(message["paced"])
         self._apply_rates(message)
@@ -437,6 +443,7 @@
             "sound_parts": sound_parts,
             "refused_parts": deps.suspects.parts.take_refusals(),
             "request_crashes": encode_records(deps.suspects.take_records()),
+            "lists_waiting": True,
         }
         if self.origins.lacks_history():
             report["versions_known_s"] = self.origins.contact().known_s
@@ -479,6 +486,7 @@
         if reply["leads"] and not self._leadership.is_mine():
             self._take_proofs(reply)
         self._add_tokens(reply["given"])
+        deps.usage.set_expected_waits(reply.get("room_s", {}), now_s)
         if reply["leads"]:
             deps.relays.set_peers(
                 {
@@ -504,6 +512,14 @@
         for name, amount in given.items():
             self._deps.usage.add(name, amount, now_s)
 
+    def _take_waiting_answer(self, answer: WaitingAnswer) -> None:
+        self._deps.usage.add_grants(
+            answer["customer"],
+            dict(answer["granted"]),
+            dict(answer["waits_s"]),
+            boot_s(),
+        )
+
     def _apply_record(self, plain: RelayedRecord) -> None:
         cache = self._deps.topic_caches.get(plain["topic"])
         if cache is not None and not self._leadership.is_mine():
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple, final
 
@@ -13,12 +14,13 @@
     CrashCounts,
     LostConnection,
 )
-from _pistachiopond.decisions.leadership import Leadership
+from _pistachiopond.decisions.leadership import HANDOVER_S, Leadership
 from _pistachiopond.decisions.part_suspects import (
     LostRequest,
     PartChange,
     PartSuspects,
 )
+from _pistachiopond.decisions.promised_returns import WaitingRequest
 from _pistachiopond.decisions.prompt_pacing import (
     PacingLimits,
     PromptCandidate,
@@ -45,6 +47,7 @@
     StreamOrigin,
     SuspectList,
     TokenRequest,
+    WaitingAnswer,
     decode_line,
     encode_line,
 )
@@ -139,7 +142,13 @@
 
 @final
 class LeaderServer:
-    """Collects the members' reports and sends them the leader's replies."""
+    """Collects the members' reports and sends them the leader's replies.
+
+    Attributes
+    ----------
+    return_counts : Counter of str
+        Promised returns, as in `ReturnSchedule`.
+    """
 
     def __init__(self, deps: LeaderServerDependencies) -> None:
         self._deps = deps
@@ -149,6 +158,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._allocator: UsageAllocator | None = None
         self._allocator_fence = -1
+        self._allocator_since_s = float("-inf")
+        self.return_counts: Counter[str] = Counter()
         self._totals = Totals({}, {}, {}, frozenset())
         self._totals_s = float("-inf")
         self._relay_ring = RelayRing({})
@@ -466,7 +477,7 @@
         if "rates" in message or "place" in message:
             return self._handle_rate_message(message)
         if "tokens" in message:
-            return {"given": self._allocate_tokens(message["tokens"])}
+            return self._allocate_tokens(message["tokens"])
         if "lack" in message:
             self._record_model_wait(message["lack"])
             return {}
@@ -501,9 +512,46 @@
         self._model_waits.setdefault(model_wait["member"], []).append(model_wait)
         self._deps.on_model_wait()
 
-    def _allocate_tokens(self, request: TokenRequest) -> dict[str, float]:
-        usage = {request["customer"]: request["usage"]}
-        return self._allocate(request["member"], usage, boot_s())
+    def _allocate_tokens(self, request: TokenRequest) -> LeaderMessage:
+        now_s = boot_s()
+        name, member, usage = request["customer"], request["member"], request["usage"]
+        if "waiting" not in request:
+            return {"given": self._allocate(member, {name: usage}, now_s)}
+        answer = self._serve_waiting(request, now_s)
+        balance, demand_per_s, _, returned = usage
+        if answer is not None:
+            balance += sum(tokens for _, tokens in answer["granted"])
+        rest = {name: (balance, demand_per_s, 0.0, returned)}
+        reply: LeaderMessage = {"given": self._allocate(member, rest, now_s)}
+        if answer is not None:
+            reply["waiting"] = answer
+        return reply
+
+    def _serve_waiting(
+        self, request: TokenRequest, now_s: float
+    ) -> WaitingAnswer | None:
+        """Return what becomes of a member's waiting requests; None if it is unknown."""
+        leadership, name = self._deps.leadership, request["customer"]
+        allocator = self._allocator_in_force(now_s)
+        customer = self._deps.customers().get(name)
+        has_taken_over = leadership.has_taken_over(now_s)
+        if allocator is None or customer is None or customer.rate_per_s <= 0:
+            return None
+        if has_taken_over and not self._may_allocate(now_s):
+            return None
+        reply = allocator.serve_waiting(
+            request["member"],
+            customer,
+            UsageReport(*request["usage"]),
+            [WaitingRequest(*item) for item in request["waiting"]],
+            now_s,
+            now_s if has_taken_over else self._allocator_since_s + HANDOVER_S,
+        )
+        return {
+            "customer": name,
+            "granted": list(reply.granted.items()),
+            "waits_s": [(n, round(wait_s, 3)) for n, wait_s in reply.waits_s.items()],
+        }
 
     def _pace_prompt(self, request: PacingRequest) -> PacingReply:
         candidates = [PromptCandidate(*item) for item in request["places"]]
@@ -588,13 +636,14 @@
         reply: LeaderReply = {
             "number": report["number"],
             "leads": leads,
-            "given": self._allocate(report["member"], report["usage"], now_s),
+            "given": self._allocate(report["member"], _usage_of(report), now_s),
             "is_allocating": leadership.has_taken_over(now_s)
             and self._may_allocate(now_s),
             "load": self.totals().load,
             "relays": self._relay_ring.relays_of(report["member"]),
             "members": len(self._members),
             "period_s": self.report_period_s(),
+            "room_s": self._room_s(now_s),
             "topics": {
                 topic: cache.proof() for topic, cache in self._deps.topic_caches.items()
             },
@@ -618,13 +667,9 @@
         now_s: float,
     ) -> dict[str, float]:
         leadership = self._deps.leadership
-        if not leadership.is_mine():
+        allocator = self._allocator_in_force(now_s)
+        if allocator is None:
             return {}
-        assert leadership.claim is not None
-        if self._allocator is None or self._allocator_fence != leadership.claim.fence:
-            if not leadership.is_renewal_of(self._allocator_fence):
-                self._allocator = UsageAllocator(now_s)
-            self._allocator_fence = leadership.claim.fence
         may_allocate = self._may_allocate(now_s)
         customers = self._deps.customers()
         given: dict[str, float] = {}
@@ -638,13 +683,33 @@
                 # new leader starts with is allocated.
                 customer = customer._replace(rate_per_s=0.0)
             elif not may_allocate:
-                self._allocator.suspend(member, customer, report, now_s)
+                allocator.suspend(member, customer, report, now_s)
                 continue
-            amount = self._allocator.allocate(member, customer, report, now_s)
+            amount = allocator.allocate(member, customer, report, now_s)
             if amount > 0:
                 given[name] = round(amount, 1)
         return given
 
+    def _room_s(self, now_s: float) -> dict[str, float]:
+        """Return, for customers with promised returns, when there is more room."""
+        if self._allocator is None or not self._deps.leadership.is_leading(now_s):
+            return {}
+        waits_s = self._allocator.expected_waits_s(self._deps.customers(), now_s)
+        return {name: round(wait_s, 3) for name, wait_s in waits_s.items()}
+
+    def _allocator_in_force(self, now_s: float) -> UsageAllocator | None:
+        """Return the allocator of this VM's claim, a new one for a new lead."""
+        leadership = self._deps.leadership
+        if not leadership.is_mine():
+            return None
+        assert leadership.claim is not None
+        if self._allocator is None or self._allocator_fence != leadership.claim.fence:
+            if not leadership.is_renewal_of(self._allocator_fence):
+                self._allocator = UsageAllocator(now_s, self.return_counts)
+                self._allocator_since_s = now_s
+            self._allocator_fence = leadership.claim.fence
+        return self._allocator
+
     def _may_allocate(self, now_s: float) -> bool:
         """Return whether this VM may allocate parts of customers' rate limits.
 
@@ -666,6 +731,16 @@
     return frozenset((name, started_ms) for name, started_ms in plain)
 
 
+def _usage_of(report: MemberReport) -> dict[str, tuple[float, float, float, float]]:
+    """Return a report's usage; requests that are listed apart lack nothing in it."""
+    if not report.get("lists_waiting"):
+        return report["usage"]
+    return {
+        name: (balance, demand_per_s, 0.0, returned)
+        for name, (balance, demand_per_s, _, returned) in report["usage"].items()
+    }
+
+
 def _write_line(writer: asyncio.StreamWriter, line: bytes) -> None:
     unread_bytes = writer.transport.get_write_buffer_size()
     if unread_bytes > MAX_UNREAD_BYTES:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -476,6 +476,12 @@
             f"Places at servers that name a rate: {outcome}, source: {source}.",
             partial(vm.leader_client.places.counts.__getitem__, (source, outcome)),
         )
+    for outcome in ("promised", "not_promised", "kept", "lapsed"):
+        metrics.gauge(
+            f"pond_returns_{outcome}",
+            f"Returns of callers refused by a customer's limit, as leader: {outcome}.",
+            partial(vm.leader_server.return_counts.__getitem__, outcome),
+        )
     metrics.gauge(
         "pond_unreachable_services",
         "Services whose servers this VM cannot reach.",
--- a/src/_pistachiopond/vm/request_handler.py
+++ b/src/_pistachiopond/vm/request_handler.py
@@ -1,6 +1,7 @@
 """Handles callers' requests: decodes, admits, forwards and counts them."""
 
 import asyncio
+from functools import partial
 from typing import Final, NamedTuple, Self, final
 
 from prometheus_client import Counter
@@ -14,6 +15,7 @@
 from _pistachiopond.vm.forward import forward
 from _pistachiopond.vm.forward_dependencies import ForwardDependencies
 from _pistachiopond.vm.refusals import Refusal, send_refusal
+from _pistachiopond.vm.suspects import make_fingerprint
 
 # One of this many forwarded requests is logged.
 LOG_SAMPLE_INTERVAL: Final = 200
@@ -76,7 +78,9 @@
             return "refused"
         caller = decoded.ok()
         first_byte_s = arrival_s - responder.waited_s
-        admitted = await self._admission.admit(caller, first_byte_s)
+        admitted = await self._admission.admit(
+            caller, first_byte_s, partial(make_fingerprint, request)
+        )
         if admitted.is_err():
             await send_refusal(responder, caller.attempt_id, admitted.err())
             return "refused"
