Evacuation: nothing new is sent to servers in evacuated data centres

Cause: the operators write the key evacuate/ZONE beside the configuration, which VMs ignored.

Change: the operators' topic is cached and relayed with these keys, for which positions decide and which can be deleted; the configuration's keys behave as before. A record that an older copy of the store lacks is kept until it must have been written again. The fleet applies the rule wherever it says whether a server takes requests, also just before one is sent. Requests that only evacuated servers could run are refused at once. Placement and the computed versions of streams see evacuated servers as leaving ones. Connections that fail there do not make a service unreachable. Proofs of the leader say that deletions are relayed; without that, members read the operators' topic themselves.

--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -38,11 +38,16 @@
 
 
 class TopicProof(TypedDict):
-    """The age of the leader's copy of a topic, and the next position to read."""
+    """The age of the leader's copy of a topic, and the next position to read.
+
+    Builds that relay only the versioned records of a versioned topic do not send
+    `relays_deletions`.
+    """
 
     age_s: float
     next_offset: int
     era: NotRequired[int]
+    relays_deletions: NotRequired[bool]
 
 
 # The id of a stream, the software version that began it, and the time since it was
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -9,6 +9,7 @@
 from _pistachiopond.decisions.brittle_servers import ServerState
 from _pistachiopond.decisions.dispatch_types import FailureKind
 from _pistachiopond.decisions.ejection import Ejector
+from _pistachiopond.decisions.evacuation import are_all_evacuated, may_get_work
 from _pistachiopond.decisions.server_choice import (
     MAX_RANKED,
     Candidate,
@@ -108,6 +109,7 @@
         self.peer_load: dict[str, int] = {}
         self.ejector = Ejector()
         self.brittle = BrittleServices(self._server_states)
+        self.evacuated: frozenset[str] = frozenset()
         self.is_loaded = False
         self.change_count = 0
         # Changes of servers and of their loaded models.
@@ -121,6 +123,11 @@
         """Set for how long the operators let draining servers get requests."""
         self._drain_s = drain_s
 
+    def set_evacuated(self, data_centres: Iterable[str]) -> None:
+        """Set the data centres whose servers get nothing new."""
+        self.evacuated = frozenset(data_centres)
+        self._servers_changed()
+
     # Updates from the topic of server entries.
 
     def apply(self, record: KeyedRecord) -> bool:
@@ -326,8 +333,31 @@
         return server if is_current else None
 
     def staying_servers(self, service: str) -> list[BackendServer]:
-        """Return the servers of a service that are not leaving."""
-        return [item for item in self.servers_of(service) if not item.is_leaving]
+        """Return the servers of a service that are neither leaving nor evacuated."""
+        return [
+            item
+            for item in self.servers_of(service)
+            if not item.is_leaving and may_get_work(item, self.evacuated)
+        ]
+
+    def are_all_evacuated(
+        self, service: str, software_version: str | None = None
+    ) -> bool:
+        """Return whether evacuation leaves none of a service's servers."""
+        servers = self.servers_of(service, software_version)
+        return are_all_evacuated(servers, self.evacuated)
+
+    def count_servers_in(self, data_centre: str) -> int:
+        """Return how many servers are registered in a data centre."""
+        return sum(item.data_centre == data_centre for item in self.servers.values())
+
+    def count_running_in(self, data_centre: str) -> int:
+        """Return how many requests of this VM run at servers in a data centre."""
+        return sum(
+            self.own_load.get(name, 0)
+            for name, server in self.servers.items()
+            if server.data_centre == data_centre
+        )
 
     def can_run(self, server: BackendServer, model_ref: ModelRef) -> bool:
         """Return whether the server can run requests for the model and adapter."""
@@ -354,6 +384,7 @@
         """
         return any(
             not server.is_leaving
+            and may_get_work(server, self.evacuated)
             and self.can_run(server, model_ref)
             and self.refusals.is_proved(server.incarnation())
             for server in self.servers_of(model_ref.service, software_version)
@@ -494,6 +525,8 @@
         for server in self.servers_of(model_ref.service, software_version):
             if server.is_leaving or not self.can_run(server, model_ref):
                 continue
+            if not may_get_work(server, self.evacuated):
+                continue
             if self._refuses(server, model_ref):
                 continue
             if self.rates.is_limited(server.incarnation(), now_s):
@@ -525,9 +558,13 @@
     def has_server_for(
         self, model_ref: ModelRef, software_version: str | None = None
     ) -> bool:
-        """Return whether a server can run the model that is not draining or dead."""
+        """Return whether a server can run the model that is not draining or dead.
+
+        Servers in evacuated data centres count as draining.
+        """
         return any(
             not server.is_leaving
+            and may_get_work(server, self.evacuated)
             and self.can_run(server, model_ref)
             and not self._refuses(server, model_ref)
             for server in self.servers_of(model_ref.service, software_version)
@@ -614,6 +651,8 @@
         )
 
     def _is_open(self, server: BackendServer, now_s: float) -> bool:
+        if not may_get_work(server, self.evacuated):
+            return False
         incarnation = server.incarnation()
         if server.is_leaving:
             since_s = self._leaving_since_s.get(incarnation, float("-inf"))
--- a/src/_pistachiopond/vm/placer.py
+++ b/src/_pistachiopond/vm/placer.py
@@ -14,6 +14,7 @@
     EngineFleet,
     ServerInventory,
 )
+from _pistachiopond.decisions.evacuation import mark_evacuated
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.model_plan import (
     ADAPTER_DEMAND_WINDOW_S,
@@ -240,7 +241,10 @@
             fleet.set_servers(
                 {
                     server.server_id: server
-                    for server in self._deps.fleet.servers_of(service)
+                    for server in mark_evacuated(
+                        self._deps.fleet.servers_of(service),
+                        self._deps.fleet.evacuated,
+                    )
                     if server.incarnation() not in crashed
                 }
             )
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -41,6 +41,7 @@
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.observe.loop_stalls import LoopStalls
 from _pistachiopond.observe.metrics import Metrics
+from _pistachiopond.platform.evacuations import is_evacuation_key
 from _pistachiopond.platform.settings import read_vm_settings, settings_path
 from _pistachiopond.platform.store import (
     OPERATOR_TOPIC,
@@ -51,6 +52,11 @@
 from _pistachiopond.vm.admission import Admission, body_limit_s
 from _pistachiopond.vm.configuration_state import FIRST_LIMITS, ConfigurationState
 from _pistachiopond.vm.crash_watch import CrashWatch
+from _pistachiopond.vm.evacuations import (
+    EvacuationMetrics,
+    Evacuations,
+    make_operator_callbacks,
+)
 from _pistachiopond.vm.excessive_messages import (
     make_excess_recorder,
     make_line_excess_recorder,
@@ -103,6 +109,7 @@
 
     settings: VmSettings
     state: ConfigurationState
+    evacuations: Evacuations
     fleet: Fleet
     pools: ServerPools
     reach: ServerReach
@@ -144,12 +151,14 @@
     )
     leadership = Leadership(incarnation, _claim_preference(settings))
 
+    evacuations = Evacuations(fleet)
+    metrics.registry.register(EvacuationMetrics(evacuations))
+
     topic_caches = {
         OPERATOR_TOPIC: TopicCache(
-            TopicCallbacks(
-                state.apply, state.apply, state.mark_current, state.store_restored
-            ),
+            make_operator_callbacks(state, evacuations),
             is_versioned=True,
+            is_unversioned_key=is_evacuation_key,
         ),
         SERVERS_TOPIC: TopicCache(
             TopicCallbacks(
@@ -293,6 +302,7 @@
     return Vm(
         settings=settings,
         state=state,
+        evacuations=evacuations,
         fleet=fleet,
         pools=pools,
         reach=reach,
@@ -440,6 +450,7 @@
     return (
         close_unused_connections,
         vm.fleet.remove_expired,
+        vm.evacuations.log_progress,
         vm.leader_client.origins.refresh,
         vm.leader_server.drop_silent_members,
         vm.leader_server.confirm_crashes,
--- a/src/_pistachiopond/vm/server_reach.py
+++ b/src/_pistachiopond/vm/server_reach.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import final
 
+from _pistachiopond.decisions.evacuation import may_get_work
 from _pistachiopond.decisions.server_reachability import Reachability
 from _pistachiopond.http1.client import ExchangeError
 from _pistachiopond.http1.pool import ConnectOutcome
@@ -39,6 +40,9 @@
                     "service reachable again", service=service, server=server.server_id
                 )
             return
+        if not may_get_work(server, self._fleet.evacuated):
+            # Nothing is sent there, so it does not matter whether it can be reached.
+            return
         if outcome == "refused" and self._fleet.connection_refused(server):
             log_change("server refuses connections", server=server.server_id)
             self.on_proof()
@@ -96,6 +100,8 @@
     def _probe_services(self, pools: ServerPools) -> None:
         for service, failed in self._reachability.start_probes(boot_s()).items():
             servers = self._fleet.staying_servers(service)
+            # Where all servers are evacuated, they still show whether the links work.
+            servers = servers or list(self._fleet.servers_of(service))
             others = [item for item in servers if item.server_id not in failed]
             if others or servers:
                 server = self._rng.choice(others or servers)
--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -146,8 +146,8 @@
         """Return whether the request may be sent to the chosen server now.
 
         Since it was chosen, the server may have asked for a pause, begun to leave or
-        named a rate, a place may have expired, and the request may have been found to
-        crash servers.
+        named a rate, its data centre may have been evacuated, a place may have expired,
+        and the request may have been found to crash servers.
         """
         now_s = boot_s()
         if self._is_refused() or not self._deps.fleet.is_open(server):
@@ -265,6 +265,10 @@
 
         return rank(None) if self._binding is None else self._binding.rank(rank)
 
+    def _are_all_evacuated(self) -> bool:
+        service = self._admitted.service
+        return self._deps.fleet.are_all_evacuated(service, self._version())
+
     def _waits_for_share(self) -> bool:
         return self._deps.fleet.waits_for_place(self.model_ref, self._version())
 
@@ -274,6 +278,10 @@
 
     def _plan_wait(self) -> WaitPlan:
         fleet, service = self._deps.fleet, self._admitted.service
+        if self._are_all_evacuated():
+            self.lack = "all servers are in evacuated data centres"
+            self._retry_after_s = RETRY_SOON_S
+            return WaitPlan("refuse")
         share = None
         if self._waits_for_share():
             share = ShareWait(
@@ -345,7 +353,7 @@
             while loop.time() < wait_until_s:
                 changed = fleet.changed
                 ranked = self._rank(frozenset())
-                if ranked or self._may_find_room():
+                if ranked or self._may_find_room() or self._are_all_evacuated():
                     self._log_wait(loop.time() - began_s)
                     self.tried.clear()
                     return ranked or None
--- a/src/_pistachiopond/vm/stream_origins.py
+++ b/src/_pistachiopond/vm/stream_origins.py
@@ -6,6 +6,7 @@
 from typing import Final, final
 from weakref import WeakValueDictionary
 
+from _pistachiopond.decisions.evacuation import mark_evacuated
 from _pistachiopond.decisions.stream_versions import (
     RESUMPTION_GAP_S,
     STREAM_MEMORY_S,
@@ -425,12 +426,13 @@
 ) -> dict[ServedModel, dict[str, int]]:
     """Return the slots of each version's servers for each model of these services.
 
-    Servers that are shutting down count only where no other server has the model.
+    Servers that are shutting down or in an evacuated data centre count only where no
+    other server has the model.
     """
     staying: dict[ServedModel, dict[str, int]] = {}
     leaving: dict[ServedModel, dict[str, int]] = {}
     for service in services:
-        for server in fleet.servers_of(service):
+        for server in mark_evacuated(fleet.servers_of(service), fleet.evacuated):
             weights_by_model = leaving if server.is_leaving else staying
             for model in ("", *fleet.models_of(server)):
                 weights = weights_by_model.setdefault(ServedModel(service, model), {})
--- a/src/_pistachiopond/vm/topic_cache.py
+++ b/src/_pistachiopond/vm/topic_cache.py
@@ -50,7 +50,13 @@
 class TopicCache:
     """The newest record of each key of one topic, and how current the copy is."""
 
-    def __init__(self, callbacks: TopicCallbacks, *, is_versioned: bool) -> None:
+    def __init__(
+        self,
+        callbacks: TopicCallbacks,
+        *,
+        is_versioned: bool,
+        is_unversioned_key: Callable[[str], bool] = lambda key: False,
+    ) -> None:
         """Start empty.
 
         Parameters
@@ -61,9 +67,15 @@
             Whether the content of records says which one is newer. The cache then
             keeps a record that the store has lost until a newer one is written, and
             relays it. Otherwise positions decide.
+        is_unversioned_key : callable
+            Returns whether a key of a versioned topic is an exception: positions decide
+            which of its records is newer, and its record can be deleted. If the store
+            has lost the record, the cache keeps it until it must have been written
+            again.
         """
         self._callbacks = callbacks
         self._is_versioned = is_versioned
+        self._is_unversioned_key = is_unversioned_key
         self._records: dict[str, KeyedRecord] = {}
         self._era: int | None = None
         # The era of the first record and then of the last snapshot or proof. A snapshot
@@ -71,6 +83,8 @@
         self._read_era: int | None = None
         # Until then, what this process read at its start may be an older copy.
         self._confirmed_from_s = float("-inf")
+        # What the store has lost and will get back has been written again by then.
+        self._rewritten_from_s = float("-inf")
         self.next_position: StorePosition | None = None
         self.current_as_of_s = float("-inf")
         self.on_change: Callable[[list[KeyedRecord]], None] | None = None
@@ -93,13 +107,19 @@
         for key, known in list(self._records.items()):
             if key in kept:
                 continue
+            if self._is_unversioned_key(key):
+                if known.position.era == era:
+                    position = StorePosition(era, end_offset - 1)
+                    self._apply(KeyedRecord(position, key, b""), apply)
+                continue
             # Before the end, so that a record written later replaces the deletion.
             offset = min(newest, end_offset - 1)
             if known.position.era == era:
                 offset = max(newest, known.position.offset + 1)
             self._apply(KeyedRecord(StorePosition(era, offset), key, b""), apply)
         for record in snapshot.records:
-            self._apply(record, apply)
+            if not self._is_copied_deletion(record):
+                self._apply(record, apply)
         self.next_position = snapshot.end
         return True
 
@@ -108,15 +128,47 @@
         self._enter_era(record.position.era)
         self._apply(record, self._callbacks.apply)
 
+    def _is_copied_deletion(self, record: KeyedRecord) -> bool:
+        """Return whether a snapshot deletes a record known from an earlier era.
+
+        The record may have been written after the copy was made.
+        """
+        known = self._records.get(record.key)
+        return (
+            not record.value
+            and known is not None
+            and known.position.era < record.position.era
+            and self._is_unversioned_key(record.key)
+        )
+
+    def _is_superseded(self, record: KeyedRecord, known: KeyedRecord | None) -> bool:
+        """Return whether this copy has a newer record of the key, or its deletion."""
+        if known is not None:
+            return record.position <= known.position
+        read_until = self.next_position
+        return (
+            read_until is not None
+            and read_until.era == record.position.era
+            and record.position < read_until
+        )
+
     def _apply(self, record: KeyedRecord, apply: Callable[[KeyedRecord], bool]) -> None:
         known = self._records.get(record.key)
+        is_unversioned = self._is_versioned and self._is_unversioned_key(record.key)
+        if is_unversioned and self._is_superseded(record, known):
+            return
         if self._is_versioned:
             if known is not None and known.value == record.value:
                 is_newer = record.position > known.position
                 self._records[record.key] = record if is_newer else known
+                is_later_era = record.position.era > known.position.era
+                if is_unversioned and is_later_era and self.on_change is not None:
+                    # The other VMs have to know that the store still has it.
+                    self.on_change([record])
                 return
             is_changed = _apply_contained(apply, record)
-            if is_changed or known is None:
+            is_deletion = is_unversioned and not record.value
+            if is_changed or known is None or is_deletion:
                 self._records[record.key] = record
         else:
             if known is not None and record.position <= known.position:
@@ -138,7 +190,9 @@
             if era > 0:
                 # The store has come back at some time, perhaps just before.
                 self._confirmed_from_s = boot_s() + REWRITE_S
+                self._rewritten_from_s = self._confirmed_from_s
             return
+        self._rewritten_from_s = boot_s() + REWRITE_S
         log_change("store came back from an older copy", era=era, earlier_era=known)
         if self.next_position is not None and self.next_position.era < era:
             self.next_position = None
@@ -152,9 +206,22 @@
         was lost has been written again, or a leader that knows confirms it.
         """
         self.current_as_of_s = max(self.current_as_of_s, at_s)
+        if at_s >= self._rewritten_from_s:
+            self._delete_lost()
         if at_s >= self._confirmed_from_s:
             self._callbacks.mark_current(at_s)
 
+    def _delete_lost(self) -> None:
+        """Delete unversioned records that the store has lost for good."""
+        if self._era is None:
+            return
+        for key, known in list(self._records.items()):
+            is_lost = bool(known.value) and known.position.era < self._era
+            if is_lost and self._is_unversioned_key(key):
+                # Before the first offset, so that any record of this era replaces it.
+                position = StorePosition(self._era, -1)
+                self._apply(KeyedRecord(position, key, b""), self._callbacks.apply)
+
     def is_confirmed(self) -> bool:
         """Return whether the copy is known not to be an older one."""
         return self.current_as_of_s >= self._confirmed_from_s
@@ -173,6 +240,7 @@
             "age_s": round(boot_s() - self.current_as_of_s, 3),
             "next_offset": -1 if position is None else position.offset,
             "era": 0 if position is None else position.era,
+            "relays_deletions": True,
         }
 
     def take_proof(self, proof: TopicProof, asked_s: float) -> bool:
@@ -189,6 +257,9 @@
         """
         if proof["next_offset"] < 0 or proof["age_s"] > MAX_RELAY_AGE_S:
             return False
+        if self._is_versioned and not proof.get("relays_deletions", False):
+            # Leaders of older builds relay versioned records only.
+            return False
         if self.next_position is None and not self._records:
             # The leader has relayed nothing yet, so its copy is not here.
             return False
--- a/testing/platform_adapter/test_odd_values.py
+++ b/testing/platform_adapter/test_odd_values.py
@@ -23,6 +23,7 @@
     ResponseHead,
 )
 from _pistachiopond.platform.configuration import decode_deployment
+from _pistachiopond.platform.evacuations import decode_evacuation
 from _pistachiopond.platform.requests import decode_request
 from _pistachiopond.platform.servers import (
     decode_notice,
@@ -154,6 +155,9 @@
     "decode_server": Decoder(lambda text: decode_server("s1", text), ENTRY),
     "decode_report": Decoder(decode_report, REPORT),
     "decode_deployment": Decoder(decode_deployment, configuration(3)),
+    "decode_evacuation": Decoder(
+        lambda text: decode_evacuation("evacuate/north", text), {"reason": "test"}
+    ),
     "decode_relay": Decoder(relay, RELAYED),
     "decode_line": Decoder(decode_line, LINE),
     "_decode_newest": Decoder(snapshot, PAGE),
@@ -185,6 +189,7 @@
     "_decode_keyed",
     "_decode_models",
     "_decode_names",
+    "_decode_object",
     "_decode_pause",
     "_decode_plain",
     "_decode_plain_report",
