Tests: what callers make a VM's process hold, with real processes

Cause: clients have ended a process by memory with many large bodies, whole, in pieces, in chunks, or over the limit, and nothing bounds the connections of callers.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -28,6 +28,7 @@
     "testing.decisions.test_leadership",
     "testing.live.test_stream_soak",
     "testing.live.test_end_to_end",
+    "testing.live.test_held_memory",
     "testing.vm.test_response_endings",
     "testing.decisions.test_brittle_servers",
     "testing.vm.test_stream_versions",
