Bounds on what callers make a VM's process hold

Cause: a VM held each body within the limits that callers had begun, a refused body until its connection closed, and any number of connections. Clients ended processes by memory.

Change: connections reserve room for a body in the account of decisions/memory_budget.py before they read it. Without room a body is not read; senders that have stopped give way to it, and after 0.5 s it is refused with 503 and a Retry-After. A body over the limit is refused from its head, and a refused body is dropped at once. The settings memoryMb and fileDescriptors are read; both may be missing.

--- a/src/_pistachiopond/decisions/memory_budget.py
+++ b/src/_pistachiopond/decisions/memory_budget.py
@@ -82,6 +82,21 @@
     since_s: float
 
 
+class Room(NamedTuple):
+    """What is left of a budget.
+
+    Attributes
+    ----------
+    large_bytes : float
+        For large bodies, which leave a share to small ones.
+    all_bytes : float
+        In all; negative if the budget is exceeded.
+    """
+
+    large_bytes: float
+    all_bytes: float
+
+
 class Relief(NamedTuple):
     """Which connections give way, by their positions in the list of holdings.
 
@@ -156,10 +171,13 @@
             What its connection has reserved. If no other has reserved anything, there
             is room for any body, so that one request alone is always served.
         """
-        cost = size * BODY_COPIES
-        if cost > self.free_bytes(size) and self.reserved_bytes > own_bytes:
+        reserved_bytes = self.reserved_bytes + size * BODY_COPIES
+        is_short = reserved_bytes + self.other_bytes > (
+            self._budget if size <= SMALL_BODY_BYTES else self._large_budget()
+        )
+        if is_short and self.reserved_bytes > own_bytes:
             return False
-        self.reserved_bytes += cost
+        self.reserved_bytes = reserved_bytes
         return True
 
     def force_reserve(self, size: int) -> None:
@@ -170,10 +188,13 @@
         """Give back what was reserved."""
         self.reserved_bytes -= reserved_bytes
 
-    def free_bytes(self, size: int = 0) -> float:
-        """Return how much may be reserved for a body of a size; negative if over."""
-        share = SMALL_BODY_SHARE if size > SMALL_BODY_BYTES else 0.0
-        return self._budget * (1 - share) - self.reserved_bytes - self.other_bytes
+    def room(self) -> Room:
+        """Return what is left."""
+        held_bytes = self.reserved_bytes + self.other_bytes
+        return Room(self._large_budget() - held_bytes, self._budget - held_bytes)
+
+    def _large_budget(self) -> float:
+        return self._budget * (1 - SMALL_BODY_SHARE)
 
     def record_resident(self, resident_bytes: int) -> None:
         """Lower the budget while the process takes more memory than estimated."""
@@ -186,9 +207,7 @@
             self._budget = min(self._full_budget, max(MIN_BUDGET_BYTES, held - excess))
 
 
-def choose_relief(
-    holdings: Sequence[Holding], free_bytes: float, now_s: float
-) -> Relief:
+def choose_relief(holdings: Sequence[Holding], room: Room, now_s: float) -> Relief:
     """Return which connections give way to those that wait.
 
     Senders that have stopped are closed first. What waits too long, or is beyond the
@@ -199,25 +218,28 @@
     ----------
     holdings : sequence of Holding
         All connections.
-    free_bytes : float
-        What may be reserved; negative if the budget is exceeded.
+    room : Room
+        What is left of the budget.
     now_s : float
         The time in seconds.
     """
     waiting = [x for x, held in enumerate(holdings) if held.phase == "waiting"]
     wanted_bytes = sum(holdings[x].wanted_bytes for x in waiting)
+    short_bytes = max(-room.all_bytes, wanted_bytes - room.large_bytes)
+    if short_bytes <= 0:
+        return Relief([], [])
     stopped = [x for x, held in enumerate(holdings) if _has_stopped(held, now_s)]
-    closed = _first_holding(
-        holdings, order_by_source(holdings, stopped), wanted_bytes - free_bytes
-    )
-    free_bytes += sum(holdings[x].held_bytes for x in closed)
-    refused = _choose_refused(holdings, waiting, free_bytes, now_s)
-    free_bytes += sum(holdings[x].held_bytes for x in refused)
+    ordered = order_by_source(holdings, stopped)
+    closed = _first_holding(holdings, ordered, short_bytes)
+    freed_bytes = sum(holdings[x].held_bytes for x in closed)
+    room = Room(room.large_bytes + freed_bytes, room.all_bytes + freed_bytes)
+    refused = _choose_refused(holdings, waiting, room, now_s)
+    over_bytes = -room.all_bytes - sum(holdings[x].held_bytes for x in refused)
     for phase in ("unread", "idle"):
         others = [x for x, held in enumerate(holdings) if held.phase == phase]
         ordered = order_by_source(holdings, others)
-        chosen = _first_holding(holdings, ordered, -free_bytes)
-        free_bytes += sum(holdings[x].held_bytes for x in chosen)
+        chosen = _first_holding(holdings, ordered, over_bytes)
+        over_bytes -= sum(holdings[x].held_bytes for x in chosen)
         closed += chosen
     return Relief(closed, refused)
 
@@ -240,21 +262,19 @@
 
 
 def _choose_refused(
-    holdings: Sequence[Holding],
-    waiting: Iterable[int],
-    free_bytes: float,
-    now_s: float,
+    holdings: Sequence[Holding], waiting: Sequence[int], room: Room, now_s: float
 ) -> list[int]:
     """Return which of those that wait are refused, the newest first."""
     refused = []
-    short = sum(holdings[x].wanted_bytes for x in waiting) - free_bytes
+    short_bytes = sum(holdings[x].wanted_bytes for x in waiting) - room.large_bytes
+    over_bytes = -room.all_bytes
     for x in sorted(waiting, key=lambda x: -holdings[x].since_s):
         held = holdings[x]
-        is_late = now_s - held.since_s > MAX_WAIT_S
-        if short > 0 and (free_bytes < 0 or is_late):
+        is_late = short_bytes > 0 and now_s - held.since_s > MAX_WAIT_S
+        if over_bytes > 0 or is_late:
             refused.append(x)
-            short -= held.wanted_bytes + held.held_bytes
-            free_bytes += held.held_bytes
+            short_bytes -= held.wanted_bytes + held.held_bytes
+            over_bytes -= held.held_bytes
     return refused
 
 
--- a/src/_pistachiopond/http1/server.py
+++ b/src/_pistachiopond/http1/server.py
@@ -5,12 +5,24 @@
 """
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple, final
 
 import httptools
 
+from _pistachiopond.decisions.memory_budget import (
+    BODY_COPIES,
+    CONNECTION_BYTES,
+    HEADER_COPIES,
+    MIN_RESERVED_BYTES,
+    PROGRESS_BYTES,
+    RETRY_AFTER_S,
+    Holding,
+    MemoryAccount,
+    Phase,
+)
 from _pistachiopond.http1.message_bounds import (
     MAX_HEADER_COUNT,
     MAX_PIECE_BYTES,
@@ -41,6 +53,11 @@
 MAX_OTHER_HEAD_BYTES: Final = 4 * 1024
 # How long a connection stays open after an error response to an incomplete request.
 LINGER_S: Final = 0.5
+# At most this much is read at once, since a connection that is then not read for a
+# while holds it.
+MAX_READ_BYTES: Final = 32 * 1024
+# Shared by all connections, since what was read is copied before the next read.
+_READ_BUFFER: Final = memoryview(bytearray(MAX_READ_BYTES))
 
 
 class ServerLimits(NamedTuple):
@@ -74,6 +91,34 @@
     return None
 
 
+class ConnectionMemory(NamedTuple):
+    """How the connections of a listener share the memory of the process.
+
+    Attributes
+    ----------
+    account : MemoryAccount
+        Counts what is held.
+    may_open : callable
+        Called for each new connection; returns whether it may stay.
+    on_wait : callable
+        Called when the body of a request finds no room.
+    on_release : callable
+        Called when room has been given back.
+    """
+
+    account: MemoryAccount
+    may_open: Callable[[], bool]
+    on_wait: Callable[[], None]
+    on_release: Callable[[], None]
+
+
+def make_unbounded_memory() -> ConnectionMemory:
+    """Return an account without a bound."""
+    return ConnectionMemory(
+        MemoryAccount(math.inf), lambda: True, lambda: None, lambda: None
+    )
+
+
 class ServerContext(NamedTuple):
     """Objects shared by the connections of one listener.
 
@@ -95,6 +140,8 @@
     body_limit_s : callable
         Returns the maximum time from the end of a request's head to the end of its
         body, or None for that of idle connections.
+    memory : ConnectionMemory
+        The account that the connections share.
     """
 
     handler: Handler
@@ -104,6 +151,7 @@
     connections: "set[ServerConnection]"
     on_excess: ReportExcess = ignore_excess
     body_limit_s: Callable[[RequestHead], float | None] = no_body_limit
+    memory: ConnectionMemory = make_unbounded_memory()
 
 
 @final
@@ -201,15 +249,28 @@
 
 
 class _Received(NamedTuple):
-    """A complete request, whether it is the last one, and when its first byte came."""
+    """A complete request.
+
+    Attributes
+    ----------
+    request : Request
+        The request.
+    is_last : bool
+        Whether it is the last one of its connection.
+    began_s : float
+        When its first byte came.
+    header_bytes : int
+        The size of its target and headers.
+    """
 
     request: Request
     is_last: bool
     began_s: float
+    header_bytes: int
 
 
 @final
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection from a client."""
 
     def __init__(self, context: ServerContext) -> None:
@@ -238,22 +299,56 @@
         self._body_started_s = 0.0
         self._received_s = 0.0
         self._owes_continue = False
+        self._source = ""
+        self._running: _Received | None = None
+        # Bytes of the body that is being received for which room is reserved, and for
+        # which it waits.
+        self._body_room = 0
+        self._wanted_bytes = 0
+        self._wait_started_s = 0.0
+        self._progress_s = 0.0
+        self._progress_bytes = 0
+        # What the account has for this connection: reserved for bodies, and besides.
+        self._reserved_bytes = 0
+        self._counted_bytes = 0
+        self._kept_header_bytes = 0
+        self._unread_bytes = 0
+        self._is_counted = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        enable_dead_peer_detection(transport)
         self._phase_started_s = self._context.now_s()
+        if not self._context.memory.may_open():
+            self.abort()
+            return
+        enable_dead_peer_detection(transport)
+        peer = transport.get_extra_info("peername")
+        self._source = str(peer[0]) if peer else ""
         self._context.connections.add(self)
+        self._count_held()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next read is stored."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take a read."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the client."""
         if self._is_closing or self._refusal_status is not None:
             return
         self._received_s = self._context.now_s()
+        self._progress_bytes += len(data)
+        if self._progress_bytes >= PROGRESS_BYTES:
+            self._progress_bytes = 0
+            self._progress_s = self._received_s
         self._unparsed += data
         self._parse_received()
+        self._count_held()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnect."""
@@ -266,16 +361,23 @@
         self._can_write.set()
         self._queue.clear()
         self._unparsed = b""
+        self._body = bytearray()
+        self._uncount()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
         """Make the handler wait in `drain`."""
         self._can_write.clear()
+        if self._transport is not None:
+            self._unread_bytes = self._transport.get_write_buffer_size()
+            self._count_held()
 
     def resume_writing(self) -> None:
         """Let the handler continue."""
         self._can_write.set()
+        self._unread_bytes = 0
+        self._count_held()
 
     # Callbacks of the parser.
 
@@ -283,6 +385,7 @@
         """Start a request."""
         self._bounds.message_begun()
         self._phase_started_s = self._request_began_s = self._context.now_s()
+        self._progress_s, self._progress_bytes = self._phase_started_s, 0
         self._target, self._headers, self._body = b"", [], bytearray()
         self._header_bytes = self._body_bytes = 0
         self._is_in_head, self._is_in_body = True, False
@@ -301,24 +404,38 @@
             self._abort_parsing(431)
 
     def on_headers_complete(self) -> None:
-        """Send ``100 Continue`` if the client expects it.
+        """Reserve room for the body, and send ``100 Continue`` if it is expected.
 
-        It is held back while an earlier request is being answered.
+        It is held back while an earlier request is being answered, and while there is
+        no room. A body whose announced size is over the limit is refused.
         """
         self._bounds.head_parsed()
         self._is_in_head, self._is_in_body = False, True
         self._body_started_s = self._context.now_s()
+        announced_bytes = 0
         for name, value in self._headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
+            lower_name = name.lower()
+            if lower_name == b"expect" and value.lower() == b"100-continue":
                 self._owes_continue = True
+            elif lower_name == b"content-length":
+                announced_bytes = int(value)
+        if announced_bytes > self._context.limits().body_bytes:
+            self._abort_parsing(413)
+        if announced_bytes:
+            self._reserve(announced_bytes)
         self._send_continue_if_owed()
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self._bounds.body_parsed(len(body))
         self._body_bytes += len(body)
-        if self._body_bytes > self._context.limits().body_bytes:
-            self._abort_parsing(413)
+        if self._body_bytes > self._body_room:
+            limit_bytes = self._context.limits().body_bytes
+            if self._body_bytes > limit_bytes:
+                self._abort_parsing(413)
+            if not self._wanted_bytes:
+                doubled = max(MIN_RESERVED_BYTES, 2 * self._body_bytes)
+                self._reserve(min(doubled, limit_bytes) - self._body_room)
         self._body += body
 
     def on_chunk_header(self) -> None:
@@ -336,7 +453,12 @@
         head = RequestHead(self._parser.get_method(), self._target, self._headers)
         close = not self._parser.should_keep_alive()
         request = Request(head, bytes(self._body))
-        self._queue.append(_Received(request, close, self._request_began_s))
+        self._queue.append(
+            _Received(request, close, self._request_began_s, self._header_bytes)
+        )
+        self._kept_header_bytes += self._header_bytes
+        self._header_bytes = 0
+        self._fit_reserved()
         self._queued_bytes += self._body_bytes
         self._body = bytearray()
         self._start_next()
@@ -380,6 +502,57 @@
         is_reading = self._is_in_head or self._is_in_body
         return self._task is None and not self._queue and not is_reading
 
+    def holding(self) -> Holding:
+        """Return what is held for the connection."""
+        phase: Phase = "idle"
+        since_s = self._phase_started_s
+        if self._task is not None or self._queue:
+            phase = "running"
+        elif self._wanted_bytes:
+            phase, since_s = "waiting", self._wait_started_s
+        elif self._is_in_head or self._is_in_body:
+            phase, since_s = "receiving", self._progress_s
+        elif self._unread_bytes:
+            phase = "unread"
+        return Holding(
+            self._source,
+            phase,
+            self._counted_bytes + self._reserved_bytes,
+            self._wanted_bytes * BODY_COPIES,
+            since_s,
+        )
+
+    def awaits_room(self) -> bool:
+        """Return whether a body waits for room."""
+        return self._wanted_bytes > 0
+
+    def take_room(self) -> None:
+        """Go on with a body that waits for room, if there is room now."""
+        if not self._wanted_bytes or self._transport is None:
+            return
+        wanted_bytes = max(self._wanted_bytes, self._body_bytes - self._body_room)
+        if not self._try_reserve(wanted_bytes):
+            return
+        self._wanted_bytes = 0
+        # It was not read meanwhile, so it may have sent more than is known.
+        self._progress_s = self._context.now_s()
+        self._send_continue_if_owed()
+        self._parse_received()
+        self._count_held()
+
+    def give_way(self) -> None:
+        """Close the connection, and give back at once what is held for it."""
+        self.abort()
+        self._uncount()
+
+    def refuse_for_memory(self) -> None:
+        """Refuse a request whose body waits for room; it has not run."""
+        self._refuse(503)
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+        self._count_held()
+
     def enforce_timeouts(self, now_s: float) -> None:
         """Close the connection if it is idle, or its request incomplete, for too long.
 
@@ -454,6 +627,8 @@
 
     def _room(self) -> int:
         """Return how many more requests may be received."""
+        if self._wanted_bytes:
+            return 0
         if self._queue and self._queued_bytes >= self._context.limits().body_bytes:
             return 0
         return MAX_PIPELINED - len(self._queue) + (self._task is None)
@@ -472,6 +647,9 @@
         # Earlier requests that were received in the same data are answered first.
         self._refusal_status = status
         self._unparsed = b""
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._fit_reserved()
         self._is_in_head = self._is_in_body = False
         if self._task is None and not self._queue:
             self._send_refusal()
@@ -480,6 +658,8 @@
         if self._refusal_status is None or self._transport is None:
             return
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if self._refusal_status == 503:
+            headers.append((b"Retry-After", b"%.3f" % RETRY_AFTER_S))
         self._transport.write(encode_response_head(self._refusal_status, headers))
         self._is_closing = True
         # Closing a socket with unread bytes resets the connection, and the client
@@ -492,6 +672,8 @@
         is_answering = self._task is not None or bool(self._queue)
         if not self._owes_continue or is_answering or self._is_closing:
             return
+        if self._wanted_bytes:
+            return
         self._owes_continue = False
         self._body_started_s = self._received_s = self._context.now_s()
         if self._transport is not None:
@@ -504,7 +686,8 @@
             self._send_refusal()
             self._send_continue_if_owed()
             return
-        request, close, began_s = self._queue.popleft()
+        self._running = self._queue.popleft()
+        request, close, began_s, _ = self._running
         self._queued_bytes -= len(request.body)
         waited_s = self._context.now_s() - began_s
         responder = Responder(self, close=close, waited_s=waited_s)
@@ -523,6 +706,11 @@
     def _on_handler_done(self, task: asyncio.Task[None]) -> None:
         self._task = None
         self._phase_started_s = self._context.now_s()
+        if self._running is not None:
+            self._kept_header_bytes -= self._running.header_bytes
+            self._release(len(self._running.request.body) * BODY_COPIES)
+            self._running = None
+            self._count_held()
         if not task.cancelled() and task.exception() is not None:
             self.abort()
             record_unexpected("request", task.exception())
@@ -532,3 +720,56 @@
         self._start_next()
         if self._is_paused:
             self._parse_received()
+            self._count_held()
+
+    # The account of what is held.
+
+    def _reserve(self, size: int) -> None:
+        """Reserve room for more bytes of a body, or let it wait."""
+        if not self._try_reserve(size):
+            self._wanted_bytes = size
+            self._wait_started_s = self._context.now_s()
+            self._context.memory.on_wait()
+
+    def _try_reserve(self, size: int) -> bool:
+        account = self._context.memory.account
+        if not account.try_reserve(size, self._reserved_bytes):
+            return False
+        self._body_room += size
+        self._reserved_bytes += size * BODY_COPIES
+        return True
+
+    def _fit_reserved(self) -> None:
+        """Reserve as much as a body has that comes no further."""
+        more_bytes = self._body_bytes - self._body_room
+        self._body_room = self._wanted_bytes = 0
+        if more_bytes > 0:
+            self._context.memory.account.force_reserve(more_bytes)
+            self._reserved_bytes += more_bytes * BODY_COPIES
+        elif more_bytes < 0:
+            self._release(-more_bytes * BODY_COPIES)
+
+    def _release(self, reserved_bytes: int) -> None:
+        if reserved_bytes and self._is_counted:
+            self._reserved_bytes -= reserved_bytes
+            self._context.memory.account.release(reserved_bytes)
+            self._context.memory.on_release()
+
+    def _count_held(self) -> None:
+        """Count what is held beside bodies."""
+        held_bytes = (
+            CONNECTION_BYTES
+            + HEADER_COPIES * (self._header_bytes + self._kept_header_bytes)
+            + len(self._unparsed)
+            + self._unread_bytes
+        )
+        if held_bytes != self._counted_bytes and self._is_counted:
+            self._context.memory.account.count(held_bytes - self._counted_bytes)
+            self._counted_bytes = held_bytes
+
+    def _uncount(self) -> None:
+        """Give back all that is held; nothing is counted from then on."""
+        self._release(self._reserved_bytes)
+        self._context.memory.account.count(-self._counted_bytes)
+        self._counted_bytes = 0
+        self._is_counted = False
--- a/src/_pistachiopond/platform/settings.py
+++ b/src/_pistachiopond/platform/settings.py
@@ -1,5 +1,6 @@
 """The settings file that the platform writes for each process."""
 
+import math
 import os
 import tomllib
 from pathlib import Path
@@ -12,6 +13,7 @@
 
 PATH_VARIABLE = "PISTACHIOPOND_NODE_FILE"
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1_000_000
 
 
 def settings_path() -> Result[Path, str]:
@@ -53,9 +55,21 @@
         link_mbps=float(limits["linkMbps"]),
         bounds=_decode_bounds(plain["bounds"]),
         store_address=parse_address(plain["platform"]["address"]),
+        memory_bytes=_decode_limit(limits, "memoryMb", BYTES_PER_MB),
+        max_descriptors=_decode_limit(limits, "fileDescriptors", 1),
     )
 
 
+def _decode_limit(plain: dict[str, Any], name: str, unit: int) -> int | None:
+    """Return a limit of the machine; None without one."""
+    if name not in plain:
+        return None
+    value = float(plain[name])
+    if not 0.0 < value < math.inf:
+        raise ValueError(f"{name} is {value}, a positive number is needed")
+    return int(value * unit)
+
+
 def _decode_bounds(plain: dict[str, Any]) -> VmBounds:
     return VmBounds(
         revoke_s=float(plain["revokeMs"]) / MS_PER_S,
--- a/src/_pistachiopond/schema/vm_settings.py
+++ b/src/_pistachiopond/schema/vm_settings.py
@@ -52,6 +52,10 @@
         The bounds that operators require.
     store_address : HttpAddress
         The address of the platform's store.
+    memory_bytes : int or None
+        The VM's memory; None if it is unknown.
+    max_descriptors : int or None
+        File descriptors that the process may have; None if it is unknown.
     """
 
     name: str
@@ -66,3 +70,5 @@
     link_mbps: float
     bounds: VmBounds
     store_address: HttpAddress
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
--- /dev/null
+++ b/src/_pistachiopond/vm/held_memory.py
@@ -0,0 +1,231 @@
+"""Keeps what callers make a VM's process hold within the memory of its machine."""
+
+import asyncio
+import os
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Final, NamedTuple, final
+
+from prometheus_client import Counter
+
+from _pistachiopond.decisions.memory_budget import (
+    MemoryAccount,
+    budget_bytes,
+    choose_relief,
+    choose_silent,
+    max_caller_connections,
+)
+from _pistachiopond.http1.server import ConnectionMemory, ServerConnection
+from _pistachiopond.observe.logs import log_change
+from _pistachiopond.observe.metrics import Metrics
+from _pistachiopond.schema.vm_settings import VmSettings
+
+# Bodies that find no room are looked at together, after this time.
+RELIEF_DELAY_S: Final = 0.05
+# After a standstill of this process, what callers have sent is read before anyone is
+# taken for stopped.
+STANDSTILL_S: Final = 1.0
+# Of callers' share of connections, this part is closed at a time, so that new ones do
+# not look at all connections each.
+CLOSED_PART: Final = 16
+# If no connection was silent, new ones are closed at once for this time.
+NONE_SILENT_S: Final = 0.25
+LOG_PERIOD_S: Final = 1.0
+STATM_PATH: Final = Path("/proc/self/statm")
+
+
+class ReliefMetrics(NamedTuple):
+    """Metrics of connections that gave way.
+
+    Attributes
+    ----------
+    closed : Counter
+        Connections closed, by reason.
+    refused : Counter
+        Requests refused with 503, by reason.
+    """
+
+    closed: Counter
+    refused: Counter
+
+
+@final
+class HeldMemory:
+    """The account of one process, and what it does when the account is short.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        The limits of the machine.
+    connections : set of ServerConnection
+        Of callers and of other VMs that pass requests on.
+    plain_connections : set of ServerConnection
+        Of other clients.
+    now_s : callable
+        The monotonic time.
+    metrics : Metrics
+        The metrics of the process.
+    """
+
+    def __init__(
+        self,
+        settings: VmSettings,
+        connections: set[ServerConnection],
+        plain_connections: set[ServerConnection],
+        now_s: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        budget = budget_bytes(settings.memory_bytes)
+        self.account = MemoryAccount(budget, settings.memory_bytes)
+        self._max_callers = max_caller_connections(settings.max_descriptors)
+        self._connections = connections
+        self._plain_connections = plain_connections
+        self._now_s = now_s
+        self._metrics = _register_metrics(metrics, self.account)
+        self._has_waiting = False
+        self._is_relief_due = False
+        self._ticked_s = now_s()
+        self._none_silent_until_s = 0.0
+        self._logged_s = float("-inf")
+        self._unlogged = {"closed": 0, "refused": 0}
+
+    def for_callers(self) -> ConnectionMemory:
+        """Return the account for the listener of callers, whose number is bounded."""
+        return self.for_others()._replace(may_open=self._may_open)
+
+    def for_others(self) -> ConnectionMemory:
+        """Return the account for another listener."""
+        return ConnectionMemory(
+            self.account, lambda: True, self._on_wait, self._on_release
+        )
+
+    def tick(self) -> None:
+        """Compare the estimate with the resident memory, and relieve the account."""
+        now_s = self._now_s()
+        was_standing = now_s - self._ticked_s > STANDSTILL_S
+        self._ticked_s = now_s
+        self.account.record_resident(_resident_bytes())
+        if not was_standing:
+            self._relieve()
+
+    def _on_wait(self) -> None:
+        self._has_waiting = True
+        self._relieve_soon()
+
+    def _on_release(self) -> None:
+        if self._has_waiting:
+            self._relieve_soon()
+
+    def _relieve_soon(self) -> None:
+        if not self._is_relief_due:
+            self._is_relief_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(RELIEF_DELAY_S, self._relieve)
+
+    def _relieve(self) -> None:
+        self._is_relief_due = False
+        if not self._has_waiting and self.account.room().all_bytes >= 0:
+            return
+        all_connections = [*self._connections, *self._plain_connections]
+        self._give_room(all_connections)
+        held = [(x, x.holding()) for x in all_connections]
+        relief = choose_relief(
+            [holding for _, holding in held], self.account.room(), self._now_s()
+        )
+        for position in relief.closed:
+            connection, holding = held[position]
+            connection.give_way()
+            self._metrics.closed.labels(holding.phase).inc()
+        for position in relief.refused:
+            held[position][0].refuse_for_memory()
+            self._metrics.refused.labels("no_room").inc()
+        if relief.closed or relief.refused:
+            self._log(len(relief.closed), len(relief.refused))
+            self._give_room(all_connections)
+        self._has_waiting = any(x.awaits_room() for x in all_connections)
+
+    def _give_room(self, connections: Iterable[ServerConnection]) -> None:
+        """Let bodies that wait go on, those that have waited longest first."""
+        held = [(x.holding().since_s, x) for x in connections if x.awaits_room()]
+        for _, connection in sorted(held, key=lambda item: item[0]):
+            connection.take_room()
+
+    def _may_open(self) -> bool:
+        """Return whether a caller may have another connection."""
+        most = self._max_callers
+        if most is None or len(self._connections) < most:
+            return True
+        now_s = self._now_s()
+        chosen: list[int] = []
+        if now_s >= self._none_silent_until_s:
+            connections = list(self._connections)
+            holdings = [connection.holding() for connection in connections]
+            chosen = choose_silent(holdings, max(1, most // CLOSED_PART), now_s)
+            for position in chosen:
+                self._connections.discard(connections[position])
+                connections[position].give_way()
+            self._metrics.closed.labels("silent").inc(len(chosen))
+        if not chosen:
+            self._none_silent_until_s = max(
+                self._none_silent_until_s, now_s + NONE_SILENT_S
+            )
+            self._metrics.closed.labels("no_descriptor").inc()
+        self._log(max(1, len(chosen)), 0)
+        return bool(chosen)
+
+    def _log(self, closed: int, refused: int) -> None:
+        """Write one line a second at most about connections that gave way."""
+        self._unlogged["closed"] += closed
+        self._unlogged["refused"] += refused
+        now_s = self._now_s()
+        if now_s - self._logged_s < LOG_PERIOD_S:
+            return
+        log_change(
+            "connections gave way",
+            **self._unlogged,
+            connections=len(self._connections),
+            body_bytes=self.account.reserved_bytes,
+            other_bytes=self.account.other_bytes,
+            free_bytes=int(self.account.room().all_bytes),
+        )
+        self._logged_s = now_s
+        self._unlogged = {"closed": 0, "refused": 0}
+
+
+def _register_metrics(metrics: Metrics, account: MemoryAccount) -> ReliefMetrics:
+    metrics.gauge(
+        "pond_held_body_bytes",
+        "Memory held or reserved for callers' bodies.",
+        lambda: account.reserved_bytes,
+    )
+    metrics.gauge(
+        "pond_held_other_bytes",
+        "Memory held for connections beside bodies.",
+        lambda: account.other_bytes,
+    )
+    metrics.gauge(
+        "pond_held_free_bytes",
+        "Memory left for bodies.",
+        lambda: account.room().all_bytes,
+    )
+    return ReliefMetrics(
+        metrics.counter(
+            "pond_connections_given_way",
+            "Connections closed for lack of memory or descriptors.",
+            ("reason",),
+        ),
+        metrics.counter(
+            "pond_memory_refusals",
+            "Requests refused for lack of memory.",
+            ("reason",),
+        ),
+    )
+
+
+def _resident_bytes() -> int:
+    """Return the resident memory of this process; 0 if it is unknown."""
+    try:
+        pages = int(STATM_PATH.read_text("ascii").split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE")
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import secrets
+import socket
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -21,6 +22,7 @@
 from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
 from _pistachiopond.http1.messages import HttpAddress, Request
 from _pistachiopond.http1.server import (
+    ConnectionMemory,
     Handler,
     Responder,
     ServerConnection,
@@ -58,6 +60,7 @@
 )
 from _pistachiopond.vm.fleet import EXPIRY_HEARTBEATS, Fleet, ModelRef
 from _pistachiopond.vm.forward_dependencies import ForwardDependencies
+from _pistachiopond.vm.held_memory import HeldMemory
 from _pistachiopond.vm.leader_client import LeaderClient, LeaderClientDependencies
 from _pistachiopond.vm.leader_election import LeaderElection
 from _pistachiopond.vm.leader_server import LeaderServer, LeaderServerDependencies
@@ -87,6 +90,8 @@
 # Room for the header that a VM adds to a request that it passes on.
 MAX_RELAY_HEADER_BYTES: Final = 2_048
 LISTEN_BACKLOG: Final = 512
+# Connections that are accepted at once, before any of them can be closed.
+ACCEPT_BATCH: Final = 32
 # Every server heartbeat is a record. The pause between reads of the servers' topic
 # collects several heartbeats per call.
 TOPICS: Final = (
@@ -360,6 +365,7 @@
     connections: set[ServerConnection] = set()
     # Not of callers, so a shutdown does not wait for them.
     plain_connections: set[ServerConnection] = set()
+    held = HeldMemory(settings, connections, plain_connections, timer.now_s, metrics)
     _register_gauges(vm, connections, log_handler)
 
     watch = SettingsWatch(path, settings, partial(apply_bounds, vm))
@@ -379,7 +385,7 @@
         for connection in [*connections, *plain_connections]:
             connection.enforce_timeouts(now_s)
 
-    steps = (enforce_timeouts, *_maintenance_steps(vm))
+    steps = (enforce_timeouts, held.tick, *_maintenance_steps(vm))
 
     async def maintain(_: float) -> None:
         for step in steps:
@@ -405,12 +411,12 @@
         ):
             group.start_soon(keep_running, name, work)
         group.start_soon(vm.leader_server.run, *settings.peer_address)
-        await _listen_for_requests(vm, connections, stopping.is_set)
+        await _listen_for_requests(vm, connections, stopping.is_set, held)
         for address, handler in (
             (settings.ready_address, _ready_handler(vm, stopping)),
             (HttpAddress(settings.ip, METRICS_PORT), _metrics_handler(metrics)),
         ):
-            await _listen_plain(address, handler, plain_connections)
+            await _listen_plain(address, handler, plain_connections, held.for_others())
         gc.collect()
         gc.freeze()
         log_change("started", vm=settings.name, data_centre=settings.data_centre)
@@ -541,7 +547,10 @@
 
 
 async def _listen_for_requests(
-    vm: Vm, connections: set[ServerConnection], is_stopping: Callable[[], bool]
+    vm: Vm,
+    connections: set[ServerConnection],
+    is_stopping: Callable[[], bool],
+    held: HeldMemory,
 ) -> None:
     """Listen for the requests of callers and for those that other VMs pass on."""
 
@@ -552,9 +561,11 @@
         )
 
     record_excess = make_request_excess_recorder(vm.metrics)
-    for address, handler, limits in (
-        (vm.settings.caller_address, vm.request_handler.handle, vm.state.limits),
-        (vm.settings.relay_address, vm.relay_handler.handle, relay_limits),
+    settings = vm.settings
+    handle, relay = vm.request_handler.handle, vm.relay_handler.handle
+    for address, handler, limits, memory in (
+        (settings.caller_address, handle, vm.state.limits, held.for_callers()),
+        (settings.relay_address, relay, relay_limits, held.for_others()),
     ):
         await _listen(
             address,
@@ -566,25 +577,35 @@
                 connections,
                 record_excess,
                 partial(body_limit_s, vm.state),
+                memory,
             ),
         )
 
 
 async def _listen(address: HttpAddress, context: ServerContext) -> None:
     loop = asyncio.get_running_loop()
+    sock = socket.create_server(address, backlog=LISTEN_BACKLOG)
+    # The event loop accepts as many connections at once as its backlog is long, and
+    # shortens that of the socket to it.
     await loop.create_server(
-        lambda: ServerConnection(context),
-        *address,
-        backlog=LISTEN_BACKLOG,
-        reuse_address=True,
+        lambda: ServerConnection(context), sock=sock, backlog=ACCEPT_BATCH
     )
+    sock.listen(LISTEN_BACKLOG)
 
 
 async def _listen_plain(
-    address: HttpAddress, handler: Handler, connections: set[ServerConnection]
+    address: HttpAddress,
+    handler: Handler,
+    connections: set[ServerConnection],
+    memory: ConnectionMemory,
 ) -> None:
     context = ServerContext(
-        handler, lambda: FIRST_LIMITS, RealTimer().now_s, lambda: False, connections
+        handler,
+        lambda: FIRST_LIMITS,
+        RealTimer().now_s,
+        lambda: False,
+        connections,
+        memory=memory,
     )
     await _listen(address, context)
 
--- a/testing/decisions/test_memory_budget.py
+++ b/testing/decisions/test_memory_budget.py
@@ -15,6 +15,7 @@
     Holding,
     MemoryAccount,
     Phase,
+    Room,
     budget_bytes,
     choose_relief,
     choose_silent,
@@ -65,18 +66,18 @@
         account = MemoryAccount(300 * MIB, 500 * MIB)
         account.count(100 * MIB)
         account.record_resident(490 * MIB)
-        self.assertLess(account.free_bytes(), 0)
+        self.assertLess(account.room().all_bytes, 0)
         account.record_resident(100 * MIB)
-        self.assertEqual(account.free_bytes(), 200 * MIB)
+        self.assertEqual(account.room().all_bytes, 200 * MIB)
 
     def test_what_is_released_is_free_again(self) -> None:
         account = MemoryAccount(10 * MIB)
         account.force_reserve(MIB)
         account.count(MIB)
-        self.assertEqual(account.free_bytes(), (9 - BODY_COPIES) * MIB)
+        self.assertEqual(account.room().all_bytes, (9 - BODY_COPIES) * MIB)
         account.release(MIB * BODY_COPIES)
         account.count(-MIB)
-        self.assertEqual(account.free_bytes(), 10 * MIB)
+        self.assertEqual(account.room().all_bytes, 10 * MIB)
 
     def test_bounds_of_machines(self) -> None:
         for memory_bytes, expected in (
@@ -159,9 +160,15 @@
             ),
         ):
             with self.subTest(name):
-                relief = choose_relief(holdings, free, NOW_S)
+                relief = choose_relief(holdings, Room(free, free), NOW_S)
                 self.assertEqual((relief.closed, relief.refused), (closed, refused))
 
+    def test_a_large_body_does_not_wait_for_the_share_of_small_ones(self) -> None:
+        # It waited without end while the rest of the budget alone had room for it.
+        holdings = [holding("waiting", MAX_WAIT_S + 0.1), holding("idle")]
+        relief = choose_relief(holdings, Room(-MIB, 2 * MIB), NOW_S)
+        self.assertEqual((relief.closed, relief.refused), ([], [0]))
+
     def test_connections_that_send_nothing_give_way_to_new_ones(self) -> None:
         silent = MIN_SILENT_S + 0.1
         holdings = [
--- a/testing/platform_adapter/test_settings.py
+++ b/testing/platform_adapter/test_settings.py
@@ -47,6 +47,19 @@
         self.assertEqual(settings.peer_address, HttpAddress("10.1.0.25", 7600))
         self.assertEqual(settings.store_address, HttpAddress("10.200.1.7", 8225))
 
+    def test_limits_of_the_machine_may_be_missing(self) -> None:
+        self.path.write_text(SETTINGS)
+        settings = read_vm_settings(self.path).unwrap()
+        self.assertIsNone(settings.memory_bytes)
+        self.assertIsNone(settings.max_descriptors)
+        limits = "linkMbps = 100.0\nmemoryMb = 160\nfileDescriptors = 1638"
+        self.path.write_text(SETTINGS.replace("linkMbps = 100.0", limits))
+        settings = read_vm_settings(self.path).unwrap()
+        self.assertEqual(settings.memory_bytes, 160_000_000)
+        self.assertEqual(settings.max_descriptors, 1638)
+        self.path.write_text(SETTINGS.replace("[bounds]", "memoryMb = inf\n[bounds]"))
+        self.assertIn("memoryMb", read_vm_settings(self.path).unwrap_err())
+
     def test_errors_name_the_file_and_the_field(self) -> None:
         self.path.write_text(SETTINGS.replace("drainMs = 2000\n", ""))
         reason = read_vm_settings(self.path).unwrap_err()
--- a/testing/vm/test_slow_bodies.py
+++ b/testing/vm/test_slow_bodies.py
@@ -10,7 +10,9 @@
 from _pistachiopond.http1.messages import HttpAddress, Request, encode_request
 from _pistachiopond.http1.server import Responder, ServerConnection
 from _pistachiopond.kernel.timer import RealTimer, every
+from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.schema.relayed_request import RelayedRequest
+from _pistachiopond.vm.held_memory import HeldMemory
 from _pistachiopond.vm.program import MAINTENANCE_PERIOD_S, _listen_for_requests
 from testing.virtual_time import run_in_virtual_time
 from testing.vm.deployment import (
@@ -51,7 +53,8 @@
         vm = deployment.vm
         settings = vm.settings._replace(caller_address=callers, relay_address=peers)
         vm = vm._replace(settings=settings)
-        await _listen_for_requests(vm, connections, lambda: False)
+        held = HeldMemory(settings, connections, set(), RealTimer().now_s, Metrics())
+        await _listen_for_requests(vm, connections, lambda: False, held)
 
         async def enforce(now_s: float) -> None:
             for connection in list(connections):
