--- a/testing/platform_adapter/test_settings.py
+++ b/testing/platform_adapter/test_settings.py
@@ -52,6 +52,19 @@
         self.path.write_text(SETTINGS.replace("[bounds]", "[bounds]\nleaseMs = 4500"))
         self.assertEqual(read_vm_settings(self.path).unwrap().bounds.lease_s, 4.5)
 
+    def test_limits_of_the_machine_may_be_missing(self) -> None:
+        self.path.write_text(SETTINGS)
+        settings = read_vm_settings(self.path).unwrap()
+        self.assertIsNone(settings.memory_bytes)
+        self.assertIsNone(settings.max_descriptors)
+        limits = "linkMbps = 100.0\nmemoryMb = 160\nfileDescriptors = 1638"
+        self.path.write_text(SETTINGS.replace("linkMbps = 100.0", limits))
+        settings = read_vm_settings(self.path).unwrap()
+        self.assertEqual(settings.memory_bytes, 160_000_000)
+        self.assertEqual(settings.max_descriptors, 1638)
+        self.path.write_text(SETTINGS.replace("[bounds]", "memoryMb = inf\n[bounds]"))
+        self.assertIn("memoryMb", read_vm_settings(self.path).unwrap_err())
+
     def test_errors_name_the_file_and_the_field(self) -> None:
         self.path.write_text(SETTINGS.replace("drainMs = 2000\n", ""))
         reason = read_vm_settings(self.path).unwrap_err()
