Cold servers: their rate is kept to with places until the cold phase ends

Cause: a server that has just started takes coldPerS requests a second from all VMs together and crashes well above that. Nothing bounded what it got.

Change: the configuration's coldPerS and coldStartS, coldRemainingMs of a server's entry and the header X-Cold-Ms are decoded. NamedRates keeps the end of each cold phase; until then the lower of the cold and the named rate holds. The leader deals places as for named rates, divides them among ranks and customers, and relays what answers say. Requests that a place would reach after the end wait for the end and choose among all servers anew.

--- a/src/_pistachiopond/platform/configuration.py
+++ b/src/_pistachiopond/platform/configuration.py
@@ -69,6 +69,8 @@
 class _Service(TypedDict):
     name: str
     connectionLimit: NotRequired[Amount]
+    coldPerS: NotRequired[Amount | None]
+    coldStartS: NotRequired[Amount | None]
     engine: NotRequired[_Engine | None]
 
 
@@ -152,6 +154,8 @@
         name=plain["name"],
         max_connections=int(plain.get("connectionLimit", 0)),
         engine=_make_engine(engine) if engine else None,
+        cold_rate_per_s=plain.get("coldPerS") or 0.0,
+        cold_start_s=plain.get("coldStartS") or 0.0,
     )
 
 
--- a/src/_pistachiopond/platform/servers.py
+++ b/src/_pistachiopond/platform/servers.py
@@ -14,8 +14,9 @@
     ResponseHead,
     parse_address,
 )
+from _pistachiopond.platform.settings import MS_PER_S
 from _pistachiopond.schema.deployment import BackendServer
-from _pistachiopond.schema.json_decoding import Count, make_decoder
+from _pistachiopond.schema.json_decoding import MAX_WHOLE_NUMBER, Count, make_decoder
 from _pistachiopond.schema.model_orders import ModelOrder, OrderOutcome, ServerReport
 from _pistachiopond.schema.server_notice import NO_NOTICE, ServerNotice
 
@@ -30,6 +31,8 @@
 _CRASH_LIMIT_HEADER: Final = b"server-brittle"
 # In all answers of a server that takes only so many requests a second from all VMs.
 _RATE_HEADER: Final = b"server-limit"
+# In answers of a server that is cold: for how much longer.
+_COLD_HEADER: Final = b"x-cold-ms"
 
 
 class _NamedItem(TypedDict):
@@ -59,6 +62,8 @@
     version: NotRequired[Any]
     models: NotRequired[list[_ModelItem] | None]
     atHand: NotRequired[_LocalWeights | None]
+    # Of any type, so that a value that can't be read does not cost the entry.
+    coldRemainingMs: NotRequired[Any]
 
 
 class _Report(TypedDict):
@@ -101,10 +106,16 @@
         models_in_memory=_decode_names(local_weights.get("inMemory")),
         models_on_disk=_decode_names(local_weights.get("onDisk")),
         software_version=software_version,
+        cold_remaining_s=_decode_cold_entry(entry.get("coldRemainingMs")),
     )
     return Ok(server)
 
 
+def _decode_cold_entry(value: Any) -> float | None:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return min(max(0, value), MAX_WHOLE_NUMBER) / MS_PER_S if is_number else None
+
+
 def _decode_software_version(value: Any) -> str:
     """Return the version as an opaque string; 3 and "3" are the same version."""
     if value is None:
@@ -179,10 +190,11 @@
     pause = head.value(_PAUSE_HEADER) if head.status == 503 else None
     crash_limit = head.value(_CRASH_LIMIT_HEADER)
     rates = head.values(_RATE_HEADER)
+    cold = head.value(_COLD_HEADER)
     # Another server may have the address now.
     is_from_other = head.status == 421
     is_silent = leaving is None and pause is None and crash_limit is None and not rates
-    if is_silent and not is_from_other:
+    if is_silent and cold is None and not is_from_other:
         return NO_NOTICE
     problems = []
     is_leaving = leaving is not None and leaving.strip() == b"1"
@@ -207,6 +219,7 @@
             rate_per_s = min(_decode_rate(value.decode("latin-1")) for value in rates)
         except ValueError as error:
             problems.append(str(error))
+    cold_s = None if is_from_other else _decode_cold_header(cold, problems)
     is_unreadable = crash_limit is not None and limit is None
     return ServerNotice(
         is_leaving,
@@ -216,6 +229,7 @@
         keeps_crash_limit=is_from_other or is_unreadable,
         rate_per_s=rate_per_s,
         keeps_rate=is_from_other or (bool(rates) and rate_per_s is None),
+        cold_remaining_s=cold_s,
     )
 
 
@@ -229,6 +243,19 @@
     return rate_per_s
 
 
+def _decode_cold_header(value: bytes | None, problems: list[str]) -> float | None:
+    if value is None:
+        return None
+    try:
+        remaining_ms = float(value)
+    except ValueError:
+        remaining_ms = math.nan
+    if not math.isfinite(remaining_ms) or remaining_ms < 0.0:
+        problems.append(f"the cold time is not a number of ms: {value[:100]!r}")
+        return None
+    return remaining_ms / MS_PER_S
+
+
 def _decode_crash_limit(text: str) -> int:
     digits = text.strip()
     if not text.isascii() or not digits.isdigit() or len(digits) > MAX_DIGITS:
--- a/src/_pistachiopond/schema/deployment.py
+++ b/src/_pistachiopond/schema/deployment.py
@@ -119,11 +119,18 @@
         Maximum number of connections that one server accepts from all VMs together.
     engine : EngineSpec or None
         None for plain services.
+    cold_rate_per_s : float
+        The requests per second that a cold server takes from all VMs together; 0 if
+        being cold does not matter.
+    cold_start_s : float
+        For how long a server that has just started is cold, unless it says otherwise.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    cold_rate_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 class CustomerSpec(NamedTuple):
@@ -214,6 +221,10 @@
         The version of the software that it runs, without any order; not that of
         weights or of the configuration. Empty if it states none: such servers count
         as running one and the same version.
+    cold_remaining_s : float or None
+        How much longer it stays cold, as of the writing of its entry; None if the entry
+        does not say. It differs in each entry of a cold server, so `Fleet` keeps the
+        end of the cold phase apart and its copies have None.
     """
 
     server_id: str
@@ -227,6 +238,7 @@
     models_in_memory: tuple[str, ...]
     models_on_disk: tuple[str, ...]
     software_version: str = ""
+    cold_remaining_s: float | None = None
 
     def incarnation(self) -> Incarnation:
         """Return the identifier of this start of the server."""
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -5,7 +5,12 @@
 
 from result import Err, Ok, Result
 
-from _pistachiopond.schema.place_messages import PlaceReply, PlaceRequest, ServerRate
+from _pistachiopond.schema.place_messages import (
+    ColdServer,
+    PlaceReply,
+    PlaceRequest,
+    ServerRate,
+)
 
 
 class ModelUse(TypedDict):
@@ -225,7 +230,8 @@
     `origins` are streams whose version other VMs can't compute. `refusing` is sent only
     to a leader that takes it, and `trial` only to one that lists refused parts. `place`
     and `rates`, what servers have said of their rates, are sent only to a leader that
-    deals places.
+    deals places. `cold` is sent beside `rates`, which a leader needs that does not know
+    cold servers.
     """
 
     known: dict[str, int]
@@ -240,6 +246,7 @@
     trial: TrialRequest
     place: NotRequired[PlaceRequest]
     rates: NotRequired[list[ServerRate]]
+    cold: NotRequired[list[ColdServer]]
 
 
 class PacingReply(TypedDict):
@@ -287,6 +294,7 @@
     origins: list[StreamOrigin]
     placed: NotRequired[PlaceReply]
     rates: NotRequired[list[ServerRate]]
+    cold: NotRequired[list[ColdServer]]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/schema/place_messages.py
+++ b/src/_pistachiopond/schema/place_messages.py
@@ -1,10 +1,12 @@
 """Messages between the VMs and their leader on servers that name a rate."""
 
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 # A server and its start time, and the requests per second that it names for all VMs;
 # None if it no longer names any.
 ServerRate = tuple[str, int, float | None]
+# A server and its start time, and for how many seconds more it is cold.
+ColdServer = tuple[str, int, float]
 
 
 class PlaceRequest(TypedDict):
@@ -12,12 +14,15 @@
 
     `servers` lists those that can run it, with the rates that the member knows.
     `most_s` is how long it may wait, and `rank` its urgency, 0 for the most urgent.
+    `customer` is sent if one of the servers is cold; builds that do not know cold
+    servers send none.
     """
 
     number: int
     servers: list[tuple[str, int, float]]
     most_s: float
     rank: int
+    customer: NotRequired[str]
 
 
 class PlaceReply(TypedDict):
--- a/src/_pistachiopond/schema/server_notice.py
+++ b/src/_pistachiopond/schema/server_notice.py
@@ -24,6 +24,8 @@
         did not name a rate.
     keeps_rate : bool
         Whether the answer does not say if the server still names a rate.
+    cold_remaining_s : float or None
+        How much longer the server stays cold; None if the answer does not say.
     """
 
     is_leaving: bool
@@ -33,6 +35,7 @@
     keeps_crash_limit: bool = False
     rate_per_s: float | None = None
     keeps_rate: bool = False
+    cold_remaining_s: float | None = None
 
 
 NO_NOTICE = ServerNotice(False, None)
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -13,11 +13,12 @@
     MAX_RANKED,
     Candidate,
     candidate_biases,
+    load_cost,
     rank_candidates,
 )
 from _pistachiopond.decisions.server_crashes import RefusingServers
 from _pistachiopond.decisions.server_pauses import MAX_PAUSE_S, ServerPauses
-from _pistachiopond.decisions.server_rates import NamedRates
+from _pistachiopond.decisions.server_rates import NamedRates, no_cold_rate
 from _pistachiopond.decisions.server_silences import ServerSilences
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.servers import decode_server
@@ -102,6 +103,10 @@
         self.rates = NamedRates()
         # Called with what an answer has changed about a server's rate.
         self.on_rate: Callable[[Incarnation, float | None], None] = ignore_rate
+        # Called with the seconds that a server stays cold, if an answer says it newly.
+        self.on_cold: Callable[[Incarnation, float], None] = ignore_rate
+        # Returns for how long a new server of a service is cold if it does not say.
+        self.cold_start_s: Callable[[str], float] = no_cold_rate
         self.refusals = RefusingServers()
         self._loaded_models: dict[str, LoadedModels] = {}
         self.own_load: dict[str, int] = {}
@@ -139,8 +144,34 @@
             )
             is_other = self._record_stated(record.key, None)
             return self._entry_deleted(record.key) or is_other
-        is_other = self._record_stated(record.key, decoded.ok())
-        return self._add_or_update(decoded.ok()) or is_other
+        server = decoded.ok()._replace(cold_remaining_s=None)
+        is_cold_news = self._record_entry_cold(server, decoded.ok().cold_remaining_s)
+        is_other = self._record_stated(record.key, server)
+        return self._add_or_update(server) or is_other or is_cold_news
+
+    def _record_entry_cold(
+        self, server: BackendServer, remaining_s: float | None
+    ) -> bool:
+        """Record what an entry says of a cold phase; return whether to relay it.
+
+        A start that is first seen during traffic, and whose entry does not say, counts
+        as cold. Servers that were there before this VM are warm.
+        """
+        incarnation, service = server.incarnation(), server.service
+        known = self.servers.get(server.server_id)
+        if known is not None and known.started_ms > server.started_ms:
+            return False
+        if remaining_s is not None:
+            return self.record_cold(incarnation, service, remaining_s, "entry")
+        is_start = known is None or known.started_ms < server.started_ms
+        start_s = self.cold_start_s(service)
+        if not is_start or not self.is_loaded or start_s <= 0.0:
+            return False
+        if incarnation in self._removed_s:
+            return False
+        return self.record_cold(
+            incarnation, service, start_s, "first seen", is_assumed=True
+        )
 
     def _record_stated(self, name: str, server: BackendServer | None) -> bool:
         """Keep what a server's entry says; return whether the one before said else."""
@@ -223,6 +254,7 @@
             rate_per_s = notice.rate_per_s
             if self.record_rate(server.incarnation(), rate_per_s, "answer"):
                 self.on_rate(server.incarnation(), rate_per_s)
+        self._record_answered_cold(server, notice.cold_remaining_s)
         if not notice.is_leaving or server.incarnation() in self._leaving_since_s:
             return
         self._leaving_since_s[server.incarnation()] = now_s
@@ -231,6 +263,15 @@
         if known is not None and known.incarnation() == server.incarnation():
             self._store(known._replace(is_leaving=True))
 
+    def _record_answered_cold(
+        self, server: BackendServer, remaining_s: float | None
+    ) -> None:
+        incarnation, service = server.incarnation(), server.service
+        if remaining_s is not None and self.record_cold(
+            incarnation, service, remaining_s, "answer"
+        ):
+            self.on_cold(incarnation, remaining_s)
+
     def record_rate(
         self, incarnation: Incarnation, rate_per_s: float | None, source: str
     ) -> bool:
@@ -256,6 +297,50 @@
         )
         return True
 
+    def record_cold(
+        self,
+        incarnation: Incarnation,
+        service: str,
+        remaining_s: float,
+        source: str,
+        *,
+        is_assumed: bool = False,
+    ) -> bool:
+        """Record for how much longer a server is cold; return whether this is new.
+
+        Parameters
+        ----------
+        incarnation : tuple of (str, int)
+            The server's name and start time.
+        service : str
+            The service that it runs.
+        remaining_s : float
+            The time from now on.
+        source : str
+            What told this VM, for the log.
+        is_assumed : bool
+            Whether the server has not said so itself.
+        """
+        is_new = self.rates.record_cold(
+            incarnation,
+            service,
+            remaining_s,
+            boot_s(),
+            can_end=source != "entry",
+            is_assumed=is_assumed,
+        )
+        if is_new:
+            log_change(
+                "server is cold" if remaining_s > 0.0 else "server is warm",
+                server=incarnation[0],
+                started_ms=incarnation[1],
+                remaining_s=round(remaining_s, 3),
+                source=source,
+            )
+        if is_new and remaining_s <= 0.0:
+            self.wake_waiters()
+        return is_new
+
     # Updates from the leader.
 
     def set_loaded_models(self, server_id: str, loaded: LoadedModels) -> None:
@@ -405,6 +490,9 @@
         candidates = staying or leaving
         if self.brittle.is_limited(model_ref.service):
             return self._rank_limited(model_ref.service, candidates, prompt_id, now_s)
+        if has_rate and any(self._is_cold(item, now_s) for item in candidates):
+            # Where many servers are cold, each one's places are to be used.
+            return self._rank_by_load(candidates, prompt_id)
         ranked = rank_candidates(candidates, prompt_id, self._rng)
         return [RankedServer(self.servers[name], bias) for name, bias in ranked]
 
@@ -431,6 +519,29 @@
             for server in self.servers_of(model_ref.service)
         )
 
+    def _is_cold(self, candidate: Candidate, now_s: float) -> bool:
+        incarnation = self.servers[candidate.server_id].incarnation()
+        return self.rates.cold_until_s(incarnation, now_s) is not None
+
+    def _rank_by_load(
+        self, candidates: list[Candidate], prompt_id: str | None
+    ) -> list[RankedServer]:
+        """Return all servers in good health, those with the lowest cost first."""
+        healthy = [item for item in candidates if not item.is_unhealthy] or candidates
+        biases = candidate_biases(healthy, prompt_id)
+        self._rng.shuffle(healthy)
+        ranked = [
+            RankedServer(self.servers[item.server_id], biases[item.server_id])
+            for item in healthy
+        ]
+        return sorted(ranked, key=self.cost)
+
+    def cost(self, ranked: RankedServer) -> float:
+        """Return the cost of a request at a ranked server, from its load."""
+        server = ranked.server
+        utilisation = self.load(server.server_id) / max(1, server.slots)
+        return load_cost(utilisation) + ranked.bias
+
     def _rank_limited(
         self,
         service: str,
@@ -704,4 +815,4 @@
 
 
 def ignore_rate(incarnation: Incarnation, rate_per_s: float | None) -> None:
-    """Ignore that a server names another rate; no leader is to be told."""
+    """Ignore what a server says of its rate; no leader is to be told."""
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -40,7 +40,12 @@
     ignore_line_excess,
 )
 from _pistachiopond.vm.peer_relays import PeerRelays
-from _pistachiopond.vm.server_places import ServerPlaces, encode_rates
+from _pistachiopond.vm.server_places import (
+    ServerPlaces,
+    encode_cold,
+    encode_rates,
+    take_cold,
+)
 from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects, encode_records
@@ -163,6 +168,7 @@
             deps.fleet, self._send_place_request, self.reserve_member_count
         )
         deps.fleet.on_rate = self._send_rate
+        deps.fleet.on_cold = self._send_cold
         self.origins = StreamOrigins(
             deps.fleet, self._send_origins, self.reply_age_s, self.member_count
         )
@@ -234,6 +240,12 @@
         if self._deals_places:
             self._send({"rates": [(*incarnation, rate_per_s)]})
 
+    def _send_cold(self, incarnation: Incarnation, remaining_s: float) -> None:
+        """Tell the leader, and by it all VMs, what a server has said of being cold."""
+        if self._deals_places:
+            cold = [(*incarnation, round(remaining_s, 3))]
+            self._send({"rates": [], "cold": cold})
+
     def _send_origins(self, origins: list[StreamOrigin]) -> bool:
         # A leader that can't prove its lead still relays.
         if self._writer is None or not self._relays_origins:
@@ -395,6 +407,7 @@
     def _apply_rates(self, message: dict[str, Any]) -> None:
         for name, started_ms, rate_per_s in message.get("rates", ()):
             self._deps.fleet.record_rate((name, started_ms), rate_per_s, "leader")
+        take_cold(self._deps.fleet, message.get("cold", ()), "leader")
         if "placed" in message:
             self.places.take_reply(message["placed"])
 
@@ -467,7 +480,10 @@
         deals_places = reply.get("deals_places", False)
         if deals_places and not self._deals_places:
             # What this VM has learned while no leader took it.
-            self._send({"rates": encode_rates(deps.fleet)})
+            message: MemberMessage = {"rates": encode_rates(deps.fleet)}
+            if cold := encode_cold(deps.fleet):
+                message["cold"] = cold
+            self._send(message)
         self._deals_places = deals_places
         deps.reach.suspect((name, ms) for name, ms in reply.get("to_check", ()))
         self._report_period_s = reply["period_s"]
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -527,6 +527,9 @@
         changed = places.take_rates(message["rates"])
         if changed:
             self._broadcast({"rates": changed})
+        cold = places.take_cold(message.get("cold", []))
+        if cold:
+            self._broadcast({"cold": cold})
         return {}
 
     def _deal_place(self, places: DealtPlaces, request: PlaceRequest) -> PlaceReply:
@@ -567,6 +570,8 @@
             reply["origins"] = self._deps.origins.recent_records(max_age_s)
         if self._deps.places is not None:
             reply["rates"] = self._deps.places.rates()
+            if cold := self._deps.places.cold():
+                reply["cold"] = cold
         return reply
 
     def _reply_to_report(self, report: MemberReport) -> LeaderReply:
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -47,8 +47,10 @@
     SERVERS_TOPIC,
     make_store_client,
 )
+from _pistachiopond.schema.deployment import ServiceSpec
 from _pistachiopond.schema.vm_settings import VmBounds, VmSettings
 from _pistachiopond.vm.admission import Admission, body_limit_s
+from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.configuration_state import FIRST_LIMITS, ConfigurationState
 from _pistachiopond.vm.crash_watch import CrashWatch
 from _pistachiopond.vm.excessive_messages import (
@@ -169,6 +171,7 @@
         model = None if engine is None else engine.models.get(model_ref.model)
         return 0.0 if model is None or model_ref.adapter else model.load_s
 
+    follow_cold_settings(fleet, state)
     leader_client = LeaderClient(
         LeaderClientDependencies(
             settings.name,
@@ -470,6 +473,11 @@
         "Servers that name a rate of requests.",
         lambda: len(vm.fleet.rates.named()),
     )
+    metrics.gauge(
+        "pond_cold_servers",
+        "Servers that take only their service's rate, since they are cold.",
+        lambda: len(vm.fleet.rates.cold(boot_s())),
+    )
     for source, outcome in product(("leader", "own"), ("taken", "lacking")):
         metrics.gauge(
             f"pond_places_{outcome}_{source}",
@@ -523,6 +531,25 @@
     )
 
 
+def follow_cold_settings(fleet: Fleet, state: ConfigurationState) -> None:
+    """Have the fleet use what the configuration in force says of cold servers."""
+
+    def service(name: str) -> ServiceSpec | None:
+        known = state.deployment()
+        return None if known is None else known.services.get(name)
+
+    def cold_rate_per_s(name: str) -> float:
+        spec = service(name)
+        return 0.0 if spec is None else spec.cold_rate_per_s
+
+    def cold_start_s(name: str) -> float:
+        spec = service(name)
+        return 0.0 if spec is None else spec.cold_start_s
+
+    fleet.rates.cold_rate_per_s = cold_rate_per_s
+    fleet.cold_start_s = cold_start_s
+
+
 def apply_bounds(vm: Vm, bounds: VmBounds) -> None:
     """Apply changed bounds without a restart."""
     vm.state.set_revoke_s(bounds.revoke_s)
--- a/src/_pistachiopond/vm/server_places.py
+++ b/src/_pistachiopond/vm/server_places.py
@@ -19,6 +19,7 @@
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.schema.deployment import BackendServer, Incarnation
 from _pistachiopond.schema.place_messages import (
+    ColdServer,
     PlaceReply,
     PlaceRequest,
     ServerRate,
@@ -29,6 +30,8 @@
 # The leader replies within some milliseconds. Without a reply in this time the request
 # is treated as if there were no leader.
 REPLY_TIMEOUT_S: Final = 0.1
+# Callers that are refused until the end of a cold phase come back within this time.
+RETURN_SPREAD_S: Final = 0.3
 
 
 class Place(NamedTuple):
@@ -42,11 +45,15 @@
         When the request may be sent, or when its caller may come back.
     expires_s : float
         Until when it may be sent.
+    is_limit_end : bool
+        Whether this is the end of the server's limit instead of a place. All servers
+        may then be chosen from anew.
     """
 
     server: BackendServer | None
     starts_s: float
     expires_s: float
+    is_limit_end: bool = False
 
 
 @final
@@ -79,6 +86,7 @@
         self._fleet = fleet
         self._send = send
         self._member_count = member_count
+        self._rng = random.Random()
         self._own = OwnPlaces(random.Random())
         self._pending: dict[int, asyncio.Future[PlaceReply]] = {}
         self._number = 0
@@ -90,7 +98,11 @@
         return boot_s() >= self._no_place_until_s.get(service, float("-inf"))
 
     async def take(
-        self, servers: Sequence[BackendServer], most_s: float, rank: int
+        self,
+        servers: Sequence[BackendServer],
+        most_s: float,
+        rank: int,
+        customer: str = "",
     ) -> Place:
         """Return a place at one of the servers, or when there may be one.
 
@@ -102,6 +114,8 @@
             How long the request may wait.
         rank : int
             Its urgency, 0 for the most urgent.
+        customer : str
+            Its customer; empty if there is none.
         """
         asked_s = boot_s()
         rates: dict[Incarnation, float] = {}
@@ -113,14 +127,18 @@
             # The rates have ended since the servers were chosen.
             return Place(servers[0], asked_s, asked_s + PLACE_VALID_S)
         source = "leader"
-        dealt = await self._ask(rates, most_s, rank)
+        cold = self._cold(rates, asked_s)
+        dealt = await self._ask(rates, most_s, rank, customer if cold else None)
         if dealt is None:
             source, members = "own", self._member_count()
-            dealt = first_own_place(self._own, rates, members, most_s, asked_s)
+            dealt = first_own_place(self._own, rates, members, most_s, asked_s, cold)
         self.counts[source, "lacking" if dealt.server is None else "taken"] += 1
         if dealt.server is None and most_s <= 0.0:
             pause_s = min(RECHECK_S, dealt.wait_s)
             self._no_place_until_s[servers[0].service] = asked_s + pause_s
+        ends = self._place_at_end(servers, dealt, most_s) if cold else None
+        if ends is not None:
+            return ends
         by_incarnation = {server.incarnation(): server for server in servers}
         server = None if dealt.server is None else by_incarnation[dealt.server]
         if server is not None:
@@ -137,8 +155,47 @@
         expires_s = asked_s + dealt.wait_s + PLACE_VALID_S
         return Place(server, boot_s() + dealt.wait_s, expires_s)
 
+    def _cold(
+        self, rates: dict[Incarnation, float], now_s: float
+    ) -> frozenset[Incarnation]:
+        known = self._fleet.rates
+        return frozenset(
+            item for item in rates if known.cold_until_s(item, now_s) is not None
+        )
+
+    def _place_at_end(
+        self, servers: Sequence[BackendServer], dealt: DealtPlace, most_s: float
+    ) -> Place | None:
+        """Return the first end of a limit, if it comes before what was dealt.
+
+        The end also bounds the time after which a refused caller comes back. Callers
+        that come back then are spread, since the leader did not deal their times.
+        """
+        now_s, rates = boot_s(), self._fleet.rates
+        ends = [
+            (end_s, server.server_id, server)
+            for server in servers
+            if (end_s := rates.limit_end_s(server.incarnation(), now_s)) is not None
+        ]
+        if not ends:
+            return None
+        end_s, _, server = min(ends, key=lambda item: item[:2])
+        if dealt.wait_s <= end_s - now_s and dealt.server is not None:
+            return None
+        if 0.0 < end_s - now_s <= most_s:
+            return Place(server, end_s, float("-inf"), is_limit_end=True)
+        if dealt.server is None and most_s > 0.0:
+            returns_s = end_s + self._rng.uniform(0.0, RETURN_SPREAD_S)
+            if returns_s < now_s + dealt.wait_s:
+                return Place(None, returns_s, returns_s)
+        return None
+
     async def _ask(
-        self, rates: dict[Incarnation, float], most_s: float, rank: int
+        self,
+        rates: dict[Incarnation, float],
+        most_s: float,
+        rank: int,
+        customer: str | None,
     ) -> DealtPlace | None:
         self._number += 1
         number = self._number
@@ -149,6 +206,8 @@
             "most_s": round(most_s, 3),
             "rank": rank,
         }
+        if customer is not None:
+            request["customer"] = customer
         if not self._send(request):
             return None
         received = self._pending[number] = asyncio.get_running_loop().create_future()
@@ -203,12 +262,21 @@
         self._begin(rates)
         return changed
 
+    def take_cold(self, cold: list[ColdServer]) -> list[ColdServer]:
+        """Record what a member says of cold servers; return what is new."""
+        self._follow_claim()
+        return take_cold(self._fleet, cold, "member")
+
+    def cold(self) -> list[ColdServer]:
+        """Return which servers are cold, and for how much longer."""
+        return encode_cold(self._fleet)
+
     def rates(self) -> list[ServerRate]:
         """Return what is known of servers' rates."""
         self._follow_claim()
         return encode_rates(self._fleet)
 
-    def _begin(self, rates: list[ServerRate]) -> None:
+    def _begin(self, rates: Sequence[ServerRate | ColdServer]) -> None:
         now_s = boot_s()
         for name, started_ms, _ in rates:
             rate_per_s = self._fleet.rates.rate_per_s((name, started_ms), now_s)
@@ -233,8 +301,18 @@
             own_per_s = self._fleet.rates.rate_per_s((name, started_ms), now_s)
             rates[name, started_ms] = told_per_s if own_per_s is None else own_per_s
         share = 1.0 if may_deal_all else UNPROVED_SHARE
+        known = self._fleet.rates
+        cold = [item for item in rates if known.cold_until_s(item, now_s) is not None]
+        for incarnation in cold:
+            self._dealer.begin_cold(incarnation, now_s)
         dealt = self._dealer.deal(
-            rates, request["most_s"], request["rank"], share, now_s
+            rates,
+            request["most_s"],
+            request["rank"],
+            share,
+            now_s,
+            customer=request.get("customer", ""),
+            cold=cold,
         )
         index = -1 if dealt.server is None else list(rates).index(dealt.server)
         return {
@@ -261,6 +339,7 @@
                 log_change("places of servers with a rate dealt anew", fence=fence)
             self._fence = fence
             self._begin(encode_rates(self._fleet))
+            self._begin(encode_cold(self._fleet))
 
 
 def encode_rates(fleet: Fleet) -> list[ServerRate]:
@@ -269,3 +348,29 @@
         (*incarnation, rate_per_s)
         for incarnation, rate_per_s in fleet.rates.statements().items()
     ]
+
+
+def encode_cold(fleet: Fleet) -> list[ColdServer]:
+    """Return which servers are cold, in the form in which VMs send it."""
+    return [
+        (*incarnation, round(remaining_s, 3))
+        for incarnation, remaining_s in fleet.rates.cold(boot_s()).items()
+    ]
+
+
+def take_cold(
+    fleet: Fleet, cold: Sequence[ColdServer], source: str
+) -> list[ColdServer]:
+    """Record what another VM says of cold servers; return what is new.
+
+    What it says of servers that this VM does not know is ignored, since their entries
+    say it as well.
+    """
+    changed = []
+    for name, started_ms, remaining_s in cold:
+        server = fleet.current((name, started_ms))
+        if server is not None and fleet.record_cold(
+            server.incarnation(), server.service, remaining_s, source
+        ):
+            changed.append((name, started_ms, remaining_s))
+    return changed
--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -108,8 +108,9 @@
             self._place = None
             ranked = self._rank(frozenset(self.tried))
             limited = self._rank_limited(frozenset(self.tried))
-            if limited and self._wants_place(ranked, limited):
-                server = await self._take_place(limited, can_wait=not ranked)
+            asked = self._places_to_ask_for(ranked, limited)
+            if asked:
+                server = await self._take_place(asked, can_wait=not ranked)
                 if server is not None:
                     return server
             if not ranked:
@@ -157,28 +158,40 @@
         place = self._place
         return place is not None and place.server == server and now_s < place.expires_s
 
+    def _is_unlimited(self, server: BackendServer) -> bool:
+        return not self._deps.fleet.rates.is_limited(server.incarnation(), boot_s())
+
     def _rank_limited(self, tried: frozenset[str]) -> list[RankedServer]:
         if self._deps.fleet.rates.is_empty():
             return []
         return self._rank(tried, has_rate=True)
 
-    def _wants_place(
+    def _places_to_ask_for(
         self, ranked: list[RankedServer], limited: list[RankedServer]
-    ) -> bool:
-        """Return whether to ask for a place at servers that name a rate.
+    ) -> list[RankedServer]:
+        """Return the servers with a limited rate at which to ask for a place.
 
-        That is so where no other server takes the request without a queue, and where
-        it would tell whether the rate still holds.
+        Those are all of them where no other server takes the request without a queue,
+        and where it would tell whether a named rate still holds. Of those that are only
+        cold, it is also the ones with less load than the other servers.
         """
-        if not ranked:
-            return True
+        if not ranked or not limited:
+            return limited
         if not self._deps.places.may_ask(self._admitted.service):
-            return False
+            return []
         fleet, now_s = self._deps.fleet, boot_s()
         first = ranked[0].server
-        return fleet.load(first.server_id) >= first.slots or any(
+        if fleet.load(first.server_id) >= first.slots or any(
             fleet.rates.is_unheard(item.server.incarnation(), now_s) for item in limited
-        )
+        ):
+            return limited
+        cost = min(map(fleet.cost, ranked))
+        return [
+            item
+            for item in limited
+            if fleet.rates.limit_end_s(item.server.incarnation(), now_s) is not None
+            and fleet.cost(item) < cost
+        ]
 
     async def _take_place(
         self, limited: list[RankedServer], *, can_wait: bool
@@ -189,14 +202,21 @@
             if place.server is None:
                 return None
             self._place = place
-            if self.may_send(place.server):
+            if place.is_limit_end and self._is_unlimited(place.server):
+                # Others have waited for the same time, so the least loaded is chosen.
+                ranked = self._rank(frozenset(self.tried))
+                server = await self._pace(ranked) if ranked else None
+                if server is not None:
+                    return server
+            elif self.may_send(place.server):
                 return place.server
             log_change(
                 "place at a server not used",
                 request=self._admitted.caller.attempt_id,
                 server=place.server.server_id,
-                expired_s=round(boot_s() - place.expires_s, 3),
+                expired_s=round(boot_s() - max(place.starts_s, place.expires_s), 3),
             )
+            # The limit may have been extended or ended meanwhile.
             limited = self._rank_limited(frozenset(self.tried))
         return None
 
@@ -206,7 +226,13 @@
         """Ask for a place and wait until it begins."""
         most_s = max(0.0, self._left_to_wait_s()) if can_wait else 0.0
         servers = [item.server for item in limited]
-        place = await self._deps.places.take(servers, most_s, self._admitted.rank)
+        customer = self._admitted.customer
+        place = await self._deps.places.take(
+            servers,
+            most_s,
+            self._admitted.rank,
+            "" if customer is None else customer.name,
+        )
         if place.server is None:
             if can_wait:
                 self.lack = "no place within the rates that servers name"
--- a/testing/platform_adapter/test_decoding.py
+++ b/testing/platform_adapter/test_decoding.py
@@ -36,6 +36,7 @@
     "born": 1_700_000_000_000,
     "models": [{"name": "m1", "version": 1, "adapters": ["a1"]}],
     "atHand": {"inMemory": ["m1"], "onDisk": ["m1", "m2"]},
+    "coldRemainingMs": 1800,
 }
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
--- a/testing/platform_adapter/test_odd_values.py
+++ b/testing/platform_adapter/test_odd_values.py
@@ -179,6 +179,8 @@
     "decode",
     "_decode_adapter_in_transit",
     "_decode_appended",
+    "_decode_cold_entry",
+    "_decode_cold_header",
     "_decode_crash_limit",
     "_decode_entry",
     "_decode_header",
