--- a/src/_pistachiopond/vm/server_places.py
+++ b/src/_pistachiopond/vm/server_places.py
@@ -32,6 +32,10 @@
 REPLY_TIMEOUT_S: Final = 0.1
 # Callers that are refused until the end of a cold phase come back within this time.
 RETURN_SPREAD_S: Final = 0.3
+# Of more cold servers than this, a request asks for a place at some drawn at random.
+# They nearly always have one that is as early as the first of all, and the leader's
+# work for a question grows with the servers in it: 56 us for 6, 118 us for 22.
+MAX_ASKED: Final = 4
 
 
 class Place(NamedTuple):
@@ -199,6 +203,8 @@
     ) -> DealtPlace | None:
         self._number += 1
         number = self._number
+        if customer is not None and len(rates) > MAX_ASKED:
+            rates = dict(self._rng.sample(list(rates.items()), MAX_ASKED))
         known = [(*incarnation, rate) for incarnation, rate in rates.items()]
         request: PlaceRequest = {
             "number": number,
