--- a/src/_pistachiopond/decisions/server_rates.py
+++ b/src/_pistachiopond/decisions/server_rates.py
@@ -176,14 +176,14 @@
         matters = self.cold_rate_per_s(service) > 0.0
         until_s = now_s + min(MAX_COLD_S, max(0.0, remaining_s))
         known = self._cold.get(incarnation)
+        if remaining_s <= 0.0 and (known is None or known.until_s <= now_s):
+            return False
         if known is not None and until_s < known.until_s:
             is_over = can_end and remaining_s <= 0.0 and known.until_s > now_s
             if not is_over and (is_assumed or not known.is_assumed):
                 return False
             self._cold[incarnation] = _Cold(service, until_s, is_assumed)
             return matters and (is_over or known.until_s - until_s > COLD_MOVE_S)
-        if known is None and until_s <= now_s:
-            return False
         self._cold[incarnation] = _Cold(service, until_s, is_assumed)
         is_moved = known is None or until_s - known.until_s > COLD_MOVE_S
         return matters and is_moved
--- a/testing/decisions/test_server_rates.py
+++ b/testing/decisions/test_server_rates.py
@@ -274,6 +274,12 @@
                 (1.4, 1.8, 0, 0, 0, 3.2),
                 (2.4, 3.0, 0, 0, 1, 5.4),
             ),
+            # An entry after the end.
+            (
+                (0.0, 3.0, 0, 0, 1, 3.0),
+                (3.7, 0.0, 0, 0, 0, 3.0),
+                (3.8, 0.0, 1, 0, 0, 3.0),
+            ),
             # An entry written before an answer that says more.
             ((0.0, 3.0, 1, 0, 1, 3.0), (0.2, 0.0, 0, 0, 0, 3.0)),
             # An answer that says that the server is warm.
