Held memory: customers, requests in progress and refusals that VMs understand

Cause: a refusal by the account had no attempt id and no verdict, so a VM that had passed the request on took it for unclear. Senders were told apart by address only, which is that of the balancer where there is one. Requests in progress and what waits behind a caller that does not read counted too little. A connection that had just been refused could be closed before its client read the refusal.

Change: refusals carry the attempt id, Retry-After and the verdict. A connection counts for the customer of its request's key. A request in progress counts 24 KiB (14 to 18 KiB were measured), a caller that does not read 256 KiB. While the budget is exceeded, new requests are refused at once. Connections in their first 0.25 s, and refused ones, are not closed for memory.

--- a/src/_pistachiopond/decisions/memory_budget.py
+++ b/src/_pistachiopond/decisions/memory_budget.py
@@ -28,6 +28,11 @@
 BODY_COPIES: Final = 2
 # A silent connection takes 5.5 KiB.
 CONNECTION_BYTES: Final = 8 * 1024
+# A request at a server took 14 to 18 KiB, with its connection to the server.
+REQUEST_BYTES: Final = 24 * 1024
+# While a caller does not read, as much of its response waits behind what is written:
+# the bound of what a connection to a server buffers.
+UNRELAYED_BYTES: Final = 256 * 1024
 # Headers are kept as objects, which take up to as much again as their bytes.
 HEADER_COPIES: Final = 2
 # Requests up to this size are ordinary, and large bodies leave a share of the budget to
@@ -50,7 +55,8 @@
 # Callers' share of the others. Each request in progress takes another connection to a
 # server.
 CALLER_SHARE: Final = 0.5
-# A connection that has sent nothing for this long may give way to a new one.
+# A connection that has sent or read nothing for this long may give way: a request may
+# be on its way on one that was opened, or a response to one that was answered.
 MIN_SILENT_S: Final = 0.25
 
 Phase = Literal["idle", "receiving", "waiting", "running", "unread"]
@@ -62,7 +68,7 @@
     Attributes
     ----------
     source : str
-        Where it comes from; several connections may have the same source.
+        The customer or the address that it is of; others may be of the same.
     phase : str
         ``idle`` without a request; ``receiving`` while a request comes in; ``waiting``
         while its body waits for room; ``running`` from the end of a request to the end
@@ -146,7 +152,8 @@
     reserved_bytes : int
         For bodies, whether received or expected.
     other_bytes : int
-        For connections, heads, unparsed bytes and unread responses.
+        For connections, heads, unparsed bytes, requests in progress and unread
+        responses.
     """
 
     def __init__(self, budget: float, memory_bytes: int | None = None) -> None:
@@ -180,6 +187,10 @@
         self.reserved_bytes = reserved_bytes
         return True
 
+    def is_exceeded(self) -> bool:
+        """Return whether more is held than the budget allows."""
+        return self.reserved_bytes + self.other_bytes > self._budget
+
     def force_reserve(self, size: int) -> None:
         """Count the bytes of a body that has come already."""
         self.reserved_bytes += size * BODY_COPIES
@@ -236,7 +247,11 @@
     refused = _choose_refused(holdings, waiting, room, now_s)
     over_bytes = -room.all_bytes - sum(holdings[x].held_bytes for x in refused)
     for phase in ("unread", "idle"):
-        others = [x for x, held in enumerate(holdings) if held.phase == phase]
+        others = [
+            x
+            for x, held in enumerate(holdings)
+            if held.phase == phase and now_s - held.since_s > MIN_SILENT_S
+        ]
         ordered = order_by_source(holdings, others)
         chosen = _first_holding(holdings, ordered, over_bytes)
         over_bytes -= sum(holdings[x].held_bytes for x in chosen)
--- a/src/_pistachiopond/http1/server.py
+++ b/src/_pistachiopond/http1/server.py
@@ -18,7 +18,8 @@
     HEADER_COPIES,
     MIN_RESERVED_BYTES,
     PROGRESS_BYTES,
-    RETRY_AFTER_S,
+    REQUEST_BYTES,
+    UNRELAYED_BYTES,
     Holding,
     MemoryAccount,
     Phase,
@@ -104,18 +105,29 @@
         Called when the body of a request finds no room.
     on_release : callable
         Called when room has been given back.
+    refusal_headers : callable
+        Returns the headers of the refusal of a request that found no room.
+    customer_of : callable
+        Returns the customer of a request, by its head; empty if it is not known.
     """
 
     account: MemoryAccount
     may_open: Callable[[], bool]
     on_wait: Callable[[], None]
     on_release: Callable[[], None]
+    refusal_headers: Callable[[RequestHead], RawHeaders]
+    customer_of: Callable[[RequestHead], str]
 
 
 def make_unbounded_memory() -> ConnectionMemory:
     """Return an account without a bound."""
     return ConnectionMemory(
-        MemoryAccount(math.inf), lambda: True, lambda: None, lambda: None
+        MemoryAccount(math.inf),
+        may_open=lambda: True,
+        on_wait=lambda: None,
+        on_release=lambda: None,
+        refusal_headers=lambda head: [],
+        customer_of=lambda head: "",
     )
 
 
@@ -259,14 +271,14 @@
         Whether it is the last one of its connection.
     began_s : float
         When its first byte came.
-    header_bytes : int
-        The size of its target and headers.
+    kept_bytes : int
+        What is held for it beside its body until its response is complete.
     """
 
     request: Request
     is_last: bool
     began_s: float
-    header_bytes: int
+    kept_bytes: int
 
 
 @final
@@ -299,7 +311,8 @@
         self._body_started_s = 0.0
         self._received_s = 0.0
         self._owes_continue = False
-        self._source = ""
+        self._peer_ip = ""
+        self._customer: str | None = None
         self._running: _Received | None = None
         # Bytes of the body that is being received for which room is reserved, and for
         # which it waits.
@@ -311,7 +324,7 @@
         # What the account has for this connection: reserved for bodies, and besides.
         self._reserved_bytes = 0
         self._counted_bytes = 0
-        self._kept_header_bytes = 0
+        self._kept_bytes = 0
         self._unread_bytes = 0
         self._is_counted = True
 
@@ -325,7 +338,7 @@
             return
         enable_dead_peer_detection(transport)
         peer = transport.get_extra_info("peername")
-        self._source = str(peer[0]) if peer else ""
+        self._peer_ip = str(peer[0]) if peer else ""
         self._context.connections.add(self)
         self._count_held()
 
@@ -371,6 +384,7 @@
         self._can_write.clear()
         if self._transport is not None:
             self._unread_bytes = self._transport.get_write_buffer_size()
+            self._unread_bytes += UNRELAYED_BYTES
             self._count_held()
 
     def resume_writing(self) -> None:
@@ -387,6 +401,7 @@
         self._phase_started_s = self._request_began_s = self._context.now_s()
         self._progress_s, self._progress_bytes = self._phase_started_s, 0
         self._target, self._headers, self._body = b"", [], bytearray()
+        self._customer = None
         self._header_bytes = self._body_bytes = 0
         self._is_in_head, self._is_in_body = True, False
 
@@ -407,7 +422,8 @@
         """Reserve room for the body, and send ``100 Continue`` if it is expected.
 
         It is held back while an earlier request is being answered, and while there is
-        no room. A body whose announced size is over the limit is refused.
+        no room. A body whose announced size is over the limit is refused, and so is
+        each request while more is held than the budget allows.
         """
         self._bounds.head_parsed()
         self._is_in_head, self._is_in_body = False, True
@@ -421,6 +437,10 @@
                 announced_bytes = int(value)
         if announced_bytes > self._context.limits().body_bytes:
             self._abort_parsing(413)
+        if self._context.memory.account.is_exceeded():
+            # What can give way does so after this; until then, no more is taken.
+            self._context.memory.on_wait()
+            self._abort_parsing(503)
         if announced_bytes:
             self._reserve(announced_bytes)
         self._send_continue_if_owed()
@@ -450,13 +470,13 @@
         """Queue the request, and start it if no other is in progress."""
         self._bounds.message_parsed()
         self._is_in_head = self._is_in_body = self._owes_continue = False
-        head = RequestHead(self._parser.get_method(), self._target, self._headers)
+        head = self._head()
         close = not self._parser.should_keep_alive()
         request = Request(head, bytes(self._body))
-        self._queue.append(
-            _Received(request, close, self._request_began_s, self._header_bytes)
-        )
-        self._kept_header_bytes += self._header_bytes
+        kept_bytes = REQUEST_BYTES + HEADER_COPIES * self._header_bytes
+        received = _Received(request, close, self._request_began_s, kept_bytes)
+        self._queue.append(received)
+        self._kept_bytes += kept_bytes
         self._header_bytes = 0
         self._fit_reserved()
         self._queued_bytes += self._body_bytes
@@ -514,8 +534,13 @@
             phase, since_s = "receiving", self._progress_s
         elif self._unread_bytes:
             phase = "unread"
+        elif self._is_closing:
+            # To close it at once would reset it before the client reads its refusal.
+            phase = "running"
+        if self._is_in_body and self._customer is None:
+            self._customer = self._context.memory.customer_of(self._head())
         return Holding(
-            self._source,
+            self._customer or self._peer_ip,
             phase,
             self._counted_bytes + self._reserved_bytes,
             self._wanted_bytes * BODY_COPIES,
@@ -571,8 +596,7 @@
 
     def _enforce_body_limit(self, now_s: float) -> None:
         idle_s = self._context.limits().idle_s
-        head = RequestHead(self._parser.get_method(), self._target, self._headers)
-        limit_s = self._context.body_limit_s(head)
+        limit_s = self._context.body_limit_s(self._head())
         if limit_s is None:
             limit_s = idle_s
         if now_s - self._body_started_s > limit_s:
@@ -625,6 +649,9 @@
                 return
         self._unparsed = data[start:]
 
+    def _head(self) -> RequestHead:
+        return RequestHead(self._parser.get_method(), self._target, self._headers)
+
     def _room(self) -> int:
         """Return how many more requests may be received."""
         if self._wanted_bytes:
@@ -659,7 +686,7 @@
             return
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         if self._refusal_status == 503:
-            headers.append((b"Retry-After", b"%.3f" % RETRY_AFTER_S))
+            headers += self._context.memory.refusal_headers(self._head())
         self._transport.write(encode_response_head(self._refusal_status, headers))
         self._is_closing = True
         # Closing a socket with unread bytes resets the connection, and the client
@@ -707,7 +734,7 @@
         self._task = None
         self._phase_started_s = self._context.now_s()
         if self._running is not None:
-            self._kept_header_bytes -= self._running.header_bytes
+            self._kept_bytes -= self._running.kept_bytes
             self._release(len(self._running.request.body) * BODY_COPIES)
             self._running = None
             self._count_held()
@@ -759,7 +786,8 @@
         """Count what is held beside bodies."""
         held_bytes = (
             CONNECTION_BYTES
-            + HEADER_COPIES * (self._header_bytes + self._kept_header_bytes)
+            + HEADER_COPIES * self._header_bytes
+            + self._kept_bytes
             + len(self._unparsed)
             + self._unread_bytes
         )
--- a/src/_pistachiopond/vm/held_memory.py
+++ b/src/_pistachiopond/vm/held_memory.py
@@ -9,16 +9,21 @@
 from prometheus_client import Counter
 
 from _pistachiopond.decisions.memory_budget import (
+    RETRY_AFTER_S,
     MemoryAccount,
     budget_bytes,
     choose_relief,
     choose_silent,
     max_caller_connections,
 )
+from _pistachiopond.http1.messages import RawHeaders, RequestHead
 from _pistachiopond.http1.server import ConnectionMemory, ServerConnection
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.observe.metrics import Metrics
+from _pistachiopond.platform.requests import decode_request, refusal_headers
 from _pistachiopond.schema.vm_settings import VmSettings
+from _pistachiopond.vm.configuration_state import ConfigurationState
+from _pistachiopond.vm.relay_messages import VERDICT_HEADER, verdict_of
 
 # Bodies that find no room are looked at together, after this time.
 RELIEF_DELAY_S: Final = 0.05
@@ -57,6 +62,8 @@
     ----------
     settings : VmSettings
         The limits of the machine.
+    state : ConfigurationState
+        Knows the customers' keys.
     connections : set of ServerConnection
         Of callers and of other VMs that pass requests on.
     plain_connections : set of ServerConnection
@@ -70,6 +77,7 @@
     def __init__(
         self,
         settings: VmSettings,
+        state: ConfigurationState,
         connections: set[ServerConnection],
         plain_connections: set[ServerConnection],
         now_s: Callable[[], float],
@@ -78,6 +86,7 @@
         budget = budget_bytes(settings.memory_bytes)
         self.account = MemoryAccount(budget, settings.memory_bytes)
         self._max_callers = max_caller_connections(settings.max_descriptors)
+        self._state = state
         self._connections = connections
         self._plain_connections = plain_connections
         self._now_s = now_s
@@ -96,7 +105,12 @@
     def for_others(self) -> ConnectionMemory:
         """Return the account for another listener."""
         return ConnectionMemory(
-            self.account, lambda: True, self._on_wait, self._on_release
+            self.account,
+            may_open=lambda: True,
+            on_wait=self._on_wait,
+            on_release=self._on_release,
+            refusal_headers=self._refusal_headers,
+            customer_of=self._customer_of,
         )
 
     def tick(self) -> None:
@@ -108,6 +122,27 @@
         if not was_standing:
             self._relieve()
 
+    def _refusal_headers(self, head: RequestHead) -> RawHeaders:
+        """Return the headers of a refusal with 503, and count it."""
+        reason = "exceeded" if self.account.is_exceeded() else "no_room"
+        self._metrics.refused.labels(reason).inc()
+        self._log(refused=1)
+        decoded = decode_request(head)
+        attempt_id = "" if decoded.is_err() else decoded.ok().attempt_id
+        headers = refusal_headers(attempt_id, RETRY_AFTER_S)
+        # Another VM that passed the request on may then send it elsewhere.
+        return [*headers, (VERDICT_HEADER, verdict_of(503))]
+
+    def _customer_of(self, head: RequestHead) -> str:
+        """Return the customer whose key a request has; empty for an unknown key."""
+        decoded = decode_request(head)
+        table = self._state.table
+        if decoded.is_err() or table is None:
+            return ""
+        key = decoded.ok().key
+        customer = None if key is None else table.customer_of(key)
+        return "" if customer is None else customer.name
+
     def _on_wait(self) -> None:
         self._has_waiting = True
         self._relieve_soon()
@@ -138,9 +173,8 @@
             self._metrics.closed.labels(holding.phase).inc()
         for position in relief.refused:
             held[position][0].refuse_for_memory()
-            self._metrics.refused.labels("no_room").inc()
         if relief.closed or relief.refused:
-            self._log(len(relief.closed), len(relief.refused))
+            self._log(closed=len(relief.closed))
             self._give_room(all_connections)
         self._has_waiting = any(x.awaits_room() for x in all_connections)
 
@@ -170,10 +204,10 @@
                 self._none_silent_until_s, now_s + NONE_SILENT_S
             )
             self._metrics.closed.labels("no_descriptor").inc()
-        self._log(max(1, len(chosen)), 0)
+        self._log(closed=max(1, len(chosen)))
         return bool(chosen)
 
-    def _log(self, closed: int, refused: int) -> None:
+    def _log(self, closed: int = 0, refused: int = 0) -> None:
         """Write one line a second at most about connections that gave way."""
         self._unlogged["closed"] += closed
         self._unlogged["refused"] += refused
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -365,7 +365,9 @@
     connections: set[ServerConnection] = set()
     # Not of callers, so a shutdown does not wait for them.
     plain_connections: set[ServerConnection] = set()
-    held = HeldMemory(settings, connections, plain_connections, timer.now_s, metrics)
+    held = HeldMemory(
+        settings, vm.state, connections, plain_connections, timer.now_s, metrics
+    )
     _register_gauges(vm, connections, log_handler)
 
     watch = SettingsWatch(path, settings, partial(apply_bounds, vm))
