Leadership: a process that starts under its own VM's claim remembers its start

Cause: a process that starts while the newest claim is one of its VM's earlier process took the VM for one without earlier orders. After another VM's claim it sent orders again without the pause.

Change: the start counts as the time of the last order if the newest claim is of the same VM.

--- a/src/_pistachiopond/decisions/order_turns.py
+++ b/src/_pistachiopond/decisions/order_turns.py
@@ -95,7 +95,9 @@
             holders = claim.earlier_holders
             is_unknown = holders is None or self._name in holders
         self._has_lost_turn = is_unknown
-        if not is_unknown:
+        # An earlier process of this VM may have led by the newest claim until it ended.
+        is_own = claim is not None and claim.leader == self._name
+        if not is_unknown and not is_own:
             self._ordered_s = None
 
     def order_sent(self, now_s: float) -> None:
--- a/testing/decisions/test_order_turns.py
+++ b/testing/decisions/test_order_turns.py
@@ -185,6 +185,17 @@
             turns.claim_read(make_claim(name, 2), 0, 10.0)
             self.assertEqual(turns.pause_s(10.0) > 0.0, pauses)
 
+    def test_a_process_that_starts_under_its_vm_s_claim_pauses_after_another(
+        self,
+    ) -> None:
+        turns = OrderTurns("a", LEASE_S, 9.0)
+        claim = make_claim("a", 1)._replace(earlier_holders=())
+        turns.claim_read(claim, 0, 9.1)
+        self.assertEqual(turns.pause_s(9.2), 0.0)
+        turns.claim_read(make_claim("b", 2), 0, 9.5)
+        turns.claim_read(make_claim("a", 3), 0, 10.0)
+        self.assertGreater(turns.pause_s(10.0), 0.0)
+
 
 if __name__ == "__main__":
     unittest.main()
