Store: VMs that it turns away back off and claim nothing

Cause: a VM that the store turned away read the claims, tried to claim and read them again each 0.35 s, and retried each topic each 0.6 s.

Change: a claim is tried only after a read that the store has answered. Reads of claims back off to 1.6 s, of topics to 1.2 s; any answer of the store ends the pauses of all readers of the VM (StoreContact in vm/store_calls.py). A leader whose reads fail retries each 0.2 s instead of 0.05 s. A claim that fails because another VM has claimed is still followed by a read at once: a pause of 0.2 s there made test_versions_after_kill fail with refusals.

--- a/src/_pistachiopond/vm/leader_election.py
+++ b/src/_pistachiopond/vm/leader_election.py
@@ -26,6 +26,7 @@
 from _pistachiopond.schema.vm_settings import VmSettings
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.server_reach import ServerReach
+from _pistachiopond.vm.store_calls import StoreContact
 from _pistachiopond.vm.topic_follower import page_current_as_of_s
 
 LEADER_KEY: Final = "leader"
@@ -38,6 +39,11 @@
 # that all VMs together stay below the rate.
 CLAIM_READ_PERIOD_S: Final = 0.4
 MAX_CLAIM_READS_PER_S: Final = 100.0
+# While the store turns this VM away, the pause between reads grows up to this.
+MAX_CLAIM_READ_PAUSE_S: Final = 1.6
+# Least pause after a read or claim that failed, also of the leader's reads. Several
+# tries fit into the time after which it gives up.
+FAILED_READ_PAUSE_S: Final = 0.2
 # Before a VM claims, it reads the newest claim unless its last read is younger.
 MAX_CLAIM_READ_AGE_S: Final = 0.1
 LOOP_PAUSE_S: Final = 0.05
@@ -59,6 +65,7 @@
         member_count: Callable[[], int],
         reach: ServerReach,
         members_unreachable: Callable[[], list[frozenset[str]]],
+        contact: StoreContact,
     ) -> None:
         self._store = store
         self._leadership = leadership
@@ -70,7 +77,11 @@
         self._member_count = member_count
         self._reach = reach
         self._members_unreachable = members_unreachable
+        self._contact = contact
+        # When the last read that succeeded, or the last read at all, was sent.
         self._claims_read_s = float("-inf")
+        self._read_sent_s = float("-inf")
+        self._failed_reads = 0
         # Called with the records and the newest claim of each snapshot.
         self.on_snapshot: Callable[
             [tuple[KeyedRecord, ...], Claim | None, int], None
@@ -88,16 +99,20 @@
                 if self._leadership.is_void():
                     await self._claim_if_due()
                 continue
-            now_s = boot_s()
             is_lost = self._leadership.is_leader_lost()
-            period_s = max(
-                CLAIM_READ_PERIOD_S, self._member_count() / MAX_CLAIM_READS_PER_S
-            )
-            if is_lost and now_s - self._claims_read_s >= period_s:
+            if is_lost and boot_s() - self._read_sent_s >= self._read_period_s():
                 await self._read_claims()
             await self._claim_if_due()
+            if self._failed_reads and is_lost:
+                pause_s = self._read_period_s() * min(self._failed_reads, 4)
+                await self._contact.pause(
+                    FAILED_READ_PAUSE_S, min(pause_s, MAX_CLAIM_READ_PAUSE_S)
+                )
             await anyio.sleep(LOOP_PAUSE_S)
 
+    def _read_period_s(self) -> float:
+        return max(CLAIM_READ_PERIOD_S, self._member_count() / MAX_CLAIM_READS_PER_S)
+
     async def resign(self) -> None:
         """Give up the lead, so that another VM can claim it without a timeout."""
         self.is_stopping = True
@@ -118,14 +133,18 @@
         return True
 
     async def _read_claims(self) -> None:
-        sent_s = self._claims_read_s = boot_s()
+        sent_s = self._read_sent_s = boot_s()
         result = await self._store.read_newest(OWN_TOPIC, STORE_TIMEOUT_S)
         if result.is_err():
             failure = result.err()
-            if failure.kind == "absent":
+            if failure.kind != "absent":
+                self._failed_reads += 1
+            else:
+                self._claims_read_s, self._failed_reads = sent_s, 0
                 self.on_snapshot((), None, failure.era)
                 self._record_claim(None, StorePosition(failure.era, 0), sent_s)
             return
+        self._claims_read_s, self._failed_reads = sent_s, 0
         snapshot = result.ok()
         claim = _newest_claim(snapshot.records)
         self.on_snapshot(snapshot.records, claim, snapshot.end.era)
@@ -141,7 +160,9 @@
         if result.is_err():
             if result.err().kind in ("expired", "restored"):
                 await self._read_claims()
-            await anyio.sleep(LOOP_PAUSE_S)
+                await anyio.sleep(LOOP_PAUSE_S)
+                return
+            await anyio.sleep(FAILED_READ_PAUSE_S)
             return
         page = result.ok()
         read_s = page_current_as_of_s(page, sent_s, AUTHORITY_READ_WAIT_S)
@@ -171,7 +192,7 @@
             return
         if boot_s() - self._claims_read_s > MAX_CLAIM_READ_AGE_S:
             await self._read_claims()
-            if not self._may_claim():
+            if self._failed_reads or not self._may_claim():
                 return
         now_s = boot_s()
         has_resigned = self._has_resigned()
@@ -206,7 +227,12 @@
             log_warning(
                 "claim of the lead failed", kind=failure.kind, detail=failure.detail
             )
-        await self._read_claims()
+        if result.is_err() and result.err().kind == "moved":
+            # Another VM has claimed. Without its claim this VM has no leader.
+            await self._read_claims()
+            return
+        # The store turns this VM away. A read precedes its next claim.
+        self._read_sent_s, self._claims_read_s = now_s, float("-inf")
 
     def _may_claim(self) -> bool:
         # A refused connection does not prove that the leader's process has ended,
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -72,7 +72,7 @@
 from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.settings_watch import SettingsWatch, watch_signals
 from _pistachiopond.vm.shutdown import Shutdown
-from _pistachiopond.vm.store_calls import make_store_call
+from _pistachiopond.vm.store_calls import StoreContact, make_store_call
 from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
@@ -188,8 +188,9 @@
         ),
         leadership,
     )
+    contact = StoreContact()
     store = make_store_client(
-        make_store_call(settings.store_address, timer.now_s, record_excess)
+        make_store_call(settings.store_address, timer.now_s, record_excess, contact)
     )
     version_store = VersionStore(store, leadership, leader_client.origins)
     crash_watch = CrashWatch(
@@ -243,6 +244,7 @@
         leader_client.member_count,
         reach,
         leader_server.members_unreachable,
+        contact,
     )
     election.on_snapshot = version_store.take_snapshot
     for topic, cache in topic_caches.items():
@@ -290,6 +292,7 @@
             topic_caches[topic.name],
             leader_client.is_relayed,
             leader_client.shared_retry_pause_s,
+            contact,
         )
         for topic in TOPICS
     )
--- a/src/_pistachiopond/vm/topic_follower.py
+++ b/src/_pistachiopond/vm/topic_follower.py
@@ -14,6 +14,7 @@
 )
 from _pistachiopond.schema.store_position import StorePosition
 from _pistachiopond.vm.clock import boot_s
+from _pistachiopond.vm.store_calls import StoreContact
 from _pistachiopond.vm.topic_cache import REWRITE_S, TopicCache
 
 # How long the store waits for a new record before it answers a read. A longer wait
@@ -27,7 +28,10 @@
 PROBE_TIMEOUT_S: Final = 0.7
 SNAPSHOT_TIMEOUT_S: Final = 4.0
 INITIAL_RETRY_PAUSE_S: Final = 0.15
-MAX_RETRY_PAUSE_S: Final = 0.6
+# Whatever the store answers this VM ends the pauses of all its readers, so the first of
+# their retries notices its return. Each pause lasts for the least time in any case.
+MAX_RETRY_PAUSE_S: Final = 1.2
+LEAST_RETRY_PAUSE_S: Final = 0.3
 # While the leader relays records, how often a follower checks that it still does.
 RELAY_CHECK_PERIOD_S: Final = 0.1
 
@@ -76,6 +80,7 @@
         cache: TopicCache,
         is_relayed: Callable[[], bool],
         shared_retry_pause_s: Callable[[], float],
+        contact: StoreContact,
     ) -> None:
         """Start with an empty cache.
 
@@ -92,6 +97,8 @@
         shared_retry_pause_s : callable
             Returns the least pause between this VM's reads of a store that does not
             answer, while the leader retries for all VMs.
+        contact : StoreContact
+            Ends the pauses when the store answers this VM.
         """
         self._store = store
         self.topic = topic.name
@@ -99,6 +106,7 @@
         self._cache = cache
         self._is_relayed = is_relayed
         self._shared_retry_pause_s = shared_retry_pause_s
+        self._contact = contact
         self._is_failing = False
         self._retry_pause_s = INITIAL_RETRY_PAUSE_S
         self._short_waits_until_s = float("-inf")
@@ -188,5 +196,7 @@
                 detail=failure.detail,
             )
         self._is_failing = True
-        await anyio.sleep(max(self._retry_pause_s, self._shared_retry_pause_s()))
+        shared_s = self._shared_retry_pause_s()
+        least_s = min(self._retry_pause_s, LEAST_RETRY_PAUSE_S)
+        await self._contact.pause(least_s, max(self._retry_pause_s, shared_s))
         self._retry_pause_s = min(MAX_RETRY_PAUSE_S, self._retry_pause_s * 1.5)
--- a/testing/vm/test_leader_election.py
+++ b/testing/vm/test_leader_election.py
@@ -62,6 +62,19 @@
         self.assertEqual(claims[0]["earlier_holders"], [])
         self.assertEqual(claims[-1]["earlier_holders"], [lost])
 
+    async def test_vms_that_the_store_turns_away_call_it_seldom(self) -> None:
+        # They read and claimed three times a second each, for as long as it lasted.
+        store = self.cluster.store
+        store.refuses = lambda path: True
+        await asyncio.sleep(3.0)
+        store.calls.clear()
+        await asyncio.sleep(5.0)
+        self.assertLess(len(store.calls), 5.0 * 4 * len(self.cluster.vms))
+        self.assertNotIn("/log-append", store.calls)
+        claims = self.cluster.claim_count()
+        store.refuses = lambda path: False
+        await wait_until(lambda: self.cluster.claim_count() > claims, 1.5)
+
     async def test_a_leader_sends_no_order_while_its_orders_are_paused(self) -> None:
         vm = self.cluster.vms[self.cluster.leader()]
         placer, leadership = vm.placer, vm.placer._deps.leadership
