Leadership: a standstill of a member or the leader does not cost the lead

Cause: a VM that had stood still for 0.6 s took its leader for lost before it had read the reply. A leader whose read of the claims was ended by a standstill then waited for another 0.4 s and gave up.

Change: decisions/leader_silence.py counts the time without any line of the leader, and no standstill of its own. A leader that sends other lines may reply up to 1.2 s late. A failed read of the claims is repeated without a wait for records.

--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -4,6 +4,11 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple, final
 
+from _pistachiopond.decisions.leader_silence import (
+    REPLY_TIMEOUT_S,
+    STEP_S,
+    LeaderSilence,
+)
 from _pistachiopond.decisions.leadership import HANDOVER_S, Claim, Leadership
 from _pistachiopond.decisions.server_crashes import MAX_REPORTED
 from _pistachiopond.decisions.shared_limits import CustomerBalances
@@ -47,8 +52,6 @@
 from _pistachiopond.vm.topic_cache import TopicCache, from_relayed
 
 CONNECT_TIMEOUT_S: Final = 0.5
-# The connection is closed and opened again if a report gets no reply for this long.
-REPLY_TIMEOUT_S: Final = 0.6
 RECONNECT_PAUSE_S: Final = 0.1
 INITIAL_REPORT_PERIOD_S: Final = 0.2
 # Least pause between two requests for one customer's rate limit tokens.
@@ -139,6 +142,7 @@
         self._reply_received_s = float("-inf")
         self._relayed_s = float("-inf")
         self._sent_s = 0.0
+        self._silence = LeaderSilence(0.0)
         self._connection_scope: asyncio.Timeout | None = None
         self._resigned_fence = -1
         self._refused_connection_fence = -1
@@ -350,8 +354,7 @@
                 self._reply_received.clear()
                 self._sent_s = boot_s()
                 writer.write(encode_line({"report": self._make_report()}))
-                async with asyncio.timeout(REPLY_TIMEOUT_S):
-                    await self._reply_received.wait()
+                await self._await_reply()
                 if self.has_resigned():
                     # The connection stays open until another VM's claim is seen: a
                     # leader that has resigned allocates only while no member leaves.
@@ -360,9 +363,21 @@
         finally:
             reading.cancel()
 
+    async def _await_reply(self) -> None:
+        """Wait for the reply to the last report; raise TimeoutError if it is lost."""
+        silence = self._silence = LeaderSilence(self._sent_s)
+        while not self._reply_received.is_set():
+            try:
+                async with asyncio.timeout(STEP_S):
+                    await self._reply_received.wait()
+            except TimeoutError:
+                if silence.is_lost(boot_s()):
+                    raise
+
     async def _read_messages(self, reader: asyncio.StreamReader) -> None:
         lines = LineReader(reader, MAX_LINE_BYTES)
         while line := await lines.read():
+            self._silence.line_received()
             decoded = decode_line(line)
             if decoded.is_err():
                 raise ValueError(f"malformed message of the leader: {decoded.err()}")
--- a/src/_pistachiopond/vm/leader_election.py
+++ b/src/_pistachiopond/vm/leader_election.py
@@ -82,6 +82,7 @@
         self._claims_read_s = float("-inf")
         self._read_sent_s = float("-inf")
         self._failed_reads = 0
+        self._has_renewal_failed = False
         # Called with the records and the newest claim of each snapshot.
         self.on_snapshot: Callable[
             [tuple[KeyedRecord, ...], Claim | None, int], None
@@ -154,18 +155,23 @@
         position = self._leadership.end
         assert position is not None
         sent_s = boot_s()
+        # After a failure the read does not wait for records, so that a standstill of
+        # this process or a refusal of one read does not cost the lead.
+        wait_s = 0.0 if self._has_renewal_failed else AUTHORITY_READ_WAIT_S
         result = await self._store.read_tail(
-            OWN_TOPIC, position, AUTHORITY_READ_WAIT_S, AUTHORITY_READ_TIMEOUT_S
+            OWN_TOPIC, position, wait_s, AUTHORITY_READ_TIMEOUT_S
         )
+        self._has_renewal_failed = result.is_err()
         if result.is_err():
             if result.err().kind in ("expired", "restored"):
                 await self._read_claims()
                 await anyio.sleep(LOOP_PAUSE_S)
                 return
-            await anyio.sleep(FAILED_READ_PAUSE_S)
+            passed_s = boot_s() - sent_s
+            await anyio.sleep(max(LOOP_PAUSE_S, FAILED_READ_PAUSE_S - passed_s))
             return
         page = result.ok()
-        read_s = page_current_as_of_s(page, sent_s, AUTHORITY_READ_WAIT_S)
+        read_s = page_current_as_of_s(page, sent_s, wait_s)
         end = max(page.end, position)
         self._record_claim(_newest_claim(page.records), end, read_s)
 
--- a/testing/vm/test_leader_election.py
+++ b/testing/vm/test_leader_election.py
@@ -17,7 +17,7 @@
 )
 from _pistachiopond.vm.leader_election import LEADER_KEY
 from _pistachiopond.vm.program import make_vm
-from testing.virtual_time import VirtualTimeTestCase
+from testing.virtual_time import VirtualTimeLoop, VirtualTimeTestCase
 from testing.vm.cluster import Cluster
 from testing.vm.deployment import (
     configuration,
@@ -62,6 +62,19 @@
         self.assertEqual(claims[0]["earlier_holders"], [])
         self.assertEqual(claims[-1]["earlier_holders"], [lost])
 
+    async def test_vms_that_stood_still_keep_their_leader(self) -> None:
+        # Their time for a reply had passed before they had read it.
+        await asyncio.sleep(3.0)
+        clients = [vm.leader_client for vm in self.cluster.vms.values()]
+        writers = [client._writer for client in clients]
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualTimeLoop)
+        for _ in range(5):
+            loop.stand_still(0.65)
+            await asyncio.sleep(0.73)
+        self.assertEqual([client._writer for client in clients], writers)
+        self.assertEqual(self.cluster.claim_count(), 1)
+
     async def test_vms_that_the_store_turns_away_call_it_seldom(self) -> None:
         # They read and claimed three times a second each, for as long as it lasted.
         store = self.cluster.store
