Leadership: VMs claim a free lead in the order of their cores and link, graded

Cause: one threshold (0.8 cores, 50 Mbit/s) made all VMs of a fleet with smaller ones equal, and a VM of 2 cores equal to one of 0.8.

Result: test_claim_order, test_leader_election, test_versions_after_kill, test_cut_from_servers: passed. No run of a fleet with VMs of different sizes.

--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -14,6 +14,7 @@
 import anyio
 from prometheus_client import generate_latest
 
+from _pistachiopond.decisions.claim_order import claim_preference
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.order_turns import OrderTurns
 from _pistachiopond.decisions.rendezvous import score
@@ -94,9 +95,6 @@
     FollowedTopic(OPERATOR_TOPIC, 0.0),
     FollowedTopic(SERVERS_TOPIC, 0.2),
 )
-# VMs below these values lead only if no stronger VM claims the lead.
-STRONG_VM_MIN_CORES: Final = 0.8
-STRONG_VM_MIN_LINK_MBPS: Final = 50.0
 
 
 class Vm(NamedTuple):
@@ -540,12 +538,8 @@
 
 
 def _claim_preference(settings: VmSettings) -> float:
-    is_strong = (
-        settings.cpu_cores >= STRONG_VM_MIN_CORES
-        and settings.link_mbps >= STRONG_VM_MIN_LINK_MBPS
-    )
-    drawn = score("leader", settings.name) / HASH_RANGE / 2.0
-    return drawn if is_strong else 0.5 + drawn
+    drawn = score("leader", settings.name) / HASH_RANGE
+    return claim_preference(settings.cpu_cores, settings.link_mbps, drawn)
 
 
 async def _listen_for_requests(
