--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -15,6 +15,7 @@
 import anyio
 from prometheus_client import generate_latest
 
+from _pistachiopond.decisions.claim_order import claim_preference
 from _pistachiopond.decisions.leadership import Leadership
 from _pistachiopond.decisions.order_turns import OrderTurns
 from _pistachiopond.decisions.rendezvous import score
@@ -83,7 +84,7 @@
 from _pistachiopond.vm.server_reach import ServerReach
 from _pistachiopond.vm.settings_watch import SettingsWatch, watch_signals
 from _pistachiopond.vm.shutdown import Shutdown
-from _pistachiopond.vm.store_calls import make_store_call
+from _pistachiopond.vm.store_calls import StoreContact, make_store_call
 from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
@@ -107,9 +108,6 @@
     FollowedTopic(OPERATOR_TOPIC, 0.0),
     FollowedTopic(SERVERS_TOPIC, 0.2),
 )
-# VMs below these values lead only if no stronger VM claims the lead.
-STRONG_VM_MIN_CORES: Final = 0.8
-STRONG_VM_MIN_LINK_MBPS: Final = 50.0
 
 
 class Vm(NamedTuple):
@@ -205,8 +203,9 @@
         ),
         leadership,
     )
+    contact = StoreContact()
     store = make_store_client(
-        make_store_call(settings.store_address, timer.now_s, record_excess)
+        make_store_call(settings.store_address, timer.now_s, record_excess, contact)
     )
     version_store = VersionStore(store, leadership, leader_client.origins)
     crash_watch = CrashWatch(
@@ -260,6 +259,7 @@
         leader_client.member_count,
         reach,
         leader_server.members_unreachable,
+        contact,
     )
     election.on_snapshot = version_store.take_snapshot
     for topic, cache in topic_caches.items():
@@ -307,6 +307,7 @@
             topic_caches[topic.name],
             leader_client.is_relayed,
             leader_client.shared_retry_pause_s,
+            contact,
         )
         for topic in TOPICS
     )
@@ -589,12 +590,8 @@
 
 
 def _claim_preference(settings: VmSettings) -> float:
-    is_strong = (
-        settings.cpu_cores >= STRONG_VM_MIN_CORES
-        and settings.link_mbps >= STRONG_VM_MIN_LINK_MBPS
-    )
-    drawn = score("leader", settings.name) / HASH_RANGE / 2.0
-    return drawn if is_strong else 0.5 + drawn
+    drawn = score("leader", settings.name) / HASH_RANGE
+    return claim_preference(settings.cpu_cores, settings.link_mbps, drawn)
 
 
 async def _listen_for_requests(
