Pacing: streams that can't start before their callers leave are refused at once

Cause: more prompts than servers can start wait in the servers' own queues until their callers leave. Urgent prompts wait behind less urgent ones, whose callers wait longer.

Change: members report how many answered requests ended at each server. From that rate, the slots and the load the leader expects how long a prompt waits, and its pacing reply says so if the caller would leave before, with the time to return. Less urgent prompts are refused at a shorter wait while more urgent ones come to the same server. A prompt that is certainly in time is not refused, and of each route and customer one is sent after 2 s. All message fields are optional.

--- a/src/_pistachiopond/decisions/prompt_pacing.py
+++ b/src/_pistachiopond/decisions/prompt_pacing.py
@@ -158,8 +158,7 @@
 
         def cost(index: int) -> float:
             candidate = candidates[index]
-            requests = load.get(candidate.server_id, 0.0)
-            requests += self._unreported_prompts(candidate.server_id, period_s, now_s)
+            requests = self.expected_load(candidate.server_id, load, period_s, now_s)
             utilisation = (requests + 1.0) / max(1, candidate.slots)
             return (
                 load_cost(utilisation)
@@ -180,6 +179,21 @@
         wait_s = max(0.0, backlogs_s[index] - max_backlog_s)
         return PacingDecision(index, min(wait_s, limits.max_delay_s))
 
+    def expected_load(
+        self, server_id: str, load: Mapping[str, float], period_s: float, now_s: float
+    ) -> float:
+        """Return a server's requests, including prompts that no report includes yet.
+
+        Parameters
+        ----------
+        server_id : str
+            The server's name.
+        load, period_s, now_s
+            As in `schedule`.
+        """
+        unreported = self._unreported_prompts(server_id, period_s, now_s)
+        return load.get(server_id, 0.0) + unreported
+
     def forget_old(self, now_s: float) -> None:
         """Drop the state of servers that have received no prompt recently."""
         for name, prefill_until_s in list(self._prefill_until_s.items()):
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -96,7 +96,8 @@
     three. `request_crashes` is what earlier leaders have told of whole requests; builds
     that leave this to the leader send none. `lists_waiting` says that the member
     lists in `TokenRequest` the requests that wait for tokens, so that `usage` asks for
-    none for them.
+    none for them. `ended` has the number of answered requests that have ended at each
+    server since the last report; builds that don't count them send none.
     """
 
     member: str
@@ -118,6 +119,7 @@
     refused_parts: NotRequired[dict[str, tuple[float, int]]]
     request_crashes: NotRequired[list[RequestCrashes]]
     lists_waiting: NotRequired[bool]
+    ended: NotRequired[dict[str, int]]
 
 
 class LeaderReply(TypedDict):
@@ -217,12 +219,16 @@
     `places` lists the candidate servers, the preferred first. Each has the time that it
     needs to process the prompt, its slots and a bias that is added to its load, as a
     share of its slots. `most_s` is the longest time that the prompt may be delayed.
+    `patience` is sent for a stream that no server has had: the time until its caller
+    leaves, its objective, its urgency, and its route and customer. Without it the
+    prompt is not refused.
     """
 
     number: int
     places: list[tuple[str, float, int, float]]
     gap_aim_s: float
     most_s: float
+    patience: NotRequired[tuple[float, float, int, str]]
 
 
 class TrialRequest(TypedDict):
@@ -266,11 +272,16 @@
 
 
 class PacingReply(TypedDict):
-    """The server chosen for a prompt, and the time to wait before sending it."""
+    """The server chosen for a prompt, and the time to wait before sending it.
+
+    `return_s` is sent for a prompt that can't start before its caller leaves: it is to
+    be refused, with the time after which its caller should return.
+    """
 
     number: int
     place: int
     wait_s: float
+    return_s: NotRequired[float]
 
 
 class SuspectList(TypedDict):
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -105,6 +105,7 @@
         self.refusals = RefusingServers()
         self._loaded_models: dict[str, LoadedModels] = {}
         self.own_load: dict[str, int] = {}
+        self._ended: dict[str, int] = {}
         self.peer_load: dict[str, int] = {}
         self.ejector = Ejector()
         self.brittle = BrittleServices(self._server_states)
@@ -542,9 +543,16 @@
         """Count a request that is sent to the server."""
         increase(self.own_load, server_id)
 
-    def request_ended(self, server_id: str) -> None:
+    def request_ended(self, server_id: str, *, has_answered: bool = False) -> None:
         """Stop counting a request at the server."""
         decrease(self.own_load, server_id)
+        if has_answered:
+            increase(self._ended, server_id)
+
+    def take_ended(self) -> dict[str, int]:
+        """Return how many requests with an answer ended at servers since last asked."""
+        ended, self._ended = self._ended, {}
+        return ended
 
     def request_sent(self, server: BackendServer) -> None:
         """Record that a request, which has been counted before, is sent."""
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -435,7 +435,8 @@
                 has_answered=self._attempt.has_answered,
                 is_late=asyncio.get_running_loop().time() >= self._admitted.end_s,
             )
-            deps.fleet.request_ended(name)
+            has_answered = self._attempt.has_answered
+            deps.fleet.request_ended(name, has_answered=has_answered)
             deps.model_usage.request_ended(self._selection.model_ref, name)
 
     def _record_if_silent(self, server: BackendServer, sent_s: float) -> None:
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -444,6 +444,7 @@
             "refused_parts": deps.suspects.parts.take_refusals(),
             "request_crashes": encode_records(deps.suspects.take_records()),
             "lists_waiting": True,
+            "ended": deps.fleet.take_ended(),
         }
         if self.origins.lacks_history():
             report["versions_known_s"] = self.origins.contact().known_s
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -29,6 +29,11 @@
 from _pistachiopond.decisions.relay_choice import RelayMember, RelayRing
 from _pistachiopond.decisions.server_crashes import MemberView
 from _pistachiopond.decisions.shared_limits import UsageAllocator, UsageReport
+from _pistachiopond.decisions.start_estimate import (
+    Patience,
+    QueueView,
+    StartEstimates,
+)
 from _pistachiopond.decisions.stream_versions import LEADER_CHANGE_S
 from _pistachiopond.observe.containment import record_unexpected
 from _pistachiopond.observe.logs import log_change, log_warning
@@ -148,6 +153,8 @@
     ----------
     return_counts : Counter of str
         Promised returns, as in `ReturnSchedule`.
+    starts : StartEstimates
+        When prompts start at servers.
     """
 
     def __init__(self, deps: LeaderServerDependencies) -> None:
@@ -169,6 +176,7 @@
         self._parts = PartSuspects()
         self._watched_parts: list[str] = []
         self._prompt_pacer = PromptPacer()
+        self.starts = StartEstimates()
         self._origins_batch = RecordBatch(self._push_origins)
 
     async def run(self, ip: str, port: int) -> None:
@@ -557,6 +565,14 @@
         candidates = [PromptCandidate(*item) for item in request["places"]]
         limits = PacingLimits(request["gap_aim_s"], request["most_s"])
         load = self.totals().load
+        return_s = self._refuse_prompt(request, candidates, load)
+        if return_s is not None:
+            return {
+                "number": request["number"],
+                "place": 0,
+                "wait_s": 0.0,
+                "return_s": round(return_s, 3),
+            }
         decision = self._prompt_pacer.schedule(
             candidates, limits, load, self.report_period_s(), boot_s()
         )
@@ -566,6 +582,28 @@
             "wait_s": round(decision.wait_s, 3),
         }
 
+    def _refuse_prompt(
+        self,
+        request: PacingRequest,
+        candidates: list[PromptCandidate],
+        load: dict[str, int],
+    ) -> float | None:
+        """Return when a prompt that can't start in time should return, else None."""
+        if "patience" not in request:
+            return None
+        now_s, period_s = boot_s(), self.report_period_s()
+        views = [
+            QueueView(
+                item.server_id,
+                self._prompt_pacer.expected_load(item.server_id, load, period_s, now_s),
+                item.slots,
+                item.prefill_s,
+            )
+            for item in candidates
+        ]
+        patience = Patience(*request["patience"])
+        return self.starts.refuse(views, patience, self._deps.incarnations(), now_s)
+
     def _handle_rate_message(self, message: MemberMessage) -> LeaderMessage:
         places = self._deps.places
         if places is None:
@@ -627,6 +665,7 @@
         self._members[report["member"]] = _Member(report, now_s)
         self._left_members.discard(report["member"])
         self._record_crashes(report, now_s)
+        self.starts.record_ended(report.get("ended", {}))
         self._model_waits.pop(report["member"], None)
         leads = leadership.is_leading(now_s)
         if not leads and "fence" in report:
--- a/src/_pistachiopond/vm/pacing.py
+++ b/src/_pistachiopond/vm/pacing.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import Final, final
+from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.prompt_pacing import PrefillRate, PromptCandidate
+from _pistachiopond.decisions.start_estimate import Patience
 from _pistachiopond.schema.caller_request import CallerRequest
 from _pistachiopond.schema.deployment import BackendServer, Route
 from _pistachiopond.schema.peer_messages import PacingReply, PacingRequest
@@ -22,6 +23,12 @@
 LATE_MAX_DELAY_S: Final = 0.3
 
 
+class NoRoom(NamedTuple):
+    """Says that a prompt can't start before its caller leaves, and when to return."""
+
+    return_s: float
+
+
 @final
 class PromptPacing:
     """Sends pacing requests to the leader and estimates servers' prefill rates."""
@@ -49,7 +56,8 @@
         caller: CallerRequest,
         route: Route,
         arrival_s: float,
-    ) -> BackendServer:
+        patience: Patience | None = None,
+    ) -> BackendServer | NoRoom:
         """Wait until a prompt may be sent, and return the server to send it to.
 
         Parameters
@@ -62,6 +70,8 @@
             The request's route.
         arrival_s : float
             When the request arrived, on the event loop's clock.
+        patience : Patience or None
+            How long its caller waits; None if it must not be refused.
         """
         tokens = caller.prompt_tokens
         loop = asyncio.get_running_loop()
@@ -88,6 +98,8 @@
             "gap_aim_s": route.gap_objective_s,
             "most_s": round(max_delay_s, 3),
         }
+        if patience is not None:
+            request["patience"] = tuple(patience)
         if not self._send(request):
             return ranked[0].server
         reply_received = loop.create_future()
@@ -99,6 +111,8 @@
             return ranked[0].server
         finally:
             del self._pending[number]
+        if patience is not None and "return_s" in reply:
+            return NoRoom(reply["return_s"])
         if reply["wait_s"] > 0.0:
             await asyncio.sleep(reply["wait_s"])
         return ranked[reply["place"]].server
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -482,6 +482,12 @@
             f"Returns of callers refused by a customer's limit, as leader: {outcome}.",
             partial(vm.leader_server.return_counts.__getitem__, outcome),
         )
+    for outcome in ("refused", "let_through"):
+        metrics.gauge(
+            f"pond_late_starts_{outcome}",
+            f"Prompts that could not start in time, as leader: {outcome}.",
+            partial(vm.leader_server.starts.counts.__getitem__, outcome),
+        )
     metrics.gauge(
         "pond_unreachable_services",
         "Services whose servers this VM cannot reach.",
--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -11,12 +11,14 @@
     WaitPlan,
     plan_wait,
 )
+from _pistachiopond.decisions.start_estimate import Patience
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.schema.deployment import BackendServer
 from _pistachiopond.vm.admission import Admitted
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import ModelRef, RankedServer
 from _pistachiopond.vm.forward_dependencies import ForwardDependencies
+from _pistachiopond.vm.pacing import NoRoom
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal
 from _pistachiopond.vm.server_places import Place
 from _pistachiopond.vm.version_binding import VersionBinding
@@ -29,6 +31,8 @@
 MIN_CALLER_WAIT_S: Final = 2.0
 CALLER_WAIT_OBJECTIVES: Final = 4.0
 CALLER_WAIT_SHARE: Final = 0.6
+# Callers also wait for a first event for this many of the longest allowed pauses.
+CALLER_WAIT_GAPS: Final = 8.0
 # A server that executes an order to load or unload a model refuses requests for about
 # a hundred milliseconds.
 ORDER_WAIT_S: Final = 0.12
@@ -92,6 +96,7 @@
         self._latest_wait_s: float | None = None
         self._retry_after_s: float | None = None
         self._has_waited = False
+        self._has_no_room = False
         self._place: Place | None = None
         self.tried: set[str] = set()
         self.lack = "no server available"
@@ -104,7 +109,7 @@
         was_refused : bool
             Whether a server has said that it did not run the request.
         """
-        while not self._is_refused():
+        while not (self._is_refused() or self._has_no_room):
             self._place = None
             ranked = self._rank(frozenset(self.tried))
             limited = self._rank_limited(frozenset(self.tried))
@@ -125,23 +130,56 @@
                 ranked = found
             if not ranked:
                 return None
-            server = await self._pace(ranked)
+            server = await self._pace(ranked, can_refuse=not limited)
             if server is not None:
                 return server
         return None
 
-    async def _pace(self, ranked: list[RankedServer]) -> BackendServer | None:
-        """Return the server to send to now; None if all are to be ranked again."""
+    async def _pace(
+        self, ranked: list[RankedServer], *, can_refuse: bool
+    ) -> BackendServer | None:
+        """Return the server to send to now; None if all are to be ranked again.
+
+        None also if there is no room at them before the caller leaves.
+        """
         if not self.model_ref.model:
             return ranked[0].server
         server = await self._deps.pacing.choose_server(
-            ranked, self._admitted.caller, self._admitted.route, self._arrival_s
+            ranked,
+            self._admitted.caller,
+            self._admitted.route,
+            self._arrival_s,
+            self._patience() if can_refuse and not self.tried else None,
         )
+        if isinstance(server, NoRoom):
+            self._has_no_room = True
+            self.lack = "no start expected before the caller leaves"
+            return_s = max(RETRY_SOON_S, server.return_s)
+            self._retry_after_s = min(MAX_RETRY_AFTER_S, return_s)
+            return None
         if self.may_send(server) and self._deps.fleet.has_place(server):
             return server
         # It asked for a pause or said that it leaves while the prompt was delayed.
         return None
 
+    def _patience(self) -> Patience | None:
+        """Return how long the caller waits for a stream; None for other requests."""
+        route, customer = self._admitted.route, self._admitted.customer
+        if route.kind != "stream":
+            return None
+        patience_s = max(
+            MIN_CALLER_WAIT_S,
+            CALLER_WAIT_OBJECTIVES * route.latency_objective_s,
+            CALLER_WAIT_GAPS * route.gap_objective_s,
+        )
+        end_s = min(self._arrival_s + patience_s, self._admitted.end_s)
+        return Patience(
+            give_up_s=round(end_s - asyncio.get_running_loop().time(), 3),
+            objective_s=route.latency_objective_s,
+            rank=self._admitted.rank,
+            origin=f"{route.name}/{customer.name if customer else ''}",
+        )
+
     def may_send(self, server: BackendServer) -> bool:
         """Return whether the request may be sent to the chosen server now.
 
--- a/testing/vm/test_pacing.py
+++ b/testing/vm/test_pacing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 from _pistachiopond.schema.caller_request import CallerRequest
 from _pistachiopond.schema.peer_messages import PacingRequest
@@ -67,6 +68,36 @@
                 self.assertLess(loop.time() - began_s, 3 * REPLY_TIMEOUT_S)
             self.assertEqual(len(requests), 2)
 
+    async def test_the_leader_hears_of_answered_requests_that_ended(self) -> None:
+        async with running_deployment() as deployment:
+            await deployment.add_server("s1", "plain")
+            await asyncio.sleep(2.0)
+            ended: list[dict[str, int]] = []
+            starts = deployment.vm.leader_server.starts
+            with patch.object(starts, "record_ended", ended.append):
+                for _ in range(3):
+                    await deployment.call("/open/x")
+                await asyncio.sleep(0.5)
+            self.assertEqual(sum(item.get("s1", 0) for item in ended), 3)
+
+    async def test_a_prompt_is_refused_at_once_if_no_server_starts_it_in_time(
+        self,
+    ) -> None:
+        async with running_deployment() as deployment:
+            models = [{"name": "m1", "version": 1, "adapters": []}]
+            server = await deployment.add_server("s1", "engines", models=models)
+            server.models = models
+            starts = deployment.vm.leader_server.starts
+            # Tokens of the customer's limit are there after the start of the leader.
+            await asyncio.sleep(2.0)
+            with patch.object(starts, "refuse", lambda *_: 1.25):
+                answer = await deployment.call(
+                    "/model/x", X_Model="m1", X_Token_Counts="100,10"
+                )
+            self.assertEqual(answer.head.status, 503)
+            self.assertEqual(answer.head.value(b"retry-after"), b"1.250")
+            self.assertEqual(server.requests, [])
+
 
 if __name__ == "__main__":
     unittest.main()
