Choice of servers: goes by speeds that the leader learns

Cause: servers of one service run at 0.6, 1.0 and 1.6 of one speed, and load over slots gives each the same number of requests.

Change: members measure the time per event of streams and the run time of plain requests. The leader compares the servers' means for like requests over all members, and tells speeds that have changed by more than a tenth. The cost of a server in choice and pacing is divided by its speed. Equal servers, within 15 % and four standard errors, count as equal. All message fields are optional.

--- a/src/_pistachiopond/decisions/prompt_pacing.py
+++ b/src/_pistachiopond/decisions/prompt_pacing.py
@@ -10,6 +10,7 @@
 
 from collections import deque
 from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.server_choice import load_cost
@@ -135,6 +136,7 @@
         load: Mapping[str, float],
         period_s: float,
         now_s: float,
+        speeds: Mapping[str, float] = MappingProxyType({}),
     ) -> PacingDecision:
         """Choose the server and the time to send a prompt, and reserve its prefill.
 
@@ -150,6 +152,9 @@
             The time between two reports of a VM.
         now_s : float
             The time in seconds.
+        speeds : mapping of str to float
+            Servers that are faster or slower than the mean of their service, which is
+            1.
         """
         max_backlog_s = limits.gap_objective_s * MAX_BACKLOG_SHARE
         backlogs_s = [
@@ -159,9 +164,10 @@
         def cost(index: int) -> float:
             candidate = candidates[index]
             requests = self.expected_load(candidate.server_id, load, period_s, now_s)
+            speed = speeds.get(candidate.server_id, 1.0)
             utilisation = (requests + 1.0) / max(1, candidate.slots)
             return (
-                load_cost(utilisation)
+                load_cost(utilisation, speed)
                 + candidate.bias
                 + BACKLOG_COST_PER_S * backlogs_s[index]
             )
--- a/src/_pistachiopond/decisions/server_choice.py
+++ b/src/_pistachiopond/decisions/server_choice.py
@@ -33,6 +33,8 @@
     is_unhealthy : bool
         Whether it is believed to be unhealthy, such as after recent failures. Such
         a server is used only if there is no other.
+    speed : float
+        Its speed, 1 for the mean of its service.
     """
 
     server_id: str
@@ -40,6 +42,7 @@
     slots: int
     is_local: bool
     is_unhealthy: bool
+    speed: float = 1.0
 
 
 class RankedCandidate(NamedTuple):
@@ -82,15 +85,19 @@
     }
 
 
-def load_cost(utilisation: float) -> float:
+def load_cost(utilisation: float, speed: float = 1.0) -> float:
     """Return the cost of sending a request to a server with that utilisation.
 
     Parameters
     ----------
     utilisation : float
         The server's load divided by its slots; above 1 if requests queue.
+    speed : float
+        Its speed, 1 for the mean of its service. A fast server has no more slots, so
+        requests queue from the same load on, but for a shorter time.
     """
-    return utilisation + QUEUED_LOAD_WEIGHT * max(0.0, utilisation - 1.0)
+    queued = QUEUED_LOAD_WEIGHT * max(0.0, utilisation - 1.0)
+    return (utilisation + queued) / speed
 
 
 def rank_candidates(
@@ -115,7 +122,8 @@
     biases = candidate_biases(healthy, prompt_id)
     ranked = sorted(
         (
-            load_cost(item.load / max(1, item.slots)) + biases[item.server_id],
+            load_cost(item.load / max(1, item.slots), item.speed)
+            + biases[item.server_id],
             rng.random(),
             RankedCandidate(item.server_id, biases[item.server_id]),
         )
--- a/src/_pistachiopond/decisions/start_estimate.py
+++ b/src/_pistachiopond/decisions/start_estimate.py
@@ -29,7 +29,7 @@
 REFUSED_WAIT_SHARE: Final = 0.9
 # While more urgent prompts go to the same servers, the others are refused from this
 # share of the time until a more urgent one's caller leaves. With 0.4, more of the
-# others are lost than urgent ones are saved; with 0.8, twice as many urgent ones are.
+# others are lost than urgent ones are saved; with 0.8, three times as many urgent ones.
 YIELD_SHARE: Final = 0.6
 YIELD_MEMORY_S: Final = 2.0
 # None is refused whose expected wait is below this share of its objective: it is in
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -74,6 +74,13 @@
 RequestCrashes = tuple[str, float, list[str]]
 
 
+# A server and its incarnation, what the measured requests have in common, their number,
+# and the sums of the logarithms of their times in seconds and of the squares.
+SpeedSampleMessage = tuple[str, int, str, int, float, float]
+# A server, its incarnation, and its speed, 1 for the mean of its service.
+ServerSpeed = tuple[str, int, float]
+
+
 class MemberReport(TypedDict):
     """A VM's report to the leader.
 
@@ -120,6 +127,7 @@
     request_crashes: NotRequired[list[RequestCrashes]]
     lists_waiting: NotRequired[bool]
     ended: NotRequired[dict[str, int]]
+    speeds: NotRequired[list[SpeedSampleMessage]]
 
 
 class LeaderReply(TypedDict):
@@ -309,7 +317,10 @@
 
 
 class LeaderMessage(TypedDict, total=False):
-    """One line from the leader: a reply, or updates since the last line."""
+    """One line from the leader: a reply, or updates since the last line.
+
+    `speeds` has the servers whose speed has changed; older builds send none.
+    """
 
     answer: LeaderReply
     held: list[LoadedModelsUpdate]
@@ -322,6 +333,7 @@
     origins: list[StreamOrigin]
     placed: NotRequired[PlaceReply]
     rates: NotRequired[list[ServerRate]]
+    speeds: NotRequired[list[ServerSpeed]]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -36,6 +36,9 @@
 # between events, only so much counts, since this process may have stood still.
 SOUND_STREAM_S: Final = 1.0
 MAX_COUNTED_PAUSE_S: Final = 0.25
+# Streams with fewer events don't count for their server's time per event, since their
+# first and last ones take other times.
+MIN_TIMED_EVENTS: Final = 8
 
 
 class Outcome(NamedTuple):
@@ -330,6 +333,8 @@
         response = CompleteResponse(head, b"".join(chunks))
         if not 200 <= head.status < 300:
             return Outcome("failure", f"the server answered {head.status}", response)
+        now_s = asyncio.get_running_loop().time()
+        self._target.record_time(now_s - self._sent_s)
         await write_response(self._responder, response)
         return DELIVERED
 
@@ -342,6 +347,7 @@
         longest_pause_s = 0.0
         prompt_tokens = self._admitted.caller.prompt_tokens
         splitter = self._splitter_for(head)
+        first_s, events = 0.0, 0
         while chunk := await connection.read_chunk():
             now_s = loop.time()
             if prompt_tokens:
@@ -353,6 +359,7 @@
             if splitter is not None:
                 chunk = splitter.feed(chunk)
             if chunk:
+                first_s, events = first_s or now_s, events + chunk.count(b"\n\n")
                 self._count_streaming(now_s)
                 if not responder.has_started:
                     await self._before_events()
@@ -370,6 +377,8 @@
         if not responder.has_started:
             await responder.start_response(head.status, response_headers(head), None)
         await responder.end()
+        if events >= MIN_TIMED_EVENTS:
+            self._target.record_time((last_s - first_s) / (events - 1))
         self._log_if_late(longest_pause_s, head_s)
         return DELIVERED
 
--- a/src/_pistachiopond/vm/attempt_target.py
+++ b/src/_pistachiopond/vm/attempt_target.py
@@ -1,6 +1,7 @@
 """Where an attempt sends a request: to a backend server, or to another VM."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from _pistachiopond.http1.messages import Request, ResponseHead
@@ -42,6 +43,9 @@
     record_prefill : callable
         Called with the prompt's tokens and the seconds from sending the request to the
         first bytes of a stream.
+    record_time : callable
+        Called with the seconds that the server took for a plain request, or for an
+        event of a stream.
     record_reset : callable
         Called when a kept connection was found closed, with the seconds that it had
         been idle and the seconds since the request was sent.
@@ -58,6 +62,7 @@
     take_notice: Callable[[ResponseHead], None]
     record_sent: Callable[[], None]
     record_prefill: Callable[[int, float], None]
+    record_time: Callable[[float], None]
     record_reset: Callable[[float, float], None]
     record_timeout: Callable[[], None]
 
@@ -84,6 +89,8 @@
         )
         return encode_forwarded(request, context)
 
+    # Requests of a route to one model take about the same time for each event.
+    kind = f"{server.service}/{admitted.caller.model}/{admitted.route.name}"
     return Target(
         name=server.server_id,
         pool=pools.pool_of(server),
@@ -94,6 +101,7 @@
         take_notice=lambda head: fleet.apply_notice(server, decode_notice(head)),
         record_sent=lambda: fleet.request_sent(server),
         record_prefill=lambda tokens, seconds: record_prefill(server, tokens, seconds),
+        record_time=partial(fleet.speed_samples.add, server.incarnation(), kind),
         record_reset=lambda idle_s, after_s: pools.record_reset(
             server.service, idle_s, after_s
         ),
@@ -151,6 +159,9 @@
     def ignore_prefill(tokens: int, seconds: float) -> None:
         """Ignore the time; the other VM measures the server's."""
 
+    def ignore_time(seconds: float) -> None:
+        """Ignore the time; the other VM measures the server's."""
+
     def ignore_reset(idle_s: float, after_s: float) -> None:
         """Ignore a closed connection; it says nothing about servers."""
 
@@ -164,6 +175,7 @@
         take_notice=ignore_notice,
         record_sent=lambda: None,
         record_prefill=ignore_prefill,
+        record_time=ignore_time,
         record_reset=ignore_reset,
         record_timeout=lambda: None,
     )
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -19,6 +19,11 @@
 from _pistachiopond.decisions.server_pauses import MAX_PAUSE_S, ServerPauses
 from _pistachiopond.decisions.server_rates import NamedRates
 from _pistachiopond.decisions.server_silences import ServerSilences
+from _pistachiopond.decisions.server_speeds import (
+    MAX_SPEED,
+    MIN_SPEED,
+    SpeedSamples,
+)
 from _pistachiopond.observe.logs import log_change, log_warning
 from _pistachiopond.platform.servers import decode_server
 from _pistachiopond.platform.store import KeyedRecord
@@ -106,6 +111,9 @@
         self._loaded_models: dict[str, LoadedModels] = {}
         self.own_load: dict[str, int] = {}
         self._ended: dict[str, int] = {}
+        # As the leader last told; kept while there is none.
+        self.speeds: dict[Incarnation, float] = {}
+        self.speed_samples = SpeedSamples()
         self.peer_load: dict[str, int] = {}
         self.ejector = Ejector()
         self.brittle = BrittleServices(self._server_states)
@@ -549,6 +557,16 @@
         if has_answered:
             increase(self._ended, server_id)
 
+    def set_speeds(self, speeds: Mapping[Incarnation, float]) -> None:
+        """Apply the speeds that the leader has told; drop those of earlier starts."""
+        live = {server.incarnation() for server in self.servers.values()}
+        known = self.speeds | speeds
+        self.speeds = {
+            key: min(MAX_SPEED, max(MIN_SPEED, speed))
+            for key, speed in known.items()
+            if key in live or key in speeds
+        }
+
     def take_ended(self) -> dict[str, int]:
         """Return how many requests with an answer ended at servers since last asked."""
         ended, self._ended = self._ended, {}
@@ -619,6 +637,7 @@
             is_unhealthy=is_used_last
             or name in self._expired_until_s
             or self.ejector.is_ejected(name, now_s),
+            speed=self.speeds.get(server.incarnation(), 1.0),
         )
 
     def _is_open(self, server: BackendServer, now_s: float) -> bool:
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -401,6 +401,10 @@
     def _apply_rates(self, message: dict[str, Any]) -> None:
         for name, started_ms, rate_per_s in message.get("rates", ()):
             self._deps.fleet.record_rate((name, started_ms), rate_per_s, "leader")
+        if "speeds" in message:
+            self._deps.fleet.set_speeds(
+                {(name, ms): speed for name, ms, speed in message["speeds"]}
+            )
         if "placed" in message:
             self.places.take_reply(message["placed"])
 
@@ -445,6 +449,7 @@
             "request_crashes": encode_records(deps.suspects.take_records()),
             "lists_waiting": True,
             "ended": deps.fleet.take_ended(),
+            "speeds": [tuple(sample) for sample in deps.fleet.speed_samples.take()],
         }
         if self.origins.lacks_history():
             report["versions_known_s"] = self.origins.contact().known_s
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final, NamedTuple, final
 
 from _pistachiopond.decisions.crash_counts import (
@@ -28,6 +28,7 @@
 )
 from _pistachiopond.decisions.relay_choice import RelayMember, RelayRing
 from _pistachiopond.decisions.server_crashes import MemberView
+from _pistachiopond.decisions.server_speeds import ServerSpeeds, SpeedSample
 from _pistachiopond.decisions.shared_limits import UsageAllocator, UsageReport
 from _pistachiopond.decisions.start_estimate import (
     Patience,
@@ -49,6 +50,7 @@
     PacingReply,
     PacingRequest,
     RefusingUpdate,
+    ServerSpeed,
     StreamOrigin,
     SuspectList,
     TokenRequest,
@@ -123,6 +125,8 @@
         The time after a server's crash in which its entry is gone.
     store_streams : callable
         Called with the streams' versions that are relayed, to keep them in the store.
+    speeds : callable
+        Returns the servers' speeds that an earlier leader told.
     """
 
     leadership: Leadership
@@ -138,6 +142,7 @@
     places: DealtPlaces | None = None
     entry_lapse_s: float = ENTRY_LAPSE_S
     store_streams: Callable[[list[StreamOrigin]], None] = lambda _: None
+    speeds: Callable[[], dict[Incarnation, float]] = dict
 
 
 class _Member(NamedTuple):
@@ -177,6 +182,8 @@
         self._watched_parts: list[str] = []
         self._prompt_pacer = PromptPacer()
         self.starts = StartEstimates()
+        self._speeds = ServerSpeeds()
+        self._leads_speeds = False
         self._origins_batch = RecordBatch(self._push_origins)
 
     async def run(self, ip: str, port: int) -> None:
@@ -400,6 +407,23 @@
             )
         return is_new
 
+    def _record_speeds(self, report: MemberReport, now_s: float) -> None:
+        if not self._deps.leadership.is_mine():
+            self._leads_speeds = False
+            return
+        if not self._leads_speeds:
+            self._leads_speeds = True
+            self._speeds = ServerSpeeds()
+            self._speeds.adopt(self._deps.speeds())
+        self._speeds.record(SpeedSample(*item) for item in report.get("speeds", ()))
+        changed = self._speeds.update(self._deps.incarnations(), now_s)
+        if changed:
+            self._broadcast({"speeds": _encode_speeds(changed)})
+            log_change(
+                "servers' speeds changed",
+                speeds={name: speed for (name, _), speed in changed.items()},
+            )
+
     def _held(self, now_s: float) -> dict[str, float]:
         """Return the requests whose unconfirmed crashes are held against them."""
         watch = self._deps.crash_watch
@@ -574,7 +598,12 @@
                 "return_s": round(return_s, 3),
             }
         decision = self._prompt_pacer.schedule(
-            candidates, limits, load, self.report_period_s(), boot_s()
+            candidates,
+            limits,
+            load,
+            self.report_period_s(),
+            boot_s(),
+            {name: speed for (name, _), speed in self._speeds.told().items()},
         )
         return {
             "number": request["number"],
@@ -651,6 +680,8 @@
             # Other VMs' records of that time may still be on their way.
             max_age_s = message["origins_age_s"] + LEADER_CHANGE_S
             reply["origins"] = self._deps.origins.recent_records(max_age_s)
+        if self._speeds.told():
+            reply["speeds"] = _encode_speeds(self._speeds.told())
         if self._deps.places is not None:
             reply["rates"] = self._deps.places.rates()
         return reply
@@ -666,6 +697,7 @@
         self._left_members.discard(report["member"])
         self._record_crashes(report, now_s)
         self.starts.record_ended(report.get("ended", {}))
+        self._record_speeds(report, now_s)
         self._model_waits.pop(report["member"], None)
         leads = leadership.is_leading(now_s)
         if not leads and "fence" in report:
@@ -770,6 +802,10 @@
     return frozenset((name, started_ms) for name, started_ms in plain)
 
 
+def _encode_speeds(speeds: Mapping[Incarnation, float]) -> list[ServerSpeed]:
+    return [(name, started_ms, speed) for (name, started_ms), speed in speeds.items()]
+
+
 def _usage_of(report: MemberReport) -> dict[str, tuple[float, float, float, float]]:
     """Return a report's usage; requests that are listed apart lack nothing in it."""
     if not report.get("lists_waiting"):
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -224,6 +224,7 @@
             dealt_places,
             EXPIRY_HEARTBEATS * settings.heartbeat_s + ENTRY_READ_S,
             version_store.add_streams,
+            lambda: fleet.speeds,
         )
     )
     placer.leader_server = leader_server
--- a/testing/decisions/limit_callers.py
+++ b/testing/decisions/limit_callers.py
@@ -61,6 +61,8 @@
     """A run with or without promised returns."""
 
     def __init__(self, seed: int, *, promises: bool, vms: int = 12) -> None:
+        # Apart, so that the arrivals are the same with every rule.
+        self._arrival_rng = random.Random(seed)
         self._rng = random.Random(seed)
         self._promises = promises
         self._vms = {f"vm-{n}": CustomerBalances() for n in range(vms)}
@@ -113,10 +115,10 @@
     def _arrive(self, customer: CustomerSpec, load: float, end_s: float) -> None:
         if self.now_s >= end_s:
             return
-        cost = self._rng.uniform(0.25, 1.75) * MEAN_COST
+        cost = self._arrival_rng.uniform(0.25, 1.75) * MEAN_COST
         name = f"request-{self._count}"
         self._begin(Ask(customer, name, cost, self.now_s + DEADLINE_S, False))
-        gap_s = self._rng.expovariate(load * customer.rate_per_s / MEAN_COST)
+        gap_s = self._arrival_rng.expovariate(load * customer.rate_per_s / MEAN_COST)
         self._at(self.now_s + gap_s, lambda: self._arrive(customer, load, end_s))
 
     def _begin(self, ask: Ask) -> None:
--- a/testing/decisions/queue_callers.py
+++ b/testing/decisions/queue_callers.py
@@ -50,6 +50,8 @@
     route: Route
     sent_s: float
     deadline_s: float
+    # Relative to the mean time that a server takes.
+    length: float
     is_return: bool
 
 
@@ -73,6 +75,8 @@
         twice.
     refused : Counter of Route
         Refusals.
+    durations_s : list of float
+        The times from sending a request to a server until the end of its answer.
     """
 
     def __init__(
@@ -85,7 +89,9 @@
         overload: tuple[float, float] = (4.0, 12.0),
         factor: float = 3.0,
     ) -> None:
+        # Apart, so that the arrivals are the same with every rule.
         self._rng = random.Random(seed)
+        self._late_rng = random.Random(seed)
         self._servers = {f"s{n}": _Server(speed) for n, speed in enumerate(speeds)}
         self._estimates = StartEstimates() if refuses else None
         self._pacer = PromptPacer()
@@ -95,10 +101,12 @@
         self._overload, self._factor = overload, factor
         self._routes = routes
         self.service_s = 0.8
-        self.speed_of: Callable[[str], float] = lambda _: 1.0
+        # The servers' speeds as far as the leader knows them.
+        self.speeds: dict[str, float] = {}
         self.now_s = 0.0
         self.ends: Counter[tuple[Route, str]] = Counter()
         self.refused: Counter[Route] = Counter()
+        self.durations_s: list[float] = []
 
     def run(self, end_s: float = 20.0) -> None:
         """Run the load."""
@@ -118,7 +126,9 @@
         factor = self._factor if start_s <= self.now_s < end_s else 1.0
         # Thinned arrivals, so that the overload begins at once.
         if self._rng.random() < factor / self._factor:
-            self._send(_Prompt(route, self.now_s, self.now_s + DEADLINE_S, False))
+            length = self._rng.uniform(0.5, 1.5)
+            deadline_s = self.now_s + DEADLINE_S
+            self._send(_Prompt(route, self.now_s, deadline_s, length, False))
         gap_s = self._rng.expovariate(route.rate_per_s * self._factor)
         self._at(self.now_s + gap_s, lambda: self._arrive(route))
 
@@ -146,7 +156,12 @@
                 return
         candidates = [PromptCandidate(name, 0.0, SLOTS, 0.0) for name in self._servers]
         choice = self._pacer.schedule(
-            candidates, PacingLimits(0.2, 0.1), self._reported, REPORT_S, self.now_s
+            candidates,
+            PacingLimits(0.2, 0.1),
+            self._reported,
+            REPORT_S,
+            self.now_s,
+            self.speeds,
         )
         server = self._servers[candidates[choice.candidate_index].server_id]
         prompt = prompt._replace(sent_s=self.now_s)
@@ -166,10 +181,13 @@
             wait_s = self.now_s - prompt.sent_s
             in_time = wait_s <= prompt.route.objective_s and not prompt.is_return
             self.ends[prompt.route, "in_time" if in_time else "late"] += 1
-            run_s = self._rng.uniform(0.5, 1.5) * self.service_s / server.speed
-            self._at(self.now_s + run_s, lambda: self._end(server))
+            run_s = prompt.length * self.service_s / server.speed
+            self._at(
+                self.now_s + run_s, lambda prompt=prompt: self._end(server, prompt)
+            )
 
-    def _end(self, server: _Server) -> None:
+    def _end(self, server: _Server, prompt: _Prompt) -> None:
+        self.durations_s.append(self.now_s - prompt.sent_s)
         server.running -= 1
         server.ended += 1
         self._start(server)
@@ -181,7 +199,7 @@
             return
         most_s = (prompt.deadline_s - self.now_s) * RETRY_SHARE
         wait_s = min(max(SOON_S, retry_s), MAX_RETRY_S, most_s)
-        at_s = self.now_s + wait_s + self._rng.uniform(0.0, LATE_S)
+        at_s = self.now_s + wait_s + self._late_rng.uniform(0.0, LATE_S)
         self._at(at_s, lambda: self._send(prompt._replace(is_return=True)))
 
     def _report(self) -> None:
