--- a/src/_pistachiopond/decisions/prompt_pacing.py
+++ b/src/_pistachiopond/decisions/prompt_pacing.py
@@ -10,6 +10,7 @@
 
 from collections import deque
 from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 from typing import Final, NamedTuple, final
 
 from _pistachiopond.decisions.server_choice import load_cost
@@ -135,6 +136,7 @@
         load: Mapping[str, float],
         period_s: float,
         now_s: float,
+        speeds: Mapping[str, float] = MappingProxyType({}),
     ) -> PacingDecision:
         """Choose the server and the time to send a prompt, and reserve its prefill.
 
@@ -150,6 +152,9 @@
             The time between two reports of a VM.
         now_s : float
             The time in seconds.
+        speeds : mapping of str to float
+            Servers that are faster or slower than the mean of their service, which is
+            1.
         """
         max_backlog_s = limits.gap_objective_s * MAX_BACKLOG_SHARE
         backlogs_s = [
@@ -158,11 +163,11 @@
 
         def cost(index: int) -> float:
             candidate = candidates[index]
-            requests = load.get(candidate.server_id, 0.0)
-            requests += self._unreported_prompts(candidate.server_id, period_s, now_s)
+            requests = self.expected_load(candidate.server_id, load, period_s, now_s)
+            speed = speeds.get(candidate.server_id, 1.0)
             utilisation = (requests + 1.0) / max(1, candidate.slots)
             return (
-                load_cost(utilisation)
+                load_cost(utilisation, speed)
                 + candidate.bias
                 + BACKLOG_COST_PER_S * backlogs_s[index]
             )
@@ -180,6 +185,21 @@
         wait_s = max(0.0, backlogs_s[index] - max_backlog_s)
         return PacingDecision(index, min(wait_s, limits.max_delay_s))
 
+    def expected_load(
+        self, server_id: str, load: Mapping[str, float], period_s: float, now_s: float
+    ) -> float:
+        """Return a server's requests, including prompts that no report includes yet.
+
+        Parameters
+        ----------
+        server_id : str
+            The server's name.
+        load, period_s, now_s
+            As in `schedule`.
+        """
+        unreported = self._unreported_prompts(server_id, period_s, now_s)
+        return load.get(server_id, 0.0) + unreported
+
     def forget_old(self, now_s: float) -> None:
         """Drop the state of servers that have received no prompt recently."""
         for name, prefill_until_s in list(self._prefill_until_s.items()):
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -84,6 +84,13 @@
 RequestCrashes = tuple[str, float, list[str]]
 
 
+# A server and its incarnation, what the measured requests have in common, their number,
+# and the sums of the logarithms of their times in seconds and of the squares.
+SpeedSampleMessage = tuple[str, int, str, int, float, float]
+# A server, its incarnation, and its speed, 1 for the mean of its service.
+ServerSpeed = tuple[str, int, float]
+
+
 class MemberReport(TypedDict):
     """A VM's report to the leader.
 
@@ -106,7 +113,8 @@
     three. `request_crashes` is what earlier leaders have told of whole requests; builds
     that leave this to the leader send none. `lists_waiting` says that the member
     lists in `TokenRequest` the requests that wait for tokens, so that `usage` asks for
-    none for them.
+    none for them. `ended` has the number of answered requests that have ended at each
+    server since the last report; builds that don't count them send none.
     """
 
     member: str
@@ -128,6 +136,8 @@
     refused_parts: NotRequired[dict[str, tuple[float, int]]]
     request_crashes: NotRequired[list[RequestCrashes]]
     lists_waiting: NotRequired[bool]
+    ended: NotRequired[dict[str, int]]
+    speeds: NotRequired[list[SpeedSampleMessage]]
 
 
 class LeaderReply(TypedDict):
@@ -227,12 +237,16 @@
     `places` lists the candidate servers, the preferred first. Each has the time that it
     needs to process the prompt, its slots and a bias that is added to its load, as a
     share of its slots. `most_s` is the longest time that the prompt may be delayed.
+    `patience` is sent for a stream that no server has had: the time until its caller
+    leaves, its objective, its urgency, and its route and customer. Without it the
+    prompt is not refused.
     """
 
     number: int
     places: list[tuple[str, float, int, float]]
     gap_aim_s: float
     most_s: float
+    patience: NotRequired[tuple[float, float, int, str]]
 
 
 class TrialRequest(TypedDict):
@@ -278,11 +292,16 @@
 
 
 class PacingReply(TypedDict):
-    """The server chosen for a prompt, and the time to wait before sending it."""
+    """The server chosen for a prompt, and the time to wait before sending it.
+
+    `return_s` is sent for a prompt that can't start before its caller leaves: it is to
+    be refused, with the time after which its caller should return.
+    """
 
     number: int
     place: int
     wait_s: float
+    return_s: NotRequired[float]
 
 
 class SuspectList(TypedDict):
@@ -310,7 +329,10 @@
 
 
 class LeaderMessage(TypedDict, total=False):
-    """One line from the leader: a reply, or updates since the last line."""
+    """One line from the leader: a reply, or updates since the last line.
+
+    `speeds` has the servers whose speed has changed; older builds send none.
+    """
 
     answer: LeaderReply
     held: list[LoadedModelsUpdate]
@@ -324,6 +346,7 @@
     placed: NotRequired[PlaceReply]
     rates: NotRequired[list[ServerRate]]
     cold: NotRequired[list[ColdServer]]
+    speeds: NotRequired[list[ServerSpeed]]
 
 
 def encode_line(message: Any) -> bytes:
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -429,6 +429,10 @@
         for name, started_ms, rate_per_s in message.get("rates", ()):
             self._deps.fleet.record_rate((name, started_ms), rate_per_s, "leader")
         take_cold(self._deps.fleet, message.get("cold", ()), "leader")
+        if "speeds" in message:
+            self._deps.fleet.set_speeds(
+                {(name, ms): speed for name, ms, speed in message["speeds"]}
+            )
         if "placed" in message:
             self.places.take_reply(message["placed"])
 
@@ -472,6 +476,8 @@
             "refused_parts": deps.suspects.parts.take_refusals(),
             "request_crashes": encode_records(deps.suspects.take_records()),
             "lists_waiting": True,
+            "ended": deps.fleet.take_ended(),
+            "speeds": [tuple(sample) for sample in deps.fleet.speed_samples.take()],
         }
         if self.origins.lacks_history():
             report["versions_known_s"] = self.origins.contact().known_s
