--- a/testing/platform_adapter/test_odd_values.py
+++ b/testing/platform_adapter/test_odd_values.py
@@ -203,6 +203,7 @@
     "_decode_tokens",
     # Of the settings file, which is read at the start.
     "_decode_bounds",
+    "_decode_limit",
 }
 SOURCE: Final = Path(_pistachiopond.__path__[0])
 FOLDERS: Final = ("platform", "vm", "schema")
