--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -242,10 +242,12 @@
             self._place = place
             if place.is_limit_end and self._is_unlimited(place.server):
                 # Others have waited for the same time, so the least loaded is chosen.
+                # What has waited for a place is not refused by an estimate as well.
                 ranked = self._rank(frozenset(self.tried))
-                server = await self._pace(ranked) if ranked else None
-                if server is not None:
-                    return server
+                if ranked:
+                    server = await self._pace(ranked, can_refuse=False)
+                    if server is not None:
+                        return server
             elif self.may_send(place.server):
                 return place.server
             log_change(
