--- a/testing/vm/cold_servers.py
+++ b/testing/vm/cold_servers.py
@@ -30,6 +30,8 @@
 COLD_AT_S: Final = 2.0
 AFTER_S: Final = 1.5
 WORK_S: Final = 0.02
+# The data centre of servers that become cold, where it is evacuated.
+ZONE: Final = "north"
 # As in the entries of `server_entry`, which the servers start with.
 FIRST_BORN: Final = 1_000
 
@@ -49,6 +51,8 @@
         self.world = world
         self.cold_until_s: dict[int, float] = {}
         self.born = FIRST_BORN
+        # So many servers, the first ones, are in the data centre that is evacuated.
+        self.evacuable = 0
         for number, server in enumerate(world.servers):
             server.step = self._answer(number, server)  # type: ignore[method-assign]
 
@@ -89,6 +93,7 @@
             "{}:{}".format(*world.server_addresses[number]),
             slots=8,
             born=self.born if is_cold else FIRST_BORN,
+            zone=ZONE if number < self.evacuable else "here",
             **more,
         )
         world.cluster.store.put("keyed.servers", f"s{number}", entry)
@@ -105,6 +110,8 @@
         How many requests each cold server got in its cold phase.
     after : list of int
         How many each of them got in the second after it.
+    evacuated : list of int
+        How many each of them got while its data centre was evacuated.
     answers : Counter
         What the callers got in the end, by status.
     """
@@ -112,16 +119,21 @@
     most: list[int]
     arrived: list[int]
     after: list[int]
+    evacuated: list[int]
     answers: Counter[int]
 
     def problems(self, case: "ColdCase") -> list[str]:
         """Return what operators do not accept."""
         allowed = COLD_PER_S * COLD_OVER + COLD_SLACK
         enough = case.min_share * COLD_PER_S * (COLD_START_S - READ_S)
+        if case.evacuated_s is not None:
+            from_s, until_s = case.evacuated_s
+            enough *= 1.0 - (until_s - max(0.0, from_s)) / COLD_START_S
         found = [f"{most} in a window" for most in self.most if most > allowed]
         found += [f"only {count}" for count in self.arrived if count < enough]
         if case.ends_at_once:
             found += [f"{count} after" for count in self.after if count < allowed]
+        found += [f"{count} while evacuated" for count in self.evacuated if count]
         return found
 
 
@@ -174,6 +186,9 @@
     ends_at_once : bool
         Whether the VMs know when the cold phase ends. Started again, they count what an
         entry says from its reading.
+    evacuated_s : tuple of (float, float) or None
+        From when to when the data centre of these servers is evacuated, in seconds
+        after they become cold; None if it is not.
     """
 
     name: str
@@ -185,6 +200,7 @@
     states_it: bool = True
     min_share: float = 0.8
     ends_at_once: bool = True
+    evacuated_s: tuple[float, float] | None = None
 
 
 CASES: Final = (
@@ -195,6 +211,23 @@
     ColdCase("all VMs killed", 6, 3, 3, 150.0, all_killed, True, 0.3, False),
     ColdCase("store away", 6, 3, 3, 150.0, store_away, min_share=0.6),
     ColdCase("no leader", 6, 3, 3, 150.0, leader_unreachable, min_share=0.1),
+    # Operators evacuate a data centre whose servers are cold, or whose servers become
+    # cold then, and take it back before they are warm.
+    ColdCase("evacuated while cold", 6, 3, 3, 150.0, evacuated_s=(0.8, 1.8)),
+    ColdCase("cold while evacuated", 6, 3, 3, 150.0, evacuated_s=(-1.0, 1.5)),
+    ColdCase(
+        "one of three, evacuated", 4, 3, 1, 300.0, min_share=0.6, evacuated_s=(-1, 1)
+    ),
+    ColdCase(
+        "evacuated, leader killed at the end",
+        6,
+        3,
+        3,
+        150.0,
+        leader_killed,
+        min_share=0.3,
+        evacuated_s=(-1.0, 0.8),
+    ),
 )
 
 
@@ -224,12 +257,23 @@
             for number in range(case.servers):
                 cold.write_entry(number, states_it=case.states_it)
 
+    async def evacuate() -> None:
+        if case.evacuated_s is None:
+            return
+        cold.evacuable = case.cold
+        for number in range(case.cold):
+            cold.write_entry(number)
+        for at_s, value in zip(case.evacuated_s, (b"{}", b""), strict=True):
+            await asyncio.sleep(began_s + COLD_AT_S + at_s - loop.time())
+            world.cluster.store.put("keyed.op", f"evacuate/{ZONE}", value)
+
     try:
-        await asyncio.gather(send(), write_entries(), case.trouble(world))
+        await asyncio.gather(send(), write_entries(), evacuate(), case.trouble(world))
         await asyncio.gather(*calls)
     finally:
         await world.close()
     cold_s = began_s + COLD_AT_S
+    from_s, until_s = case.evacuated_s or (0.0, 0.0)
     return ColdFigures(
         [
             most_in_window(server, cold_s + READ_S, ends_s)
@@ -243,6 +287,13 @@
             sum(ends_s <= at_s < ends_s + 1.0 for at_s in server.arrived_s)
             for server in world.servers[: case.cold]
         ],
+        [
+            sum(
+                cold_s + from_s + READ_S <= at_s < cold_s + until_s
+                for at_s in server.arrived_s
+            )
+            for server in world.servers[: case.cold]
+        ],
         world.answers,
     )
 
