--- a/testing/vm/cold_servers.py
+++ b/testing/vm/cold_servers.py
@@ -231,6 +231,20 @@
 )
 
 
+async def evacuate(case: ColdCase, cold: ColdWorld) -> None:
+    """Evacuate the data centre of the servers that become cold, for some time."""
+    if case.evacuated_s is None:
+        return
+    loop = asyncio.get_running_loop()
+    cold_s = loop.time() + COLD_AT_S
+    cold.evacuable = case.cold
+    for number in range(case.cold):
+        cold.write_entry(number)
+    for at_s, value in zip(case.evacuated_s, (b"{}", b""), strict=True):
+        await asyncio.sleep(cold_s + at_s - loop.time())
+        cold.world.cluster.store.put("keyed.op", f"evacuate/{ZONE}", value)
+
+
 async def play(case: ColdCase, seed: int) -> ColdFigures:
     """Play one run."""
     world = RatedWorld(random.Random(seed), [None] * case.servers)
@@ -257,18 +271,10 @@
             for number in range(case.servers):
                 cold.write_entry(number, states_it=case.states_it)
 
-    async def evacuate() -> None:
-        if case.evacuated_s is None:
-            return
-        cold.evacuable = case.cold
-        for number in range(case.cold):
-            cold.write_entry(number)
-        for at_s, value in zip(case.evacuated_s, (b"{}", b""), strict=True):
-            await asyncio.sleep(began_s + COLD_AT_S + at_s - loop.time())
-            world.cluster.store.put("keyed.op", f"evacuate/{ZONE}", value)
-
     try:
-        await asyncio.gather(send(), write_entries(), evacuate(), case.trouble(world))
+        await asyncio.gather(
+            send(), write_entries(), evacuate(case, cold), case.trouble(world)
+        )
         await asyncio.gather(*calls)
     finally:
         await world.close()
