Choice of servers: a place at a brittle server is used within the VM's share

Requests that waited for places were sent although others had used up the share meanwhile: of 20 at once, a cold server with 4 slots had to turn away 3 to 5 in a second, where it announced that it crashes beyond 3.

--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -158,7 +158,7 @@
             return_s = max(RETRY_SOON_S, server.return_s)
             self._retry_after_s = min(MAX_RETRY_AFTER_S, return_s)
             return None
-        if self.may_send(server) and self._deps.fleet.has_place(server):
+        if self._may_use(server):
             return server
         # It asked for a pause or said that it leaves while the prompt was delayed.
         return None
@@ -196,6 +196,13 @@
         place = self._place
         return place is not None and place.server == server and now_s < place.expires_s
 
+    def _may_use(self, server: BackendServer) -> bool:
+        """Return whether to send to the server that was chosen before a wait.
+
+        Others that waited may have used up this VM's share of a brittle service.
+        """
+        return self.may_send(server) and self._deps.fleet.has_place(server)
+
     def _is_unlimited(self, server: BackendServer) -> bool:
         return not self._deps.fleet.rates.is_limited(server.incarnation(), boot_s())
 
@@ -248,7 +255,7 @@
                     server = await self._pace(ranked, can_refuse=False)
                     if server is not None:
                         return server
-            elif self.may_send(place.server):
+            elif self._may_use(place.server):
                 return place.server
             log_change(
                 "place at a server not used",
--- a/testing/vm/test_cold_pairs.py
+++ b/testing/vm/test_cold_pairs.py
@@ -20,6 +20,7 @@
     wait_until,
 )
 from testing.vm.fake_server import FakeServer, stream
+from testing.vm.test_brittle_servers import SLOTS, SlottedServer
 from testing.vm.test_rate_pairs import call_many, with_rate
 from testing.vm.test_server_notices import respond
 
@@ -80,6 +81,19 @@
             self.assertLessEqual(len(server.requests), COLD_PER_S * 2.5 + 2)
             self.assertGreater(len(server.requests), 0)
 
+    async def test_requests_with_a_place_keep_to_the_share_of_a_brittle_server(
+        self,
+    ) -> None:
+        """Guards against refusals there of requests that got their places at once."""
+        async with cold_deployment() as deployment:
+            server = await add_cold(deployment, "s1")
+            behaviour = SlottedServer(0.3)
+            server.steps = [behaviour.step] * 1_000
+            await call_many(deployment, 1)
+            await call_many(deployment, 20)
+            self.assertEqual(len(behaviour.refused_s), 0)
+            self.assertGreater(behaviour.served, SLOTS)
+
     async def test_a_stream_goes_on_at_the_cold_server_of_its_version(self) -> None:
         async with cold_deployment() as deployment:
             new = await deployment.add_server("s2", "plain", version="v2")
