Refusals by expected start: returns later than callers are told are not noted

The leader noted a return for each refusal, at times that VMs cut to 3 s. After 2,000 refusals within an instant it told 200 s, and the list grew as long as refusals came faster than requests ended, each refusal going through all of it.

--- a/src/_pistachiopond/decisions/start_estimate.py
+++ b/src/_pistachiopond/decisions/start_estimate.py
@@ -15,6 +15,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple, final
 
+from _pistachiopond.decisions.server_waits import MAX_RETRY_AFTER_S
+
 # The rate at which requests end is averaged over this time with a queue: long enough
 # for some answers at a server with few slots, short enough to follow the load.
 SMOOTHING_S: Final = 4.0
@@ -37,6 +39,9 @@
 CERTAIN_SHARE: Final = 0.5
 # A refused caller should return when the wait is this share of its patience.
 RETURN_WAIT_SHARE: Final = 0.2
+# No later return than this is told, nor noted: callers that were told the longest time
+# come back then whatever is ahead of them.
+MAX_RETURN_S: Final = MAX_RETRY_AFTER_S
 # One prompt of a customer on a route is let through if all were refused for this long,
 # which bounds what a wrong estimate does, and shows whether it is wrong.
 STARVATION_S: Final = 2.0
@@ -181,6 +186,8 @@
         server.returns_s = [at_s for at_s in server.returns_s if at_s > now_s]
         ahead_s = len(server.returns_s) / _rate_per_s(server)
         return_s = ahead_s + shortest_s - RETURN_WAIT_SHARE * patience.give_up_s
+        if return_s >= MAX_RETURN_S:
+            return MAX_RETURN_S
         server.returns_s.append(now_s + return_s)
         return return_s
 
--- a/testing/decisions/test_start_estimate.py
+++ b/testing/decisions/test_start_estimate.py
@@ -6,6 +6,7 @@
 
 from _pistachiopond.decisions.start_estimate import (
     CERTAIN_SHARE,
+    MAX_RETURN_S,
     REFUSED_WAIT_SHARE,
     STARVATION_S,
     YIELD_SHARE,
@@ -104,6 +105,23 @@
             self.estimates.record_ended({"s": round(RATE_PER_S * STEP_S)})
         self.assertEqual(answers.count(None), 2)
 
+    def test_no_later_return_is_told_than_callers_are_told(self) -> None:
+        """Guards against returns that pile up, and outlast the shortage."""
+        self.learn()
+        told_s = [self.refuse(100.0, URGENT_CALLER) or 0.0 for _ in range(2_000)]
+        self.assertEqual(max(told_s), MAX_RETURN_S)
+        # When the queue is shorter, callers return as soon as the first ones.
+        self.now_s += MAX_RETURN_S
+        self.learn(1.0)
+        queued = 1.5 * URGENT_CALLER.give_up_s * RATE_PER_S
+        caller = URGENT_CALLER._replace(origin="urgent/b")
+        return_s = self.refuse(queued, caller)
+        assert return_s is not None
+        self.assertLess(return_s, MAX_RETURN_S)
+        self.assertLessEqual(
+            len(self.estimates._servers["s"].returns_s), MAX_RETURN_S * RATE_PER_S
+        )
+
     def test_nothing_is_refused_of_which_too_little_is_known(self) -> None:
         self.assertIsNone(self.refuse(1000.0, URGENT_CALLER))
         self.learn()
