Speeds: of a server's present start only, also where cold servers are compared

The leader paced prompts by the speed of an earlier start until its next update, and the comparison of cold servers with others went without speeds. A further test covers prompts that pacing refuses beside cold servers.

--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -580,7 +580,8 @@
         """Return the cost of a request at a ranked server, from its load."""
         server = ranked.server
         utilisation = self.load(server.server_id) / max(1, server.slots)
-        return load_cost(utilisation) + ranked.bias
+        speed = self._speed(server)
+        return load_cost(utilisation, speed) + ranked.bias
 
     def _rank_limited(
         self,
@@ -785,9 +786,12 @@
             is_unhealthy=is_used_last
             or name in self._expired_until_s
             or self.ejector.is_ejected(name, now_s),
-            speed=self.speeds.get(server.incarnation(), 1.0),
+            speed=self._speed(server),
         )
 
+    def _speed(self, server: BackendServer) -> float:
+        return self.speeds.get(server.incarnation(), 1.0)
+
     def _is_open(self, server: BackendServer, now_s: float) -> bool:
         if not may_get_work(server, self.evacuated):
             return False
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -603,7 +603,7 @@
             load,
             self.report_period_s(),
             boot_s(),
-            {name: speed for (name, _), speed in self._speeds.told().items()},
+            self._present_speeds(),
         )
         return {
             "number": request["number"],
@@ -611,6 +611,15 @@
             "wait_s": round(decision.wait_s, 3),
         }
 
+    def _present_speeds(self) -> dict[str, float]:
+        """Return the servers' speeds, without those of earlier starts."""
+        starts = self._deps.incarnations()
+        return {
+            name: speed
+            for (name, started_ms), speed in self._speeds.told().items()
+            if starts.get(name) == started_ms
+        }
+
     def _refuse_prompt(
         self,
         request: PacingRequest,
--- a/testing/vm/test_cold_pairs.py
+++ b/testing/vm/test_cold_pairs.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
+from unittest.mock import patch
 
+from _pistachiopond.decisions.shared_limits import CustomerBalances
 from _pistachiopond.decisions.stream_versions import ServedModel
 from _pistachiopond.http1.messages import HttpAddress, ResponseHead
 from _pistachiopond.platform.servers import decode_notice
+from _pistachiopond.vm.fleet import RankedServer
 from testing.virtual_time import VirtualTimeTestCase
 from testing.vm.cluster import Cluster
 from testing.vm.cold_servers import COLD_PER_S, COLD_START_S, cold_services
@@ -94,6 +98,80 @@
             self.assertEqual(len(behaviour.refused_s), 0)
             self.assertGreater(behaviour.served, SLOTS)
 
+    async def test_a_server_that_restarts_cold_has_no_known_speed(self) -> None:
+        """Guards against a choice by the speed of an earlier start, or by none."""
+        async with cold_deployment() as deployment:
+            vm = deployment.vm
+            for name in ("s1", "s2"):
+                await deployment.add_server(name, "plain")
+            await asyncio.sleep(COLD_START_S)
+            told = {("s1", 1_000): 3.0, ("s2", 1_000): 0.4}
+            vm.leader_server._speeds.adopt(told)
+            vm.fleet.set_speeds(told)
+            s1, s2 = (RankedServer(vm.fleet.servers[n], 0.0) for n in ("s1", "s2"))
+            vm.fleet.own_load |= {"s1": 2, "s2": 2}
+            self.assertAlmostEqual(vm.fleet.cost(s1), 2 / 4 / 3.0)
+            self.assertAlmostEqual(vm.fleet.cost(s2), 2 / 4 / 0.4)
+            pace = {
+                "number": 1,
+                "places": [["s1", 0.0, 4, 0.1], ["s2", 0.0, 4, 0.0]],
+                "gap_aim_s": 0.15,
+                "most_s": 0.1,
+            }
+            handle = vm.leader_server._handle_message
+            self.assertEqual(handle({"pace": pace})["paced"]["place"], 0)
+            entry = server_entry("plain", UNUSED, born=2_000, coldRemainingMs=3000)
+            deployment.store.put("keyed.servers", "s1", entry)
+            await wait_until(lambda: vm.fleet.servers["s1"].started_ms == 2_000)
+            s1 = RankedServer(vm.fleet.servers["s1"], 0.0)
+            self.assertAlmostEqual(vm.fleet.cost(s1), 2 / 4)
+            vm.leader_server._speeds.adopt(told | {("s2", 1_000): 1.0})
+            self.assertEqual(handle({"pace": pace})["paced"]["place"], 1)
+
+    async def test_a_prompt_that_pacing_refuses_has_not_run(self) -> None:
+        """Guards against a lost Retry-After or charge beside servers that are cold.
+
+        While all of a model's servers are cold, places decide and pacing is not asked.
+        """
+        models = [{"name": "m1", "version": 1, "adapters": []}]
+        headers = {"X_Model": "m1", "X_Token_Counts": "5,5"}
+        plain, engines = cold_services()
+        engines |= {"coldPerS": COLD_PER_S, "coldStartS": COLD_START_S}
+        async with running_deployment() as deployment:
+            services = [plain, engines]
+            deployment.write_configuration(configuration(2, services=services))
+            vm = deployment.vm
+            await wait_until(lambda: vm.state.table.deployment.version == 2)
+            server = await deployment.add_server("s1", "engines", models=models)
+            server.models = models
+            await asyncio.sleep(COLD_START_S)
+            starts = vm.leader_server.starts
+            with (
+                patch.object(starts, "refuse", return_value=1.25) as refuse,
+                patch.object(CustomerBalances, "refund") as refund,
+            ):
+                answer = await deployment.call("/model/x", **headers)
+                self.assertEqual(answer.head.status, 503)
+                self.assertEqual(answer.head.value(b"retry-after"), b"1.250")
+                self.assertEqual(refuse.call_count, 1)
+                self.assertEqual(server.requests, [])
+                cold_ms = COLD_START_S * 1000.0
+                address = vm.fleet.servers["s1"].address
+                deployment.write_entry(
+                    "s1", "engines", address, models=models, coldRemainingMs=cold_ms
+                )
+                await wait_until(lambda: bool(vm.fleet.rates.cold(now_s())))
+                calls = (deployment.call("/model/x", **headers) for _ in range(40))
+                answers = await asyncio.gather(*calls)
+            statuses = Counter(answer.head.status for answer in answers)
+            self.assertEqual(set(statuses), {200, 503})
+            self.assertEqual(refund.call_count, 1 + statuses[503])
+            self.assertEqual(statuses[200], len(server.requests))
+            for answer in answers:
+                if answer.head.status == 503:
+                    self.assertIsNotNone(answer.head.value(b"retry-after"))
+            self.assertEqual(refuse.call_count, 1)
+
     async def test_a_stream_goes_on_at_the_cold_server_of_its_version(self) -> None:
         async with cold_deployment() as deployment:
             new = await deployment.add_server("s2", "plain", version="v2")
@@ -204,6 +282,11 @@
             await cluster.close()
 
 
+def now_s() -> float:
+    """Return the event loop's time."""
+    return asyncio.get_running_loop().time()
+
+
 def respond_head_notice(cold_ms: int) -> Any:
     """Return what an answer with the header says."""
     return decode_notice(ResponseHead(200, [(b"X-Cold-Ms", b"%d" % cold_ms)]))
