--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -703,6 +703,9 @@
     def _reply_to_report(self, report: MemberReport) -> LeaderReply:
         now_s = boot_s()
         leadership = self._deps.leadership
+        # Raises for a malformed report, which is not kept then: it would fail each sum
+        # of all reports, and so end the other members' connections.
+        sum_reports([report])
         if report["member"] not in self._members:
             log_change("member seen", member=report["member"])
         known = self._members.get(report["member"])
--- a/testing/vm/test_leader_server.py
+++ b/testing/vm/test_leader_server.py
@@ -256,6 +256,36 @@
         self.assertLessEqual(given, INITIAL_SHARE * CUSTOMER.burst)
 
 
+class MalformedReportTests(unittest.TestCase):
+    def test_a_report_that_cannot_be_summed_costs_only_its_sender(self) -> None:
+        """Guards against a member that ends all other members' connections."""
+        odd = (
+            {"load": None},
+            {"load": {"s1": "2"}},
+            {"runs": [["s1"]]},
+            {"models": [{"service": "e"}]},
+            {"doubtful": [["s1"]]},
+        )
+        for fields in odd:
+            with self.subTest(fields=fields):
+                leader = Leader("vm-0")
+                leader.claim(1, 0.0)
+                handle = leader.leader_server._handle_message
+                sound = {**make_report("vm-1", 0.0), "load": {"s1": 2}}
+                with patch.object(leader_server_module, "boot_s", lambda: 1.0):
+                    handle({"report": sound})
+                malformed = {**make_report("vm-2", 0.0), **fields}
+                with patch.object(leader_server_module, "boot_s", lambda: 2.0):
+                    with self.assertRaises(
+                        (AttributeError, LookupError, TypeError, ValueError)
+                    ):
+                        handle({"report": malformed})
+                with patch.object(leader_server_module, "boot_s", lambda: 3.0):
+                    answer = handle({"report": sound})["answer"]
+                    self.assertEqual(answer["load"], {"s1": 2})
+                    self.assertEqual(answer["members"], 1)
+
+
 class InitialStateTests(unittest.TestCase):
     def test_a_new_member_gets_only_records_from_its_known_offset_on(self) -> None:
         cache = TopicCache(
