--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final, NamedTuple, final
@@ -574,7 +575,7 @@
         reply = allocator.serve_waiting(
             request["member"],
             customer,
-            UsageReport(*request["usage"]),
+            _decode_usage(request["usage"]),
             [WaitingRequest(*item) for item in request["waiting"]],
             now_s,
             now_s if has_taken_over else self._allocator_since_s + HANDOVER_S,
@@ -765,7 +766,7 @@
             customer = customers.get(name)
             if customer is None or customer.rate_per_s <= 0:
                 continue
-            report = UsageReport(*usage)
+            report = _decode_usage(usage)
             if not leadership.has_taken_over(now_s):
                 # The predecessor may still allocate the rate, so only the bucket that a
                 # new leader starts with is allocated.
@@ -823,6 +824,17 @@
     return [(name, started_ms, speed) for (name, started_ms), speed in speeds.items()]
 
 
+def _decode_usage(usage: tuple[float, float, float, float]) -> UsageReport:
+    """Return a member's usage; raise TypeError or ValueError if it is malformed.
+
+    The allocator adds up what members report, so one value that is no number would
+    leave a customer without tokens at all of them.
+    """
+    if not all(map(math.isfinite, usage)):
+        raise ValueError(f"usage is not finite: {usage}")
+    return UsageReport(*usage)
+
+
 def _usage_of(report: MemberReport) -> dict[str, tuple[float, float, float, float]]:
     """Return a report's usage; requests that are listed apart lack nothing in it."""
     if not report.get("lists_waiting"):
--- a/testing/vm/test_leader_server.py
+++ b/testing/vm/test_leader_server.py
@@ -285,6 +285,30 @@
                     self.assertEqual(answer["load"], {"s1": 2})
                     self.assertEqual(answer["members"], 1)
 
+    def test_tokens_that_are_no_numbers_cost_only_their_sender(self) -> None:
+        """Guards against a customer that gets no more tokens at any member."""
+        now_s = HANDOVER_S + 1.0
+        for odd in (float("nan"), float("inf"), "5", None, [1.0]):
+            with self.subTest(odd=odd):
+                leader = Leader("vm-0")
+                leader.claim(1, 0.0)
+                handle = leader.leader_server._handle_message
+                leader.allocate("vm-1", now_s, has_store=True)
+                malformed = make_report("vm-2", 0.0)
+                malformed["usage"] = {"office": (odd, 0.0, 0.0, 0.0)}
+                tokens = {
+                    "member": "vm-2",
+                    "customer": "office",
+                    "usage": (0.0, odd, 0.0, odd),
+                    "waiting": [],
+                }
+                with patch.object(leader_server_module, "boot_s", lambda: now_s):
+                    for message in ({"report": malformed}, {"tokens": tokens}):
+                        with self.assertRaises((TypeError, ValueError)):
+                            handle(message)
+                given = leader.allocate("vm-1", now_s + 0.5, has_store=True)
+                self.assertGreater(given, 100.0)
+
 
 class InitialStateTests(unittest.TestCase):
     def test_a_new_member_gets_only_records_from_its_known_offset_on(self) -> None:
