--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final, NamedTuple, final
@@ -574,7 +575,7 @@
         reply = allocator.serve_waiting(
             request["member"],
             customer,
-            UsageReport(*request["usage"]),
+            _decode_usage(request["usage"]),
             [WaitingRequest(*item) for item in request["waiting"]],
             now_s,
             now_s if has_taken_over else self._allocator_since_s + HANDOVER_S,
@@ -603,7 +604,7 @@
             load,
             self.report_period_s(),
             boot_s(),
-            {name: speed for (name, _), speed in self._speeds.told().items()},
+            self._present_speeds(),
         )
         return {
             "number": request["number"],
@@ -611,6 +612,15 @@
             "wait_s": round(decision.wait_s, 3),
         }
 
+    def _present_speeds(self) -> dict[str, float]:
+        """Return the servers' speeds, without those of earlier starts."""
+        starts = self._deps.incarnations()
+        return {
+            name: speed
+            for (name, started_ms), speed in self._speeds.told().items()
+            if starts.get(name) == started_ms
+        }
+
     def _refuse_prompt(
         self,
         request: PacingRequest,
@@ -694,6 +704,9 @@
     def _reply_to_report(self, report: MemberReport) -> LeaderReply:
         now_s = boot_s()
         leadership = self._deps.leadership
+        # Raises for a malformed report, which is not kept then: it would fail each sum
+        # of all reports, and so end the other members' connections.
+        sum_reports([report])
         if report["member"] not in self._members:
             log_change("member seen", member=report["member"])
         known = self._members.get(report["member"])
@@ -753,7 +766,7 @@
             customer = customers.get(name)
             if customer is None or customer.rate_per_s <= 0:
                 continue
-            report = UsageReport(*usage)
+            report = _decode_usage(usage)
             if not leadership.has_taken_over(now_s):
                 # The predecessor may still allocate the rate, so only the bucket that a
                 # new leader starts with is allocated.
@@ -811,6 +824,17 @@
     return [(name, started_ms, speed) for (name, started_ms), speed in speeds.items()]
 
 
+def _decode_usage(usage: tuple[float, float, float, float]) -> UsageReport:
+    """Return a member's usage; raise TypeError or ValueError if it is malformed.
+
+    The allocator adds up what members report, so one value that is no number would
+    leave a customer without tokens at all of them.
+    """
+    if not all(map(math.isfinite, usage)):
+        raise ValueError(f"usage is not finite: {usage}")
+    return UsageReport(*usage)
+
+
 def _usage_of(report: MemberReport) -> dict[str, tuple[float, float, float, float]]:
     """Return a report's usage; requests that are listed apart lack nothing in it."""
     if not report.get("lists_waiting"):
