--- a/src/_pistachiopond/decisions/shared_retry_budget.py
+++ b/src/_pistachiopond/decisions/shared_retry_budget.py
@@ -35,6 +35,15 @@
         """Return whether the budget allows a retry now."""
         return self._available(service) >= 1.0
 
+    def has_retry_to_spare(self, service: str) -> bool:
+        """Return whether the budget allows a retry and stays at least half full.
+
+        Second attempts of requests that have not failed leave the rest to those that
+        have. A budget of one retry must be full.
+        """
+        capacity = self._capacity()
+        return self._available(service) >= min(capacity, 1.0 + capacity / 2.0)
+
     def spend(self, service: str) -> bool:
         """Take one retry from the budget; return whether there was one."""
         if not self.has_retry(service):
--- a/src/_pistachiopond/platform/configuration.py
+++ b/src/_pistachiopond/platform/configuration.py
@@ -5,6 +5,8 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
+from _pistachiopond.decisions.hedging import parse_hedge_share
+from _pistachiopond.observe.logs import log_change
 from _pistachiopond.platform.settings import MS_PER_S
 from _pistachiopond.schema.deployment import (
     CallerLimits,
@@ -71,6 +73,8 @@
     connectionLimit: NotRequired[Amount]
     coldPerS: NotRequired[Amount | None]
     coldStartS: NotRequired[Amount | None]
+    # Any, since an invalid share turns hedging off and does not refuse the whole.
+    hedgeShare: NotRequired[Any]
     engine: NotRequired[_Engine | None]
 
 
@@ -156,9 +160,21 @@
         engine=_make_engine(engine) if engine else None,
         cold_rate_per_s=plain.get("coldPerS") or 0.0,
         cold_start_s=plain.get("coldStartS") or 0.0,
+        hedge_share=_make_hedge_share(plain),
     )
 
 
+def _make_hedge_share(plain: _Service) -> float | None:
+    value = plain.get("hedgeShare")
+    if value is None:
+        return None
+    share = parse_hedge_share(value)
+    if share is None:
+        log_change("hedge share not valid", source=plain["name"], value=str(value)[:40])
+        return 0.0
+    return share
+
+
 def _make_engine(plain: _Engine) -> EngineSpec:
     return EngineSpec(
         slots=int(plain["slots"]),
--- a/src/_pistachiopond/platform/settings.py
+++ b/src/_pistachiopond/platform/settings.py
@@ -8,10 +8,13 @@
 
 from result import Err, Ok, Result
 
+from _pistachiopond.decisions.hedging import parse_hedge_share
 from _pistachiopond.http1.messages import HttpAddress, parse_address
+from _pistachiopond.observe.logs import log_change
 from _pistachiopond.schema.vm_settings import LEASE_S, VmBounds, VmSettings
 
 PATH_VARIABLE = "PISTACHIOPOND_NODE_FILE"
+HEDGE_SHARE_VARIABLE = "POND_HEDGE_SHARE"
 MS_PER_S = 1000.0
 BYTES_PER_MB = 1_000_000
 
@@ -24,6 +27,20 @@
     return Ok(Path(path))
 
 
+def read_hedge_share() -> float:
+    """Return the share that the process's environment sets; 0 without a valid one."""
+    value = os.environ.get(HEDGE_SHARE_VARIABLE)
+    if value is None:
+        return 0.0
+    share = parse_hedge_share(value)
+    if share is None:
+        log_change(
+            "hedge share not valid", source=HEDGE_SHARE_VARIABLE, value=value[:40]
+        )
+        return 0.0
+    return share
+
+
 def read_vm_settings(path: Path) -> Result[VmSettings, str]:
     """Return the settings in the file at `path`, or the reason why it is invalid."""
     try:
--- a/src/_pistachiopond/schema/deployment.py
+++ b/src/_pistachiopond/schema/deployment.py
@@ -124,6 +124,9 @@
         being cold does not matter.
     cold_start_s : float
         For how long a server that has just started is cold, unless it says otherwise.
+    hedge_share : float or None
+        The share of its requests that may get a second attempt; None if the process's
+        setting holds.
     """
 
     name: str
@@ -131,6 +134,7 @@
     engine: EngineSpec | None
     cold_rate_per_s: float = 0.0
     cold_start_s: float = 0.0
+    hedge_share: float | None = None
 
 
 class CustomerSpec(NamedTuple):
--- a/src/_pistachiopond/vm/attempt.py
+++ b/src/_pistachiopond/vm/attempt.py
@@ -22,6 +22,7 @@
     is_response_to,
     response_headers,
 )
+from _pistachiopond.schema.caller_request import ResponseKind
 from _pistachiopond.vm.admission import Admitted
 from _pistachiopond.vm.attempt_target import Target
 
@@ -66,6 +67,8 @@
 
 
 DELIVERED: Final = Outcome(None)
+# Of an attempt whose response is not used, since another one was answered before.
+LOST: Final = Outcome("unclear", "another attempt was answered first")
 
 
 class StreamPart(NamedTuple):
@@ -137,6 +140,8 @@
         run it.
     has_answered : bool
         Whether the head of a response to the request has come.
+    head_after_s : float or None
+        The time from sending the request to that head.
     """
 
     def __init__(
@@ -150,6 +155,7 @@
         on_sent: Callable[[], None],
         before_events: Callable[[], Awaitable[None]],
         on_sound: Callable[[], None],
+        claim: Callable[[ResponseKind], bool] = lambda kind: True,
     ) -> None:
         """Prepare an attempt.
 
@@ -172,6 +178,10 @@
             Awaited before the caller is sent the first events of a stream.
         on_sound : callable
             Called when the target has sent events for `SOUND_STREAM_S`.
+        claim : callable
+            Called with what a response head says of the request, a success or a
+            failure; returns whether the response may be relayed. Otherwise another
+            attempt of the request may be.
         """
         self._admitted = exchange.admitted
         self._responder = exchange.responder
@@ -186,12 +196,14 @@
         self._on_sent = on_sent
         self._before_events = before_events
         self._on_sound = on_sound
+        self._claim = claim
         self._event_s: float | None = None
         self._streamed_s = 0.0
         self._sent_s = 0.0
         self._first_event_s = 0.0
         self.may_have_run = False
         self.has_answered = False
+        self.head_after_s: float | None = None
 
     async def run(self) -> Outcome:
         """Send the request, relay the response, and return the outcome."""
@@ -257,6 +269,7 @@
             waited_s = loop.time() - self._sent_s
             return Outcome("unclear", detail, waited_s=waited_s)
         self.has_answered = True
+        self.head_after_s = loop.time() - self._sent_s
         target.take_notice(head)
         response_kind = target.classify(head)
         if response_kind in ("not_run", "not_here"):
@@ -279,6 +292,13 @@
             # events of the stream.
             await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
             return Outcome("unclear", f"the server answered {head.status}")
+        if not self._claim(response_kind):
+            if response_kind == "success":
+                return LOST
+            # Kept in case that the other attempt fails as well.
+            body = await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
+            response = CompleteResponse(head, body)
+            return Outcome("failure", f"the server answered {head.status}", response)
         if response_kind == "success" and admitted.route.kind == "stream":
             after_id = None if self._splitter is None else self._splitter.last_id
             try:
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -548,17 +548,63 @@
         """
         now_s = boot_s()
         return any(
+            server.server_id not in tried and self._is_healthy(server, model_ref, now_s)
+            for server in self.servers_of(model_ref.service)
+        )
+
+    def _is_healthy(
+        self, server: BackendServer, model_ref: ModelRef, now_s: float
+    ) -> bool:
+        return (
             not server.is_leaving
-            and server.server_id not in tried
             and self.can_run(server, model_ref)
             and not self.rates.is_limited(server.incarnation(), now_s)
             and self._is_open(server, now_s)
             and self._has_room(server, now_s)
             and self.has_place(server)
             and not self._candidate(server, now_s, can_give_up=False).is_unhealthy
-            for server in self.servers_of(model_ref.service)
         )
 
+    def second_server(
+        self, model_ref: ModelRef, tried: frozenset[str], prompt_id: str | None
+    ) -> BackendServer | None:
+        """Return the best server for a second attempt beside one that goes on.
+
+        Unlike a server for a request without any, it must be in good health, with a
+        free slot, and known to take connections and no limited number of requests.
+
+        Parameters
+        ----------
+        model_ref : ModelRef
+            The service, model and adapter that the request needs.
+        tried : frozenset of str
+            Servers to leave out.
+        prompt_id : str or None
+            Id of the prompt's first part, for prefix cache affinity.
+        """
+        if self.brittle.is_limited(model_ref.service):
+            return None
+        now_s = boot_s()
+        for server, _ in self.rank(model_ref, tried, prompt_id, can_give_up=False):
+            if (
+                self._is_healthy(server, model_ref, now_s)
+                and self.load(server.server_id) < server.slots
+                and not self.refusals.is_refusing(server.incarnation())
+            ):
+                return server
+        return None
+
+    def utilisation(self, model_ref: ModelRef) -> float:
+        """Return the requests at servers that stay as a share of their slots."""
+        servers = [
+            server
+            for server in self.staying_servers(model_ref.service)
+            if self.can_run(server, model_ref)
+        ]
+        slots = sum(server.slots for server in servers)
+        load = sum(self.load(server.server_id) for server in servers)
+        return load / slots if slots else 1.0
+
     def _is_cold(self, candidate: Candidate, now_s: float) -> bool:
         incarnation = self.servers[candidate.server_id].incarnation()
         return self.rates.cold_until_s(incarnation, now_s) is not None
--- a/src/_pistachiopond/vm/forward.py
+++ b/src/_pistachiopond/vm/forward.py
@@ -13,6 +13,11 @@
 )
 from _pistachiopond.decisions.event_splitter import EventSplitter
 from _pistachiopond.decisions.failure_kinds import FailureKind
+from _pistachiopond.decisions.hedging import (
+    HeadEstimate,
+    HedgeSituation,
+    withheld_reason,
+)
 from _pistachiopond.http1.messages import Request
 from _pistachiopond.http1.server import ClientGoneError, Responder
 from _pistachiopond.observe.containment import record_unexpected
@@ -30,6 +35,7 @@
 from _pistachiopond.vm.attempt_target import make_peer_target, make_server_target
 from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.forward_dependencies import ForwardDependencies
+from _pistachiopond.vm.hedging import AttemptRace
 from _pistachiopond.vm.part_watch import digest_parts, digest_request
 from _pistachiopond.vm.peer_relays import Peer
 from _pistachiopond.vm.refusals import RETRY_SOON_S, Refusal, send_refusal
@@ -123,7 +129,7 @@
         self._admitted = admitted
         self._responder = responder
         self._tried_peers: set[Peer] = set()
-        self._is_silence_counted = False
+        self._silences_counted: set[str] = set()
         self._has_failed_to_connect = False
         self._no_server_reason = "no server available"
         self._earlier_possible_runs = 0
@@ -157,6 +163,8 @@
                 last_id, EVENT_NUMBER_FIELDS, is_resumable=self._is_resumable_stream
             )
         self._attempt: Attempt | None = None
+        self._second: Attempt | None = None
+        self._race: AttemptRace | None = None
         self._arrival_s = asyncio.get_running_loop().time()
         self._exchange = Exchange(
             request, admitted, responder, splitter, self._arrival_s, set(), []
@@ -171,6 +179,7 @@
             return
         if self._origin is None:
             deps.retries.record_request(self._admitted.service)
+            deps.hedging.record_request(self._admitted.service)
         has_reached_server = False
         while True:
             receiver = await self._next_receiver()
@@ -179,7 +188,7 @@
             if isinstance(receiver, Peer):
                 outcome = await self._run_at_peer(receiver)
             else:
-                outcome = await self._run_attempt(receiver)
+                receiver, outcome = await self._run_at_servers(receiver)
             if outcome.kind is None:
                 self._is_delivered = True
                 self._record_success(receiver)
@@ -346,8 +355,10 @@
 
     def _count_possible_runs(self) -> int:
         """Return how many servers may have run the request."""
-        current_may_have_run = self._attempt is not None and self._attempt.may_have_run
-        return self._earlier_possible_runs + int(current_may_have_run)
+        present = (self._attempt, self._second)
+        return self._earlier_possible_runs + sum(
+            attempt is not None and attempt.may_have_run for attempt in present
+        )
 
     def _is_last_server(self) -> bool:
         """Return whether the next server is the last that may run the request."""
@@ -389,14 +400,107 @@
             return None
         return self._deps.relays.choose(self._admitted.service, self._tried_peers)
 
+    async def _run_at_servers(
+        self, server: BackendServer
+    ) -> tuple[BackendServer, Outcome]:
+        """Run an attempt, and a second one if it takes long and that is allowed.
+
+        Returns the outcome and its server.
+        """
+        estimate = None
+        # Requests of other VMs are counted and bounded there. A request whose first
+        # attempt has failed has had its second one.
+        if self._origin is None and self._attempt is None:
+            estimate = self._deps.hedging.estimate(self._admitted)
+        if estimate is None:
+            return server, await self._run_attempt(server)
+        race = self._race = AttemptRace(self._run_attempt)
+        try:
+            race.start(server)
+            late_s = await race.wait_for_first(estimate.delay_s)
+            has_answered = self._attempt is not None and self._attempt.has_answered
+            if late_s is not None and not has_answered:
+                self._start_second(race, estimate, late_s)
+            return await race.wait(self._record_first_failure)
+        finally:
+            await race.close()
+            self._race = None
+            if len(race.servers) > 1:
+                self._record_race(race, estimate)
+
+    def _start_second(
+        self, race: AttemptRace, estimate: HeadEstimate, late_s: float
+    ) -> None:
+        """Start a second attempt at another server, unless something forbids it."""
+        deps, service = self._deps, self._admitted.service
+        second = self._selection.second_server()
+        reason = withheld_reason(
+            HedgeSituation(
+                late_s=late_s,
+                time_left_s=self._admitted.end_s - asyncio.get_running_loop().time(),
+                typical_s=estimate.typical_s,
+                servers_run=self._count_possible_runs(),
+                max_servers=self._admitted.route.max_servers,
+                is_suspected=self._is_suspected(),
+                is_unreachable=self._has_failed_to_connect
+                or deps.reach.is_unreachable(service),
+                has_waiting=deps.model_usage.has_waiting(service),
+                utilisation=deps.fleet.utilisation(self._selection.model_ref),
+                has_server=second is not None,
+                has_share=deps.hedging.shares.has_hedge(service),
+                has_retry_to_spare=deps.retries.has_retry_to_spare(service),
+            )
+        )
+        if reason is not None or second is None:
+            deps.hedging.withheld(reason or "no_server")
+            return
+        deps.hedging.shares.spend(service)
+        deps.retries.spend(service)
+        race.start(second)
+
+    def _is_suspected(self) -> bool:
+        if self._is_trial or self._is_refused():
+            return True
+        return self._deps.suspects.is_suspected(self._fingerprint())
+
+    def _record_first_failure(self, server: BackendServer, outcome: Outcome) -> None:
+        """Record an attempt that has failed while another one goes on.
+
+        It counts for its server, not for the request.
+        """
+        left_s = self._admitted.end_s - asyncio.get_running_loop().time()
+        self._record_server_failure(server, outcome, left_s)
+
+    def _record_race(self, race: AttemptRace, estimate: HeadEstimate) -> None:
+        first, second = race.servers
+        outcome, saved_s, head_s = "failed", 0.0, None
+        if race.winner is not None and race.won_s is not None:
+            head_s = race.won_s - (race.sent_s or 0.0)
+            outcome = "won" if race.winner == second.server_id else "lost"
+            if outcome == "won":
+                saved_s = self._deps.hedging.expected_rest_s(self._admitted, head_s)
+        self._deps.hedging.ended(outcome, saved_s)
+        log_change(
+            "second attempt",
+            request=self._admitted.caller.attempt_id,
+            service=self._admitted.service,
+            first=first.server_id,
+            second=second.server_id,
+            delay_s=round(estimate.delay_s, 3),
+            outcome=outcome,
+            head_s=None if head_s is None else round(head_s, 3),
+            saved_s=round(saved_s, 3),
+        )
+
     async def _run_attempt(self, server: BackendServer) -> Outcome:
         deps = self._deps
         name = server.server_id
         self._selection.tried.add(name)
-        self._is_silence_counted = False
+        self._silences_counted.discard(name)
         is_last = self._is_last_server()
-        self._earlier_possible_runs = self._count_possible_runs()
-        self._attempt = Attempt(
+        race = self._race
+        is_second = race is not None and len(race.servers) > 1
+        attempt = Attempt(
             self._exchange,
             make_server_target(
                 server,
@@ -414,7 +518,13 @@
             on_sent=partial(self._record_sent, server),
             before_events=self._wait_until_relayed,
             on_sound=self._record_sound_parts,
+            claim=(lambda kind: True) if race is None else partial(race.claim, name),
         )
+        if is_second:
+            self._second = attempt
+        else:
+            self._earlier_possible_runs = self._count_possible_runs()
+            self._attempt, self._second = attempt, None
         deps.fleet.request_started(name)
         deps.fleet.brittle.request_started(server)
         deps.model_usage.request_started(self._selection.model_ref, name)
@@ -422,22 +532,27 @@
         has_ended = False
         sent_s = boot_s()
         try:
-            outcome = await self._attempt.run()
+            outcome = await attempt.run()
             has_ended = outcome.waited_s is None
             return outcome
         finally:
-            if not has_ended and self._attempt.may_have_run:
+            if not has_ended and attempt.may_have_run:
                 self._record_if_silent(server, sent_s)
             deps.fleet.brittle.request_ended(
                 server,
                 outcome.kind,
                 is_cut_off=outcome.is_cut_off,
-                has_answered=self._attempt.has_answered,
+                has_answered=attempt.has_answered,
                 is_late=asyncio.get_running_loop().time() >= self._admitted.end_s,
             )
-            has_answered = self._attempt.has_answered
-            deps.fleet.request_ended(name, has_answered=has_answered)
+            deps.fleet.request_ended(name, has_answered=attempt.has_answered)
             deps.model_usage.request_ended(self._selection.model_ref, name)
+            if has_ended and outcome.kind is None and attempt.head_after_s is not None:
+                deps.hedging.record_head(self._admitted, attempt.head_after_s)
+            elif not has_ended and attempt.may_have_run and not attempt.has_answered:
+                # The head would have taken at least that long. Without this, the delay
+                # would be learned from fast answers only.
+                deps.hedging.record_head(self._admitted, boot_s() - sent_s)
 
     def _record_if_silent(self, server: BackendServer, sent_s: float) -> None:
         """Record that a request ends here while nothing comes from its server.
@@ -466,6 +581,10 @@
         """Return whether to end an attempt that has got no response head so far."""
         deps = self._deps
         service = self._admitted.service
+        if self._race is not None and self._race.has_other(server.server_id):
+            # The other attempt takes the place of one that would follow.
+            self._record_silence(server, waited_s)
+            return False
         left_s = self._admitted.end_s - asyncio.get_running_loop().time()
         silent = SilentAttempt(
             self._count_possible_runs(),
@@ -493,6 +612,7 @@
         # The other VM replaces the record of an earlier attempt, which it has to know.
         await self._wait_until_relayed()
         self._earlier_possible_runs = self._count_possible_runs()
+        self._second = None
         self._attempt = Attempt(
             self._exchange,
             make_peer_target(
@@ -531,6 +651,8 @@
         return outcome
 
     def _record_sent(self, server: BackendServer) -> None:
+        if self._race is not None:
+            self._race.record_sent()
         if self._binding is not None:
             self._binding.started(server)
 
@@ -610,10 +732,11 @@
         self._count_failure(server, failure_kind)
 
     def _record_silence(self, server: BackendServer, waited_s: float) -> None:
-        if self._is_silence_counted:
+        if server.server_id in self._silences_counted:
             return
         failure_kind = self._deps.fleet.request_given_up(server, waited_s)
-        self._is_silence_counted = failure_kind is not None
+        if failure_kind is not None:
+            self._silences_counted.add(server.server_id)
         self._count_failure(server, failure_kind)
 
     def _count_failure(
--- a/src/_pistachiopond/vm/forward_dependencies.py
+++ b/src/_pistachiopond/vm/forward_dependencies.py
@@ -8,6 +8,7 @@
 from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
 from _pistachiopond.vm.admission import Admitted
 from _pistachiopond.vm.fleet import Fleet, ModelRef
+from _pistachiopond.vm.hedging import Hedging
 from _pistachiopond.vm.model_usage import ModelUsage
 from _pistachiopond.vm.pacing import PromptPacing
 from _pistachiopond.vm.peer_relays import PeerRelays
@@ -56,6 +57,8 @@
         Other VMs, which forward requests for such services.
     relayed : Counter
         Requests passed on to other VMs, by outcome.
+    hedging : Hedging
+        Says which requests may get a second attempt.
     """
 
     fleet: Fleet
@@ -74,3 +77,4 @@
     reach: ServerReach
     relays: PeerRelays
     relayed: Counter
+    hedging: Hedging
--- a/src/_pistachiopond/vm/model_usage.py
+++ b/src/_pistachiopond/vm/model_usage.py
@@ -67,6 +67,13 @@
             if software_version is not None:
                 decrease(self._waiting_at, (model_ref, software_version))
 
+    def has_waiting(self, service: str) -> bool:
+        """Return whether requests wait for a server of the service."""
+        return any(
+            count > 0 and model_ref.service == service
+            for model_ref, count in self.waiting.items()
+        )
+
     def uses(self) -> list[ModelUse]:
         """Return the requests of each model and adapter used since the last call."""
         waiting_at: dict[ModelRef, dict[str, int]] = {}
--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -46,7 +46,11 @@
 from _pistachiopond.observe.loop_stalls import LoopStalls
 from _pistachiopond.observe.metrics import Metrics
 from _pistachiopond.platform.evacuations import is_evacuation_key
-from _pistachiopond.platform.settings import read_vm_settings, settings_path
+from _pistachiopond.platform.settings import (
+    read_hedge_share,
+    read_vm_settings,
+    settings_path,
+)
 from _pistachiopond.platform.store import (
     OPERATOR_TOPIC,
     SERVERS_TOPIC,
@@ -70,6 +74,7 @@
 )
 from _pistachiopond.vm.fleet import EXPIRY_HEARTBEATS, Fleet, ModelRef
 from _pistachiopond.vm.forward_dependencies import ForwardDependencies
+from _pistachiopond.vm.hedging import Hedging
 from _pistachiopond.vm.held_memory import HeldMemory
 from _pistachiopond.vm.leader_client import LeaderClient, LeaderClientDependencies
 from _pistachiopond.vm.leader_election import LeaderElection
@@ -292,6 +297,7 @@
         relayed=metrics.counter(
             "pond_requests_passed_on", "To other VMs.", ("outcome",)
         ),
+        hedging=Hedging(state, read_hedge_share(), metrics),
     )
     request_handler = RequestHandler(
         admission, forward_deps, RequestMetrics.make(metrics)
--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -292,6 +292,12 @@
         """Return whether another server in good health has room now."""
         return self._deps.fleet.has_healthy_server(self.model_ref, self.tried)
 
+    def second_server(self) -> BackendServer | None:
+        """Return the server for a second attempt beside the present one."""
+        return self._deps.fleet.second_server(
+            self.model_ref, frozenset(self.tried), self._prompt_id
+        )
+
     def version_refusal(self) -> Refusal | None:
         """Return the refusal of a stream whose version has gone."""
         return None if self._binding is None else self._binding.gone()
--- a/src/_pistachiopond/vm/suspects.py
+++ b/src/_pistachiopond/vm/suspects.py
@@ -90,6 +90,18 @@
         names = {*self._records, *self._held_until_s}
         return sum(self.refused_for_s(name) > 0.0 for name in names)
 
+    def is_suspected(self, fingerprint: str) -> bool:
+        """Return whether a request may have been running when a server crashed."""
+        if fingerprint in self._watched or fingerprint in self._records:
+            return True
+        if fingerprint in self._held_until_s:
+            return True
+        since_s = boot_s() - LOST_CONNECTION_RETENTION_S
+        return any(
+            lost.fingerprint == fingerprint and seen_s > since_s
+            for lost, seen_s in self._lost_seen_s.items()
+        )
+
     def record_lost_connection(self, fingerprint: str, server: BackendServer) -> None:
         """Record that a server closed the connection before completing its response."""
         if len(self._lost_seen_s) >= MAX_LOST_CONNECTIONS:
