--- a/testing/vm/test_hedging.py
+++ b/testing/vm/test_hedging.py
@@ -224,7 +224,10 @@
             retries = deployment.vm.retries
             before = retries._available("plain")
             sent_to = first_step(servers, hang, respond_in_pieces)
-            status, body, seconds = await self.call_timed(deployment)
+            usage = deployment.vm.usage
+            with patch.object(usage, "try_spend", wraps=usage.try_spend) as charge:
+                status, body, seconds = await self.call_timed(deployment)
+            self.assertEqual(charge.call_count, 1)
             self.assertEqual((status, body), (200, b"whole-ok"))
             self.assertLess(seconds, 0.5)
             self.assertEqual(len(set(sent_to)), 2)
