--- a/src/_pistachiopond/decisions/hedging.py
+++ b/src/_pistachiopond/decisions/hedging.py
@@ -11,9 +11,6 @@
 
 from _pistachiopond.decisions.attempt_policy import MIN_TIME_LEFT_S
 
-# Operators accept at most this share of a service's requests as second attempts: they
-# come out of the retry budget, whose ratio is 0.2.
-MAX_HEDGE_SHARE: Final = 0.2
 # The share of like requests that have their response head by the time of a second
 # attempt.
 DELAY_QUANTILE: Final = 0.95
@@ -55,17 +52,6 @@
 ]
 
 
-def parse_hedge_share(value: object) -> float | None:
-    """Return a share of requests that may be hedged; None if it is not valid."""
-    if isinstance(value, bool) or not isinstance(value, str | int | float):
-        return None
-    try:
-        share = float(value)
-    except (ValueError, OverflowError):
-        return None
-    return share if 0.0 <= share <= MAX_HEDGE_SHARE else None
-
-
 class RequestClass(NamedTuple):
     """Requests that take about the same time to the response head."""
 
--- a/src/_pistachiopond/platform/configuration.py
+++ b/src/_pistachiopond/platform/configuration.py
@@ -5,7 +5,6 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from _pistachiopond.decisions.hedging import parse_hedge_share
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.platform.settings import MS_PER_S
 from _pistachiopond.schema.deployment import (
@@ -18,6 +17,7 @@
     ServiceSpec,
     WeightedService,
 )
+from _pistachiopond.schema.hedge_share import parse_hedge_share
 from _pistachiopond.schema.json_decoding import (
     Amount,
     Count,
--- a/src/_pistachiopond/platform/settings.py
+++ b/src/_pistachiopond/platform/settings.py
@@ -8,9 +8,9 @@
 
 from result import Err, Ok, Result
 
-from _pistachiopond.decisions.hedging import parse_hedge_share
 from _pistachiopond.http1.messages import HttpAddress, parse_address
 from _pistachiopond.observe.logs import log_change
+from _pistachiopond.schema.hedge_share import parse_hedge_share
 from _pistachiopond.schema.vm_settings import LEASE_S, VmBounds, VmSettings
 
 PATH_VARIABLE = "PISTACHIOPOND_NODE_FILE"
--- a/testing/decisions/test_hedging.py
+++ b/testing/decisions/test_hedging.py
@@ -13,10 +13,10 @@
     HedgeSituation,
     RequestClass,
     length_class,
-    parse_hedge_share,
     withheld_reason,
 )
 from _pistachiopond.decisions.shared_retry_budget import SharedRetryBudget
+from _pistachiopond.schema.hedge_share import parse_hedge_share
 
 CLASS = RequestClass("plain", "safe", "", 0)
 ALLOWED = HedgeSituation(
