Choice of servers: a request that only a place would help waits for no share

With a free share at a brittle server that is cold, a request without a place asked for one again and again until its time was up: 81 requests asked 2,594 times in 2 s.

--- a/src/_pistachiopond/vm/server_selection.py
+++ b/src/_pistachiopond/vm/server_selection.py
@@ -98,6 +98,7 @@
         self._has_waited = False
         self._has_no_room = False
         self._place: Place | None = None
+        self._lacks_place = False
         self.tried: set[str] = set()
         self.lack = "no server available"
 
@@ -110,7 +111,7 @@
             Whether a server has said that it did not run the request.
         """
         while not (self._is_refused() or self._has_no_room):
-            self._place = None
+            self._place, self._lacks_place = None, False
             ranked = self._rank(frozenset(self.tried))
             limited = self._rank_limited(frozenset(self.tried))
             asked = self._places_to_ask_for(ranked, limited)
@@ -120,7 +121,9 @@
                     return server
             if not ranked:
                 plan = self._plan_wait()
-                if plan.step in ("pause", "share"):
+                if plan.step == "pause" or (
+                    plan.step == "share" and not self._needs_place()
+                ):
                     await self._wait(plan)
                     continue
                 if plan.step == "refuse" or limited:
@@ -282,6 +285,7 @@
         )
         if place.server is None:
             if can_wait:
+                self._lacks_place = True
                 self.lack = "no place within the rates that servers name"
                 wait_s = place.starts_s - boot_s()
                 self._retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_SOON_S, wait_s))
@@ -342,6 +346,17 @@
         service = self._admitted.service
         return self._deps.fleet.are_all_evacuated(service, self._version())
 
+    def _needs_place(self) -> bool:
+        """Return whether only a place would help a request that has got none.
+
+        A share of a brittle service is then no use, whenever there is room in it.
+        """
+        return self._lacks_place and not any(
+            self._is_unlimited(server)
+            and self._deps.fleet.can_run(server, self.model_ref)
+            for server in self._deps.fleet.staying_servers(self._admitted.service)
+        )
+
     def _waits_for_share(self) -> bool:
         return self._deps.fleet.waits_for_place(self.model_ref, self._version())
 
--- a/testing/vm/test_cold_pairs.py
+++ b/testing/vm/test_cold_pairs.py
@@ -98,6 +98,17 @@
             self.assertEqual(len(behaviour.refused_s), 0)
             self.assertGreater(behaviour.served, SLOTS)
 
+    async def test_a_request_without_a_place_does_not_wait_for_a_share(self) -> None:
+        """Guards against places of a brittle server that are asked for in a loop."""
+        async with cold_deployment() as deployment:
+            server = await add_cold(deployment, "s1")
+            server.steps = [SlottedServer(0.02).step] * 1_000
+            await call_many(deployment, 1)
+            statuses = await call_for(deployment, 2.0)
+            counts = deployment.vm.leader_client.places.counts
+            self.assertLessEqual(counts["leader", "lacking"], 1.5 * len(statuses))
+            self.assertGreater(statuses.count(200), COLD_PER_S * 1.5)
+
     async def test_a_server_that_restarts_cold_has_no_known_speed(self) -> None:
         """Guards against a choice by the speed of an earlier start, or by none."""
         async with cold_deployment() as deployment:
