--- a/testing/vm/test_evacuations.py
+++ b/testing/vm/test_evacuations.py
@@ -247,6 +247,9 @@
         """Guards against a VM cut off from the servers that does not know as much."""
         async with running_cluster(servers=1) as (deployment, cluster):
             await write(deployment, "here")
+            # The leader lists the other VMs once they have reported to it.
+            relays = deployment.vm.relays
+            await wait_until(lambda: relays.choose("plain", ()) is not None)
             with refusing_address() as address:
                 cut_off(deployment.vm, address)
                 deployment.vm.fleet.set_evacuated(())
