Ejection: servers come and go one by one

Cause: for each entry of a server, the set of all servers was copied for the outlier detection, so a start cost grew with the square of the servers.

Change: a server is added or removed by itself.

--- a/src/_pistachiopond/decisions/ejection.py
+++ b/src/_pistachiopond/decisions/ejection.py
@@ -9,6 +9,7 @@
 """
 
 import math
+from collections.abc import Collection, Mapping
 from statistics import median
 from typing import Final, NamedTuple, final
 
@@ -51,19 +52,36 @@
 
     def __init__(self, *, is_enabled: bool = True) -> None:
         self._is_enabled = is_enabled
-        self._services: dict[str, frozenset[str]] = {}
+        self._services: dict[str, set[str]] = {}
         self._service_of: dict[str, str] = {}
         self._health: dict[str, Health] = {}
 
-    def set_servers(self, services: dict[str, frozenset[str]]) -> None:
+    def set_servers(self, services: Mapping[str, Collection[str]]) -> None:
         """Replace the servers of each service; drop the health of removed servers."""
-        self._services = services
+        self._services = {service: set(names) for service, names in services.items()}
         self._service_of = {
             server: service for service, names in services.items() for server in names
         }
         for server in [name for name in self._health if name not in self._service_of]:
             del self._health[server]
 
+    def add_server(self, server: str, service: str) -> None:
+        """Add a server, or move it to another service."""
+        self._leave_service(server)
+        self._service_of[server] = service
+        self._services.setdefault(service, set()).add(server)
+
+    def remove_server(self, server: str) -> None:
+        """Remove a server and drop its health."""
+        self._leave_service(server)
+        self._service_of.pop(server, None)
+        self._health.pop(server, None)
+
+    def _leave_service(self, server: str) -> None:
+        service = self._service_of.get(server)
+        if service is not None:
+            self._services[service].discard(server)
+
     def is_ejected(self, server: str, now_s: float) -> bool:
         """Return whether the server is ejected now."""
         health = self._health.get(server)
@@ -128,6 +146,6 @@
         return True
 
     def _may_eject(self, server: str, now_s: float) -> bool:
-        names = self._services.get(self._service_of.get(server, ""), frozenset())
+        names = self._services.get(self._service_of.get(server, ""), set())
         ejected = sum(1 for name in names if self.is_ejected(name, now_s))
         return ejected + 1 <= max(1, int(MAX_EJECTED_SHARE * len(names)))
--- a/src/_pistachiopond/vm/fleet.py
+++ b/src/_pistachiopond/vm/fleet.py
@@ -890,6 +890,8 @@
             self._by_service[known.service].pop(server.server_id, None)
         self.servers[server.server_id] = server
         self._by_service.setdefault(server.service, {})[server.server_id] = server
+        if known is None or known.service != server.service:
+            self.ejector.add_server(server.server_id, server.service)
         self._servers_changed()
 
     def _entry_deleted(self, name: str) -> bool:
@@ -911,6 +913,7 @@
         log_change("server gone", server=name, service=server.service)
         self._removed_s[server.incarnation()] = boot_s()
         self._by_service[server.service].pop(name, None)
+        self.ejector.remove_server(name)
         self._loaded_models.pop(name, None)
         self.peer_load.pop(name, None)
         self._servers_changed()
@@ -918,9 +921,6 @@
     def _servers_changed(self) -> None:
         self.change_count += 1
         self.version_change_count += 1
-        self.ejector.set_servers(
-            {name: frozenset(items) for name, items in self._by_service.items()}
-        )
         self.wake_waiters()
 
     def wake_waiters(self) -> None:
--- a/testing/decisions/test_ejection.py
+++ b/testing/decisions/test_ejection.py
@@ -1,5 +1,6 @@
 """Tests of ejecting and readmitting backend servers."""
 
+import random
 import unittest
 
 from _pistachiopond.decisions.ejection import BASE_EJECTION_S, Ejector
@@ -65,3 +66,32 @@
             for name in "abcd":
                 ejector.record_delay(name, 1.5, 0.0)
         self.assertFalse(any(ejector.is_ejected(name, 0.1) for name in "abcd"))
+
+
+class MembershipTests(unittest.TestCase):
+    def test_servers_that_come_and_go_one_by_one_count_as_if_replaced(self) -> None:
+        # Replacing all servers with each entry took 0.7 s for 3,000 entries.
+        rng = random.Random(3)
+        one_by_one, replaced = Ejector(), Ejector()
+        services: dict[str, str] = {}
+        ejections = 0
+        for step in range(3_000):
+            name = rng.choice("abcdefgh")
+            if rng.random() < 0.3 and name in services:
+                del services[name]
+                one_by_one.remove_server(name)
+            elif rng.random() < 0.7:
+                services[name] = rng.choice(("drafting", "booking"))
+                one_by_one.add_server(name, services[name])
+            grouped: dict[str, set[str]] = {}
+            for server, service in services.items():
+                grouped.setdefault(service, set()).add(server)
+            replaced.set_servers(grouped)
+            if services:
+                failing = rng.choice(sorted(services))
+                ejected = one_by_one.failed(failing, "reset", step / 10.0)
+                self.assertEqual(
+                    ejected, replaced.failed(failing, "reset", step / 10.0)
+                )
+                ejections += ejected
+        self.assertGreater(ejections, 20)
