--- a/src/_pistachiopond/decisions/hosting_options.py
+++ b/src/_pistachiopond/decisions/hosting_options.py
@@ -180,7 +180,7 @@
             return None
         options = [
             option
-            for server in self._few_servers(need, ordered_servers)
+            for server in self._candidates(need, ordered_servers)
             if (option := self.option_at(server, need)) is not None
         ]
         return min(options, default=None, key=lambda option: option[:3])
@@ -210,7 +210,7 @@
         cost = removal.cost + load_cost
         return HostingOption(cost, utilisation, name, inventory, removal.model)
 
-    def _few_servers(
+    def _candidates(
         self, need: HostingNeed, ordered_servers: Collection[str]
     ) -> list[HostingServer]:
         """Return servers of which the cheapest one is the cheapest of all.
