Leadership: other lines of the leader do not extend the wait for its reply

Since any line of the leader extended the wait, so a leader that sends single bytes without end was kept twice as long.

A member's own standstill still does not count. The leader's stalls, for which it was made, came from planning, which is cheap now.

--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -148,7 +148,6 @@
         self._reply_received_s = float("-inf")
         self._relayed_s = float("-inf")
         self._sent_s = 0.0
-        self._silence = LeaderSilence(0.0)
         self._connection_scope: asyncio.Timeout | None = None
         self._resigned_fence = -1
         self._refused_connection_fence = -1
@@ -381,7 +380,7 @@
 
     async def _await_reply(self) -> None:
         """Wait for the reply to the last report; raise TimeoutError if it is lost."""
-        silence = self._silence = LeaderSilence(self._sent_s)
+        silence = LeaderSilence(self._sent_s)
         while not self._reply_received.is_set():
             try:
                 async with asyncio.timeout(STEP_S):
@@ -393,7 +392,6 @@
     async def _read_messages(self, reader: asyncio.StreamReader) -> None:
         lines = LineReader(reader, MAX_LINE_BYTES)
         while line := await lines.read():
-            self._silence.line_received()
             decoded = decode_line(line)
             if decoded.is_err():
                 raise ValueError(f"malformed message of the leader: {decoded.err()}")
