--- a/review/8/clients.py
+++ b/review/8/clients.py
@@ -6,7 +6,7 @@
 import asyncio
 import sys
 
-BODY_BYTES = 20_000
+BODY_BYTES = 60_000
 # The limit of the config is 16,384.
 HEADER_BYTES = 16_000
 
