--- a/review/standins2/ordinary.py
+++ b/review/standins2/ordinary.py
@@ -23,8 +23,8 @@
 )
 from review.standins2.store import OPERATOR_TOPIC, SERVERS_TOPIC, Store
 
-# A small part of the channels that the descriptors of one machine allow (4,200).
-CLIENTS: Final = 250
+# A quarter of the channels that callers may have at a machine with 4,200 descriptors.
+CLIENTS: Final = 500
 LOAD_S: Final = 11.0
 CALL_PERIOD_S: Final = 0.1
 # The route's, and what callers wait at most.
