--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,144 +1,135 @@
-"""Whole requests of legal size, many at once, beside the memory of a machine."""
+"""Streams of two software versions, after a leader has resigned beside a cut machine.
+
+Run by `run.sh`. The store turns one of three machines away; another one, the leader,
+is stopped by SIGTERM; and workers of a new software version join.
+"""
 
 import asyncio
-import os
-import subprocess
+import signal
 import sys
-import tempfile
 import time
+from functools import partial
 from pathlib import Path
 from typing import Final
 
-from review.standins2.http import serve
-from review.standins2.installation import (
-    KEY,
-    MEMORY_MB,
-    Machine,
-    Record,
+from review.standins3.machines import Machine, free_ips
+from review.standins3.play import (
+    Recorder,
     config,
-    kill_all,
-    route,
+    leader_of,
+    play,
+    stream_route,
+    wait_until,
 )
-from review.standins2.ordinary import beat, wait_until_served, work
-from review.standins2.store import OPERATOR_TOPIC, Store
-
-# Half of the channels that callers may have with 4,200 descriptors, 200 of them for
-# files and half of the rest for channels to workers.
-CLIENTS: Final = 1_000
-LOAD_S: Final = 10.0
-LOOK_S: Final = 0.02
-BYTES_PER_KB: Final = 1024
-BYTES_PER_MB: Final = 1_000_000
-
-
-def resident_bytes(machine: Machine) -> int:
-    """Return the resident memory of a machine's process; 0 if it has ended."""
-    try:
-        text = Path(f"/proc/{machine.process.pid}/status").read_text()
-    except OSError:
-        return 0
-    for line in text.splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * BYTES_PER_KB
-    return 0
-
-
-def make_config() -> dict[str, object]:
-    """Return a config with a plain service and a service of models."""
-    model = {"name": "m9", "weightsMb": 65_100.0, "loadTimeS": 3.8, "adapters": 0}
-    engine = {
-        "slots": 48,
-        "kvCapacityTokens": 123_730,
-        "weightsMb": 200_000.0,
-        "adapterSlots": 5,
-        "loadsPerS": 2.2,
-        "models": [model],
-    }
-    services = [
-        {
-            "name": "station-api",
-            "healthCheckPath": "/health",
-            "connectionLimit": 96,
-        },
-        {
-            "name": "summary-models",
-            "healthCheckPath": "/health",
-            "connectionLimit": 290,
-            "engine": engine,
-        },
-    ]
-    archive = route(
-        "archive",
-        "stream",
-        "summary-models",
-        timeoutMs=15_000,
-        targetLatencyMs=3_000,
-        gapAimMs=150,
-    )
-    return config([route("register", "unsafe", "station-api"), archive], services)
+from review.standins3.requesters import Ingress, Stream, StreamRequest, get_stream
+from review.standins3.store import Store
+from review.standins3.stream_workers import StreamWorker
 
+HOST: Final = "notes.example"
+PATH: Final = "/summary/1"
+SERVICE: Final = "drafting"
+# A stream takes 7.8 s; its pauses are within the 150 ms of the sheets.
+EVENTS: Final = 60
+PAUSE_S: Final = 0.13
+DEADLINE_S: Final = 12.0
+STREAMS: Final = 30
+# Traffic starts 12 s after the machines do.
+LEAD_S: Final = 12.5
+# `platform_down` with how `nodes`: a share of 0.35 for 9 s is the largest dose.
+TURNED_AWAY_S: Final = 9.0
+# More than two streams break the rule.
+MAX_MIXED: Final = 2
 
-async def watch(machine: Machine, record: Record) -> int:
-    """Return the peak of the resident memory while the load lasts."""
-    peak_bytes = 0
-    noted_bytes = 0
-    end_s = time.monotonic() + LOAD_S
-    while time.monotonic() < end_s and machine.is_running():
-        peak_bytes = max(peak_bytes, resident_bytes(machine))
-        if peak_bytes > noted_bytes + 20 * BYTES_PER_MB:
-            noted_bytes = peak_bytes
-            record.write(f"resident memory: {peak_bytes / BYTES_PER_MB:.1f} MB")
-        await asyncio.sleep(LOOK_S)
-    return peak_bytes
 
-
-async def run(record: Record, folder: Path, has_trouble: bool) -> int:
+async def run(folder: Path, record: Recorder, has_trouble: bool) -> int:
     """Play the case; return the exit code."""
     store = Store()
-    _, store_port = await serve(store.handle)
-    _, server_port = await serve(work)
-    store.put(OPERATOR_TOPIC, "config", make_config())
-    beating = asyncio.ensure_future(beat(store, server_port))
-    machine = Machine(1, folder, store_port)
-    clients: subprocess.Popen[bytes] | None = None
+    route = stream_route(SERVICE, HOST, 12_000)
+    store.put("keyed.op", "config", config(route, {"name": SERVICE}))
+    turned_away: set[str] = set()
+    workers = [
+        StreamWorker(f"i-{version}-{n}", version, SERVICE, EVENTS, PAUSE_S)
+        for version in ("v1", "v2")
+        for n in range(2)
+    ]
+    tasks = [await worker.start(store) for worker in workers[:2]]
+    machines: list[Machine] = []
     try:
-        if not await wait_until_served(machine, record):
-            record.write(f"not served: {machine.log.read_text()[-2000:]}")
-            return 2
-        at_start_mb = resident_bytes(machine) / BYTES_PER_MB
-        record.write(f"resident memory at the start: {at_start_mb:.1f} MB")
+        for number, ip in enumerate(free_ips(3)):
+            name = f"front-{number}"
+            address = await store.address_for(lambda name=name: name in turned_away)
+            machines.append(Machine(name, ip, "zone-a", address, folder))
+        ingress = Ingress(machines)
+        tasks.append(asyncio.create_task(ingress.run()))
+        started_s = time.monotonic()
+        await wait_until("a leader", lambda: bool(leader_of(store)))
+        await asyncio.sleep(max(0.0, started_s + LEAD_S - time.monotonic()))
+        await wait_until("all ready", lambda: len(ingress.in_rotation()) == 3)
+
+        leader = next(m for m in machines if m.name == leader_of(store))
+        cut = next(m for m in machines if m is not leader)
+        record.write(f"leader {leader.name}, to be turned away {cut.name}")
         if has_trouble:
-            arguments = [*map(str, machine.front), str(CLIENTS), KEY]
-            program = str(Path(__file__).with_name("clients.py"))
-            clients = subprocess.Popen([sys.executable, program, *arguments])
-            record.write(f"{CLIENTS} clients send a whole request each")
-        peak_bytes = await watch(machine, record)
-        record.write(
-            f"peak of the resident memory: {peak_bytes / BYTES_PER_MB:.1f} MB, the "
-            f"machine has {MEMORY_MB} MB"
-        )
-        return int(peak_bytes > MEMORY_MB * BYTES_PER_MB or not machine.is_running())
+            turned_away.add(cut.name)
+            record.write(f"disruption: the store turns {cut.name} away, 503")
+        cut_s = time.monotonic()
+        await asyncio.sleep(0.3)
+        leader.send(signal.SIGTERM)
+        record.write(f"planned: SIGTERM to {leader.name}")
+        await wait_until("a new leader", lambda: leader_of(store) != leader.name)
+        record.write(f"leader {leader_of(store)}")
+        await asyncio.sleep(0.5)
+        for worker in workers[2:]:
+            tasks.append(await worker.start(store))
+        record.write("planned: release, two workers of version v2 join")
+        await asyncio.sleep(0.5)
+        record.write(f"{STREAMS} streams begin at {leader.name}")
+        jobs = []
+        for number in range(STREAMS):
+            request = StreamRequest(f"r{number}", HOST, PATH, DEADLINE_S, 1)
+            choose = partial(ingress.choose, number)
+            jobs.append(asyncio.create_task(get_stream(request, leader, choose)))
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(max(0.0, cut_s + TURNED_AWAY_S - time.monotonic()))
+        turned_away.clear()
+        if has_trouble:
+            record.write(f"the store serves {cut.name} again")
+        streams = await asyncio.gather(*jobs)
+        return judge(streams, workers, record)
     finally:
-        if clients is not None:
-            clients.kill()
-            clients.wait()
-        beating.cancel()
-        kill_all([machine])
+        for task in tasks:
+            task.cancel()
+        for machine in machines:
+            machine.end()
 
 
-def main() -> int:
-    """Play the case with or without its clients, by the variable TROUBLE."""
-    record = Record(Path(sys.argv[1]))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            code = asyncio.run(run(record, Path(folder), has_trouble))
-        except Exception as error:
-            record.write(f"the case could not run: {error!r}")
-            code = 2
-    record.write(f"exit code {code}")
-    return code
+def judge(streams: list[Stream], workers: list[StreamWorker], record: Recorder) -> int:
+    """Write what was sent, run and answered, and return the exit code."""
+    for run_ in sorted((r for w in workers for r in w.runs), key=lambda r: r.began_s):
+        record.write(
+            f"run {run_.attempt_id} at {run_.worker} after event {run_.after}",
+            run_.began_s,
+        )
+    mixed = resumed = 0
+    for stream in streams:
+        versions = sorted({event.data.split("/")[0] for event in stream.events})
+        mixed += len(versions) > 1
+        resumed += len(stream.tries) > 1
+        for item in stream.tries:
+            got = sum(event.attempt_id == item.attempt_id for event in stream.events)
+            record.write(
+                f"try {item.attempt_id} at {item.machine}: {item.status} {item.end}, "
+                f"{got} events, after {item.ended_s - item.sent_s:.2f} s",
+                item.sent_s,
+            )
+        record.write(f"stream {stream.tries[0].attempt_id[:-2]} holds {versions}")
+    record.write(
+        f"streams {len(streams)}, taken up again {resumed}, of two versions {mixed}"
+    )
+    if len(streams) < STREAMS or not any(s.events for s in streams):
+        return 2
+    return 1 if mixed > MAX_MIXED else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play(Path(__file__).parent, run))
