--- a/review/standins3/machines.py
+++ b/review/standins3/machines.py
@@ -126,11 +126,6 @@
                 stderr=log,
             )
 
-    @property
-    def pid(self) -> int:
-        """The process id."""
-        return self._process.pid
-
     def is_running(self) -> bool:
         """Return whether the process has not ended."""
         return self._process.poll() is None
