Add a case: a VM that starts after the store's drill serves a withdrawn key

A leader confirms its copy of the configuration to a VM that has just started, though the store has come back from an older copy and the leader itself does not take its configuration for complete before 2.2 s have passed.

The script has the store come back from a copy that lacks the withdrawal of a key, and adds a VM.

--- a/review/standins4/world.py
+++ b/review/standins4/world.py
@@ -190,6 +190,10 @@
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         # Returns whether to turn a call away, by its path and its topic.
         self.refuses: Callable[[str, str], bool] = lambda path, topic: False
+        # How often it has come back from an older copy; None if it does not say.
+        self.era: int | None = None
+        self._is_away = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._changed = asyncio.Event()
         self.address = ""
 
@@ -207,6 +211,22 @@
         changed.set()
         return len(records) - 1
 
+    def copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Return a copy of all records."""
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    def go_away(self) -> None:
+        """End all connections with a reset, and all further ones."""
+        self._is_away = True
+        for writer in list(self._writers):
+            reset_connection(writer)
+
+    def come_back(self, copy: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Serve again, from an older copy."""
+        self.topics = copy
+        self.era = (self.era or 0) + 1
+        self._is_away = False
+
     def leader(self) -> str:
         """Return the name in the newest claim of the system's own topic."""
         for key, value in reversed(self.topics.get("keyed.pond", [])):
@@ -217,15 +237,27 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_away:
+            reset_connection(writer)
+            return
+        self._writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
                 await asyncio.sleep(STORE_WAY_S)
                 response = await self._answer(message)
                 await asyncio.sleep(STORE_WAY_S)
+                if self._is_away or writer.is_closing():
+                    break
+                if self.era is not None:
+                    era = b"\r\nStore-Era: %d\r\n" % self.era
+                    response = response.replace(b"\r\n", era, 1)
                 writer.write(response)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, message: Message) -> bytes:
@@ -718,15 +750,19 @@
 
     async def start_vms(self, count: int) -> None:
         """Start VMs on addresses of their own, and wait until all are ready."""
-        for number in range(count):
-            zone = "zone-a" if number % 2 == 0 else "zone-b"
-            ip = f"{self._net}.{number + 1}"
-            name = f"front-{zone}-{number + 1}"
-            self.vms.append(Vm(name, ip, zone, self.store.address, self.folder))
-        for vm in self.vms:
-            vm.start()
+        for _ in range(count):
+            self.add_vm().start()
         await self.wait_ready(self.vms)
 
+    def add_vm(self) -> Vm:
+        """Return a further VM, which is not started yet."""
+        number = len(self.vms) + 1
+        zone = "zone-a" if number % 2 else "zone-b"
+        ip, name = f"{self._net}.{number}", f"front-{zone}-{number}"
+        vm = Vm(name, ip, zone, self.store.address, self.folder)
+        self.vms.append(vm)
+        return vm
+
     async def wait_ready(self, vms: list[Vm]) -> None:
         """Wait until VMs are ready."""
         end_s = time.monotonic() + START_LIMIT_S
