--- a/review/standins4/world.py
+++ b/review/standins4/world.py
@@ -505,7 +505,7 @@
             # What the case needs is loaded, so nothing is to be ordered.
             return encode_response(409, self.headers)
         attempt = message.headers.get("x-attempt-id", "")
-        headers = {"X-Attempt-Id": attempt, "Keep-Alive": "timeout=60", **self.headers}
+        headers = self._answer_headers(attempt)
         expected = message.headers.get("x-expect-instance", self.name)
         if expected != self.name:
             self._record(attempt, "other")
@@ -534,7 +534,7 @@
                 await self._wait_while_stuck()
             if self.events and self.is_up:
                 after = int(message.headers.get("last-event-id", "0"))
-                return await self._stream(headers, writer, after)
+                return await self._stream(attempt, writer, after)
         finally:
             if self._born == born:
                 self.running -= 1
@@ -544,13 +544,18 @@
             raise ConnectionResetError
         self.completed += 1
         seal = {"X-Server-Seal": f"{self.name}.{attempt}"}
-        return encode_response(200, headers | seal, b"x" * 800)
+        return encode_response(200, self._answer_headers(attempt) | seal, b"x" * 800)
+
+    def _answer_headers(self, attempt: str) -> dict[str, str]:
+        """Return the headers of an answer that is sent now."""
+        return {"X-Attempt-Id": attempt, "Keep-Alive": "timeout=60", **self.headers}
 
     async def _stream(
-        self, headers: dict[str, str], writer: asyncio.StreamWriter, after: int
+        self, attempt: str, writer: asyncio.StreamWriter, after: int
     ) -> bytes:
         """Send the events after a given one; return the end of the response."""
-        seal = {"X-Server-Seal": f"{self.name}.{headers['X-Attempt-Id']}"}
+        headers = self._answer_headers(attempt)
+        seal = {"X-Server-Seal": f"{self.name}.{attempt}"}
         framing = {
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
