--- a/review/standins4/world.py
+++ b/review/standins4/world.py
@@ -481,6 +481,9 @@
             while True:
                 message = await read_message(reader)
                 await self._wait_while_stuck()
+                if not self.is_up:
+                    # Read before the crash.
+                    break
                 writer.write(await self._answer(message, writer))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
