--- a/review/11/case.py
+++ b/review/11/case.py
@@ -113,6 +113,7 @@
         finally:
             if writer is not None:
                 writer.transport.abort()
+        self._world.log_answer(attempt, vm.name, status)
         return status
 
     async def _read_events(self, reader: asyncio.StreamReader, attempt: str) -> None:
--- a/review/standins4/world.py
+++ b/review/standins4/world.py
@@ -741,6 +741,17 @@
         at_s = round(time.monotonic() - self.began_s, 3)
         self._record.write(json.dumps({"t": at_s, **fields}) + "\n")
 
+    def log_answer(self, attempt: str, vm: str, status: int) -> None:
+        """Write a request that was sent, and the status that was answered."""
+        self.log(sent=attempt, vm=vm, answered=status)
+
+    def _log_arrivals(self) -> None:
+        """Write what reached the servers."""
+        arrivals = [item for server in self.servers for item in server.arrivals]
+        for at_s, attempt, server, outcome in sorted(arrivals):
+            after_s = round(at_s - self.began_s, 3)
+            self.log(reached=attempt, server=server, outcome=outcome, at_s=after_s)
+
     async def add_server(
         self, name: str, service: str, *, slots: int, queue: int
     ) -> Server:
@@ -789,6 +800,7 @@
             task.cancel()
         for vm in self.vms:
             vm.end()
+        self._log_arrivals()
         self._record.close()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
