Log and count what becomes of the records of streams' versions

New: a line for each stream that begins with a record, a warning where the leader discards records (it was silent), pond_stored_streams by outcome and the gauge pond_stream_records_unwritten.

--- a/src/_pistachiopond/vm/program.py
+++ b/src/_pistachiopond/vm/program.py
@@ -94,7 +94,7 @@
 from _pistachiopond.vm.suspects import Suspects
 from _pistachiopond.vm.topic_cache import TopicCache, TopicCallbacks
 from _pistachiopond.vm.topic_follower import FollowedTopic, TopicFollower
-from _pistachiopond.vm.version_store import VersionStore
+from _pistachiopond.vm.version_store import CountStreams, VersionStore
 
 METRICS_PORT: Final = 9464
 LOG_FLUSH_PERIOD_S: Final = 0.1
@@ -212,7 +212,12 @@
     store = make_store_client(
         make_store_call(settings.store_address, timer.now_s, record_excess, contact)
     )
-    version_store = VersionStore(store, leadership, leader_client.origins)
+    version_store = VersionStore(
+        store,
+        leadership,
+        leader_client.origins,
+        _make_stored_stream_counter(metrics),
+    )
     crash_watch = CrashWatch(
         fleet,
         reach,
@@ -253,7 +258,7 @@
     )
     placer.leader_server = leader_server
     reach.on_proof = leader_client.send_refusing
-    _add_stream_gauges(metrics, leader_client.origins)
+    _add_stream_gauges(metrics, leader_client.origins, version_store)
     election = LeaderElection(
         store,
         leadership,
@@ -347,7 +352,9 @@
     )
 
 
-def _add_stream_gauges(metrics: Metrics, origins: StreamOrigins) -> None:
+def _add_stream_gauges(
+    metrics: Metrics, origins: StreamOrigins, version_store: VersionStore
+) -> None:
     metrics.gauge(
         "pond_streams_remembered",
         "Streams of this VM whose software version is remembered.",
@@ -358,6 +365,20 @@
         "Streams whose software version another VM has recorded.",
         lambda: origins.counts()[1],
     )
+    metrics.gauge(
+        "pond_stream_records_unwritten",
+        "Streams whose software version the leader has yet to write to the store.",
+        version_store.unwritten_count,
+    )
+
+
+def _make_stored_stream_counter(metrics: Metrics) -> CountStreams:
+    streams = metrics.counter(
+        "pond_stored_streams",
+        "Streams whose software version the leader was to write to the store.",
+        ("outcome",),
+    )
+    return lambda outcome, count: streams.labels(outcome).inc(count)
 
 
 def _make_part_counter(metrics: Metrics) -> Callable[[str], None]:
--- a/src/_pistachiopond/vm/version_binding.py
+++ b/src/_pistachiopond/vm/version_binding.py
@@ -14,6 +14,7 @@
 from _pistachiopond.observe.logs import log_change
 from _pistachiopond.schema.deployment import BackendServer
 from _pistachiopond.vm.admission import Admitted
+from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet, ModelRef, RankedServer
 from _pistachiopond.vm.refusals import Refusal
 from _pistachiopond.vm.stream_origins import BATCH_PERIOD_S, StreamOrigins
@@ -213,6 +214,7 @@
         relayed, self._relayed = self._relayed, None
         if self.version is not None or relayed is None:
             return
+        began_s = boot_s()
         try:
             async with asyncio.timeout(MAX_RECORD_WAIT_S):
                 await relayed.wait()
@@ -220,6 +222,18 @@
             log_change(
                 "record of a stream not relayed in time", request=self._attempt_id
             )
+        self._log_recorded(boot_s() - began_s)
+
+    def _log_recorded(self, waited_s: float) -> None:
+        origin = self._origins.resolve(self._stream_id, self._served_model)
+        log_change(
+            "stream begins with a record",
+            request=self._attempt_id,
+            software_version=origin.version,
+            preferred=self._origins.preferred(self._stream_id, self._served_model),
+            waited_s=round(waited_s, 3),
+            contact_age_s=round(self._origins.contact().contact_age_s, 2),
+        )
 
     def failed_without_event(self) -> None:
         """Forget the version of an attempt, unless the caller has had events of it."""
--- a/src/_pistachiopond/vm/version_store.py
+++ b/src/_pistachiopond/vm/version_store.py
@@ -15,6 +15,7 @@
 import itertools
 import json
 from collections import deque
+from collections.abc import Callable
 from typing import Annotated, Final, NamedTuple, TypedDict, final
 
 import anyio
@@ -58,6 +59,9 @@
 MAX_UNWRITTEN_STREAMS: Final = 20_000
 
 
+CountStreams = Callable[[str, int], None]
+
+
 class _Snapshot(NamedTuple):
     """The first read of the claims; `stored` is None if its record proves nothing."""
 
@@ -69,7 +73,11 @@
     """Reads the record when this VM starts, and writes it while this VM leads."""
 
     def __init__(
-        self, store: StoreClient, leadership: Leadership, origins: StreamOrigins
+        self,
+        store: StoreClient,
+        leadership: Leadership,
+        origins: StreamOrigins,
+        count_streams: CountStreams = lambda outcome, streams: None,
     ) -> None:
         """Start without having read anything.
 
@@ -81,7 +89,10 @@
             Whether this VM leads.
         origins : StreamOrigins
             What this VM knows of the versions.
+        count_streams : callable
+            Called with ``written``, ``failed`` or ``discarded``, and how many streams.
         """
+        self._count_streams = count_streams
         self._store = store
         self._leadership = leadership
         self._origins = origins
@@ -137,6 +148,10 @@
         self._streams.extend(streams)
         self._has_streams.set()
 
+    def unwritten_count(self) -> int:
+        """Return how many streams wait to be written."""
+        return len(self._streams)
+
     async def run(self) -> None:
         """Read what the store keeps, and write while this VM leads; until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -167,6 +182,14 @@
             self._has_streams.clear()
             while self._streams and self._leadership.is_leading(boot_s()):
                 await self._write_batch()
+            if self._streams:
+                self._count_streams("discarded", len(self._streams))
+                log_warning(
+                    "versions of streams discarded, this VM does not lead",
+                    streams=len(self._streams),
+                    first=self._streams[0][0],
+                    last=self._streams[-1][0],
+                )
             self._streams.clear()
 
     async def _write_batch(self) -> None:
@@ -180,6 +203,7 @@
         )
         if result.is_err():
             failure = result.err()
+            self._count_streams("failed", len(batch))
             log_warning(
                 "versions of streams not written",
                 kind=failure.kind,
@@ -189,6 +213,7 @@
             await anyio.sleep(RETRY_PAUSE_S)
             return
         self._batch_count += 1
+        self._count_streams("written", len(batch))
         for _ in range(min(len(batch), len(self._streams))):
             self._streams.popleft()
 
