Begin no stream that needs a record behind a leader that has lost the store

In store_away, 2 s after the store went, streams still began that need a record, and got 502 after 1.5 s (4 of 8 subtests, 'did not begin').

Cause: a leader that handed the lead over and one that gave up since the store did not answer replied alike, so members counted on a next leader for 1.5 s more.

Change: Leadership tells the two apart (has_store), and the reply says so. A leader whose last read of the claims is older than 1 s says at once that it stores nothing.

Measured: test_versions_after_kill 4 passed, test_stream_versions 32, test_leadership 11, test_leader_election 13, test_leader_server 11, test_store_restore 22, none failed.

--- a/src/_pistachiopond/decisions/leadership.py
+++ b/src/_pistachiopond/decisions/leadership.py
@@ -73,6 +73,8 @@
         self._claim_sent_s = float("-inf")
         self._claim_pause_s = CLAIM_PAUSE_S
         self._has_given_up = False
+        # Whether this VM has given up since the store did not answer it.
+        self._has_lost_store = False
         self._denied_fence = -1
         self._renewed_fence = -1
         self._spread_s = CLAIM_SPREAD_S
@@ -113,6 +115,7 @@
         if self.is_mine() and not was_mine:
             self._authority_start_s = sent_s + HANDOVER_S
             self._has_given_up = claim.fence <= self._denied_fence
+            self._has_lost_store = False
         self._leader_lost_s = None
 
     def claimed(self, claim: Claim, sent_s: float, *, has_resigned: bool) -> None:
@@ -141,6 +144,7 @@
         self._renewed_fence = self.claim.fence if is_renewal else -1
         self.claim = claim
         self._has_given_up = claim.fence <= self._denied_fence
+        self._has_lost_store = False
         self.end = StorePosition(era, offset + 1)
         self._read_s = sent_s
         self._authority_start_s = sent_s if needs_no_handover else sent_s + HANDOVER_S
@@ -163,9 +167,15 @@
             self.has_taken_over(now_s)
             and not self._has_given_up
             and not self.is_void()
-            and now_s - self._read_s < AUTHORITY_S
+            and self.has_store(now_s)
         )
 
+    def has_store(self, now_s: float) -> bool:
+        """Return whether the store has lately answered this VM, which leads or led."""
+        if self._has_given_up:
+            return not self._has_lost_store
+        return now_s - self._read_s < AUTHORITY_S
+
     def may_order(self, now_s: float) -> bool:
         """Return whether this VM may send orders to servers now."""
         return self.may_act(now_s) and self.turns.pause_s(now_s) <= 0.0
@@ -221,6 +231,7 @@
     def is_leading(self, now_s: float) -> bool:
         """Return whether other VMs should treat this one as the leader."""
         if self.is_mine() and now_s - self._read_s > GIVE_UP_S:
+            self._has_lost_store |= not self._has_given_up
             self._has_given_up = True
         return self.is_mine() and not self._has_given_up
 
--- a/src/_pistachiopond/decisions/stream_versions.py
+++ b/src/_pistachiopond/decisions/stream_versions.py
@@ -116,10 +116,11 @@
     past : str
         What this VM knows of the time before.
     stores_records : bool
-        Whether the last VM that led wrote records to the store, by its last reply.
+        Whether nothing kept the leader, or the one that handed the lead over, from
+        writing records to the store, by its last reply.
     unstored_s : float
-        The time since a leader last said so. The sets of versions in the store are as
-        of then.
+        The time since a VM that leads last said so. The sets of versions in the store
+        are as of then.
     """
 
     contact_age_s: float
--- a/src/_pistachiopond/schema/peer_messages.py
+++ b/src/_pistachiopond/schema/peer_messages.py
@@ -156,8 +156,8 @@
     `versions_known_s` and is missing while the leader itself may lack some.
     `deals_places` is sent by a leader that takes `PlaceRequest` and rates of servers.
     `room_s` has the customers whose refused callers are expected to return, with the
-    time until there is room behind them. `stores_origins` says whether the leader
-    writes streams' records to the store now; one that sends it also sends
+    time until there is room behind them. `stores_origins` is false if the
+    sender can't write streams' records to the store; one that sends it also sends
     `origins_stored`.
     """
 
--- a/src/_pistachiopond/vm/leader_client.py
+++ b/src/_pistachiopond/vm/leader_client.py
@@ -558,12 +558,10 @@
         known_s = reply.get("origins_known_s")
         self._relays_origins = known_s is not None
         self._confirms_origins = "stores_origins" in reply
-        if reply["leads"]:
-            # Builds that don't say write what they relay.
-            stores = reply.get("stores_origins", self._relays_origins)
-            self._stores_origins = stores
-            if stores:
-                self._origins_stored_s = now_s
+        # Builds that don't say write what they relay.
+        self._stores_origins = reply.get("stores_origins", self._relays_origins)
+        if self._stores_origins and reply["leads"]:
+            self._origins_stored_s = now_s
         self.origins.set_oldest_known_s(known_s or 0.0)
         if "versions" in reply:
             self.origins.take_history(reply["versions"])
--- a/src/_pistachiopond/vm/leader_server.py
+++ b/src/_pistachiopond/vm/leader_server.py
@@ -127,8 +127,8 @@
     store_streams : callable
         Called with the streams' versions that are relayed, to keep them in the store.
     stores_streams : callable or None
-        Returns whether they are written there now; None if nothing says when the store
-        has them.
+        Returns whether nothing keeps them from being written there soon; None if
+        nothing says when the store has them.
     speeds : callable
         Returns the servers' speeds that an earlier leader told.
     """
--- a/src/_pistachiopond/vm/stream_origins.py
+++ b/src/_pistachiopond/vm/stream_origins.py
@@ -43,9 +43,9 @@
     Attributes
     ----------
     stores_records : bool
-        Whether the last VM that led wrote them, by its last reply.
+        Whether nothing kept the leader from writing them, by its last reply.
     unstored_s : float
-        The time since a leader last said so.
+        The time since a VM that leads last said so.
     is_confirmed : bool
         Whether the leader says of each record when the store has it; builds that don't
         are taken to have written what they relay.
--- a/src/_pistachiopond/vm/version_store.py
+++ b/src/_pistachiopond/vm/version_store.py
@@ -175,8 +175,11 @@
         self._has_streams.set()
 
     def is_storing(self) -> bool:
-        """Return whether streams that are added now will soon be in the store."""
-        if not self._leads() or self._has_write_failed:
+        """Return whether streams that are added now will soon be in the store.
+
+        After this VM has handed the lead over, the next leader writes them.
+        """
+        if self._has_write_failed or not self._leadership.has_store(boot_s()):
             return False
         waiting_s = boot_s() - self._waiting_since_s
         return not self._streams or waiting_s < MAX_STORE_LAG_S
--- a/testing/vm/test_stream_versions.py
+++ b/testing/vm/test_stream_versions.py
@@ -471,9 +471,7 @@
 
     def test_the_wait_for_a_record_that_is_not_relayed_is_bounded(self) -> None:
         async def main() -> None:
-            patient = route(
-                "resume", "stream", "plain", resumable=True, timeoutMs=9000
-            )
+            patient = route("resume", "stream", "plain", resumable=True, timeoutMs=9000)
             async with running_cluster(2, routes=[patient]) as cluster:
                 for server, version in (("s1", "old"), ("s2", "new")):
                     await cluster.add_server(server, version)
