Check in the model that streams stay at their version when VMs end without the store

Now it leaves out nothing of the kind: all VMs may be killed at any moment, also after the store has been away, and streams that need a record begin once the store has it, as in the product.

--- a/testing/decisions/stream_version_world.py
+++ b/testing/decisions/stream_version_world.py
@@ -8,6 +8,7 @@
 from _pistachiopond.decisions.stream_versions import (
     LEADER_CHANGE_S,
     RESUMPTION_GAP_S,
+    STREAM_MEMORY_S,
     Contact,
     Origin,
     Past,
@@ -39,7 +40,6 @@
     is_begun_unaware: bool
     was_cut_off: bool
     is_running: bool
-    is_unstored: bool = False
 
 
 class SimulatedVm:
@@ -57,8 +57,9 @@
         self.is_turned_away = False
         self.past: Past = "absent"
         self.unsent: list[StreamRecord] = []
-        # Relayed, and on the way to the store.
-        self.written: list[StreamRecord] = []
+        self.stores_records = False
+        # When a leader last said that it writes records to the store.
+        self.stored_s = float("-inf")
 
     def learn(self, servers: dict[str, str], now_s: float) -> None:
         """Apply the servers' entries."""
@@ -69,7 +70,10 @@
         for version in servers.values():
             weights[version] = weights.get(version, 0) + SLOTS
         changed = self.versions.sets.update(
-            {MODEL.service: set(weights)}, lambda _: {MODEL: weights}, now_s
+            {MODEL.service: set(weights)},
+            lambda _: {MODEL: weights},
+            now_s,
+            now_s - self.stored_s,
         )
         self.unsent += self.versions.streams_to_record(changed, now_s)
 
@@ -80,8 +84,8 @@
     The store may turn VMs away. They stay with the leader that they know, and the
     others choose a new one if it is among them.
 
-    Records reach the other VMs before the first event of their stream, unless their
-    VM has no leader. Such a stream is not taken up again until they have.
+    A stream that needs a record has an event once the leader has written it to the
+    store. All VMs may be killed at any moment.
     """
 
     def __init__(
@@ -91,16 +95,18 @@
         has_history: bool = True,
         has_store: bool = True,
         counts_all_replies: bool = False,
+        awaits_store: bool = True,
     ) -> None:
         self.now_s = 1_000.0
         self._counts_all_replies = counts_all_replies
+        self._awaits_store = awaits_store
         # The VMs that have reported to each leader since it last led.
         self._members: dict[str, set[str]] = {}
         self._has_store = has_store
         # What the leader has written, or None if that proves nothing.
         self._stored: StoredVersions | None = StoredVersions({})
         self._stored_records: dict[str, StreamRecord] = {}
-        self._stored_s = self.now_s
+        self._written_by = ""
         self._has_history = has_history
         self._ignores_versions = ignores_versions
         self.servers: dict[str, str] = {}
@@ -199,6 +205,9 @@
                 members=len(names),
             )
         members = [self.vms[name] for name in sorted(names)]
+        for vm in members:
+            vm.stores_records = not leader.is_turned_away
+            vm.stored_s = self.now_s if is_leading else vm.stored_s
         if members and members[0].contact.reaches_all:
             self._exchange(leader, members, is_leading=is_leading)
 
@@ -211,8 +220,9 @@
         for vm in members:
             vm.oldest_since_s = oldest_since_s
             records, vm.unsent = vm.unsent, []
-            vm.written += records
             for record in records:
+                if is_leading:
+                    self._stored_records[record.stream_id] = record
                 stream = self.streams.get(record.stream_id)
                 if stream is not None:
                     stream = stream._replace(recorded_s=self.now_s)
@@ -220,7 +230,7 @@
             for other in members:
                 other.versions.add_records(records, self.now_s)
         if is_leading:
-            self._store_versions(leader, members)
+            self._store_versions(leader)
 
     def _is_isolated(self, vm: SimulatedVm) -> bool:
         """Return whether a VM hears neither of servers nor of records."""
@@ -237,24 +247,20 @@
                 vm.versions.sets.take_history(decode_history(plain), self.now_s)
                 vm.past = "known"
 
-    def _store_versions(self, leader: SimulatedVm, members: list[SimulatedVm]) -> None:
-        for vm in members:
-            for record in vm.written:
+    def _store_versions(self, leader: SimulatedVm) -> None:
+        if self._written_by != self._leader:
+            self._written_by = self._leader
+            for record in leader.versions.recent_records(STREAM_MEMORY_S, self.now_s):
                 self._stored_records[record.stream_id] = record
-            vm.written.clear()
         is_old = leader.versions.sets.known_s(self.now_s) >= RESUMPTION_GAP_S
         if is_old or leader.past == "known":
             self._stored = leader.versions.stored(self.now_s)
-            self._stored_s = self.now_s
 
     def kill_all(self) -> None:
         """Kill all VMs at once; all streams break."""
         self.vms.clear()
         self._break(lambda stream: True)
-        for name, stream in self.streams.items():
-            is_covered = stream.began_s < self._stored_s and not stream.was_cut_off
-            self.streams[name] = stream._replace(is_unstored=not is_covered)
-        self._leader = ""
+        self._leader = self._written_by = ""
 
     def start_vm(self) -> None:
         """Start a VM, which knows the servers and the leader's records."""
@@ -275,6 +281,12 @@
             vm.versions.add_records(records, self.now_s)
         self._relay()
 
+    def set_store_away(self, *, is_away: bool) -> None:
+        """Have the store turn all VMs away, or serve them again."""
+        for vm in self.vms.values():
+            vm.is_turned_away = is_away
+        self._relay()
+
     def set_turned_away(self, name: str, *, is_turned_away: bool) -> None:
         """Have the store turn a VM away, or serve it again."""
         self.vms[name].is_turned_away = is_turned_away
@@ -340,6 +352,8 @@
             vm.versions.sets.known_s(self.now_s),
             self.now_s - vm.oldest_since_s,
             vm.past,
+            vm.stores_records or not self._awaits_store,
+            self.now_s - vm.stored_s if self._awaits_store else 0.0,
         )
 
     def begin_passed_on(self, first: str, name: str) -> None:
@@ -358,10 +372,14 @@
                 vm.unsent = [r for r in vm.unsent if r.stream_id != stream_id]
         self._begin(stream_id, name, is_overloaded=False)
 
-    def _record_start(self, vm: SimulatedVm, stream_id: str, version: str) -> None:
-        record = vm.versions.record_start(stream_id, MODEL, version, self.now_s)
+    def _record_start(self, vm: SimulatedVm, stream_id: str, version: str) -> bool:
+        """Remember a start or a resumption; return whether it needs a record."""
+        record = vm.versions.record_start(
+            stream_id, MODEL, version, self.now_s, self.now_s - vm.stored_s
+        )
         if record is not None:
             vm.unsent.append(record)
+        return record is not None
 
     def begin(self, name: str, *, is_overloaded: bool) -> None:
         """Begin a stream; an overloaded preferred version is passed over."""
@@ -380,14 +398,17 @@
         contact = self.contact(vm)
         if not vm.versions.may_start(stream_id, MODEL, version, contact, self.now_s):
             return
+        needs_record = self._record_start(vm, stream_id, version)
+        if needs_record and not self._is_stored(stream_id, version):
+            # Its caller gets no event, and it begins nowhere else.
+            return
         self.started += 1
-        self._record_start(vm, stream_id, version)
         only = vm.versions.sets.only_version(MODEL.service)
         self.streams[stream_id] = Stream(
             version=version,
             began_s=self.now_s,
             seen_s=self.now_s,
-            recorded_s=float("-inf"),
+            recorded_s=self.now_s if needs_record else float("-inf"),
             vm=name,
             is_begun_unaware=self._is_isolated(vm) and only is not None,
             was_cut_off=self._is_isolated(vm),
@@ -395,6 +416,14 @@
         )
         self._relay()
 
+    def _is_stored(self, stream_id: str, version: str) -> bool:
+        """Return whether the store has a record now, or nobody waits for that."""
+        if not self._awaits_store:
+            return True
+        self._relay()
+        stored = self._stored_records.get(stream_id)
+        return stored is not None and stored.version == version
+
     def may_resume(self, stream_id: str, name: str) -> bool:
         """Return whether a broken stream may be taken up again at a VM.
 
@@ -402,15 +431,12 @@
         its way; one whose record was made since the VM lost the leader, until the VM
         knows that it has lost it; one begun by a VM that is cut off and has never
         known of a second version; and one whose VM was cut off, at a VM that has
-        started since the stream began; and, after all VMs were killed, one that began
-        since the leader last wrote which versions are in service.
+        started since the stream began.
         """
         vm, stream = self.vms[name], self.streams[stream_id]
         unsent = {r.stream_id for vm in self.vms.values() for r in vm.unsent}
         if stream.is_running or stream_id in unsent or stream.is_begun_unaware:
             return False
-        if stream.is_unstored:
-            return False
         if stream.was_cut_off and vm.first_learned_s > stream.began_s:
             return False
         has_contact = self.contact(vm).contact_age_s < LEADER_CHANGE_S
--- a/testing/decisions/test_stream_versions.py
+++ b/testing/decisions/test_stream_versions.py
@@ -360,10 +360,25 @@
         for _ in range(count):
             self.world.start_vm()
 
+    @rule(is_away=st.booleans())
+    def set_store_away(self, is_away: bool) -> None:
+        self.world.set_store_away(is_away=is_away)
 
-def kill_all(rng: random.Random, world: World) -> None:
+
+def begin_while_store_is_away(rng: random.Random, world: World) -> None:
+    """Let the store go away, and streams begin at busy and at preferred versions."""
+    world.set_store_away(is_away=True)
+    for _ in range(rng.randrange(1, 5)):
+        for _ in range(10):
+            world.begin(rng.choice(sorted(world.vms)), is_overloaded=rng.random() < 0.5)
+        world.advance(0.6)
+
+
+def kill_all(rng: random.Random, world: World, *, loses_store: bool) -> None:
     """Kill all VMs, let servers change, and start VMs again."""
     world.advance(1.0)
+    if loses_store and rng.random() < 0.7:
+        begin_while_store_is_away(rng, world)
     world.kill_all()
     if rng.random() < 0.5 and len(world.servers) > 4:
         world.remove_server(rng.choice(sorted(world.servers)))
@@ -403,6 +418,7 @@
     passes_on: bool = False,
     replaced_vms: int = 4,
     kills_all: bool = False,
+    loses_store: bool = False,
     turns_away: bool = False,
 ) -> None:
     """Play a day of streams, failures and roll-outs, drawn by the seed.
@@ -422,7 +438,7 @@
             world.begin_passed_on(*rng.choices(sorted(world.vms), k=2))
         change_something(rng, world, replaced_vms)
         if kills_all and rng.random() < 0.03:
-            kill_all(rng, world)
+            kill_all(rng, world, loses_store=loses_store)
         if turns_away and rng.random() < 0.1:
             name = rng.choice(sorted(world.vms))
             world.set_turned_away(name, is_turned_away=rng.random() < 0.5)
@@ -457,6 +473,24 @@
             self.assertEqual(world.mixed, [], seed)
             self.assertGreater(world.resumptions, 0, seed)
 
+    def test_no_stream_holds_events_of_two_versions_if_vms_are_killed_without_the_store(
+        self,
+    ) -> None:
+        # Streams that began while the store was away went on as computed.
+        for seed in range(SEEDS_KILLED):
+            world = World()
+            drive(seed, world, kills_all=True, loses_store=True)
+            self.assertEqual(world.mixed, [], seed)
+            self.assertGreater(world.resumptions, 0, seed)
+
+    def test_streams_are_joined_where_their_events_do_not_wait_for_the_store(
+        self,
+    ) -> None:
+        worlds = [World(awaits_store=False) for _ in range(SEEDS_KILLED)]
+        for seed, world in enumerate(worlds):
+            drive(seed, world, kills_all=True, loses_store=True)
+        self.assertTrue(any(world.mixed for world in worlds))
+
     def test_no_stream_holds_events_of_two_versions_while_the_store_turns_vms_away(
         self,
     ) -> None:
