Test when the first event of a stream with a record is released

A new leader writes what it knows before the versions, says whether it stores, and a write without an answer does not undo a later one.

--- a/testing/vm/test_stream_versions.py
+++ b/testing/vm/test_stream_versions.py
@@ -56,6 +56,7 @@
 
 EVENTS: Final = 8
 PATH: Final = "/resume/x"
+STORE_REFUSES_S: Final = 0.5
 
 
 def versioned_stream(version: str, breaks_after: int | None = None) -> Step:
@@ -488,6 +489,48 @@
 
         run_in_virtual_time(main())
 
+    def test_the_first_event_waits_until_the_store_has_the_record(self) -> None:
+        # It was sent with the line to the other VMs, which may all end before the
+        # leader has written the record.
+        async def main() -> None:
+            async with running_cluster(2) as cluster:
+                for server, version in (("s1", "old"), ("s2", "new")):
+                    await cluster.add_server(server, version)
+                loop = asyncio.get_running_loop()
+                numbers = count()
+                for vm in cluster.vms:
+                    end_s = loop.time() + STORE_REFUSES_S
+                    cluster.store.refuses = lambda path, end_s=end_s: (
+                        path == "/log-append" and loop.time() < end_s
+                    )
+                    _, answer, _ = await begin_at_another_version(cluster, vm, numbers)
+                    self.assertEqual(answer.versions, ["new"] * 2)
+                    self.assertGreaterEqual(loop.time(), end_s)
+                    # All VMs hear that the leader writes again.
+                    await asyncio.sleep(1.0)
+
+        run_in_virtual_time(main())
+
+    def test_behind_a_leader_that_confirms_nothing_its_line_is_enough(self) -> None:
+        # As builds do that do not know of it.
+        async def main() -> None:
+            async with running_cluster(2) as cluster:
+                for server, version in (("s1", "old"), ("s2", "new")):
+                    await cluster.add_server(server, version)
+                for vm in cluster.vms.values():
+                    server = vm.leader_server
+                    server._deps = server._deps._replace(stores_streams=None)
+                await asyncio.sleep(1.0)
+                cluster.store.refuses = lambda path: path == "/log-append"
+                for vm in cluster.vms:
+                    _, answer, seconds = await begin_at_another_version(
+                        cluster, vm, count()
+                    )
+                    self.assertEqual(answer.versions, ["new"] * 2)
+                    self.assertLess(seconds, 4.0 * BATCH_PERIOD_S)
+
+        run_in_virtual_time(main())
+
     def test_the_record_of_a_failed_attempt_is_replaced_where_a_stream_is_passed_on(
         self,
     ) -> None:
--- a/testing/vm/test_version_store.py
+++ b/testing/vm/test_version_store.py
@@ -2,17 +2,23 @@
 
 import asyncio
 import json
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 
 from result import Err, Ok, Result
 
-from _pistachiopond.decisions.leadership import Claim, Leadership
+from _pistachiopond.decisions.leadership import GIVE_UP_S, Claim, Leadership
 from _pistachiopond.platform.store import (
+    OWN_TOPIC,
+    STREAMS_TOPIC,
     KeyedRecord,
     Snapshot,
     StoreClient,
     StoreFailure,
 )
+from _pistachiopond.schema.peer_messages import StreamOrigin
 from _pistachiopond.schema.store_position import StorePosition
+from _pistachiopond.vm.clock import boot_s
 from _pistachiopond.vm.fleet import Fleet
 from _pistachiopond.vm.stream_origins import StreamOrigins
 from _pistachiopond.vm.version_store import VERSIONS_KEY, VersionStore
@@ -66,6 +72,129 @@
     return VersionStore(store, Leadership("one", 0.0), origins), origins, client
 
 
+class FakeTopics:
+    """A store that appends on condition, and may refuse or lose its answers."""
+
+    def __init__(self) -> None:
+        self.topics: dict[str, list[KeyedRecord]] = {OWN_TOPIC: [], STREAMS_TOPIC: []}
+        self.failures: dict[str, StoreFailure] = {}
+        self.loses_answers = False
+
+    async def read_newest(
+        self, topic: str, timeout_s: float
+    ) -> Result[Snapshot, StoreFailure]:
+        """Read all records."""
+        records = self.topics[topic]
+        return Ok(Snapshot(tuple(records), StorePosition(0, len(records))))
+
+    async def append(
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        at: StorePosition | None,
+        timeout_s: float,
+    ) -> Result[StorePosition, StoreFailure]:
+        """Append a record."""
+        if topic in self.failures:
+            return Err(self.failures[topic])
+        records = self.topics[topic]
+        position = StorePosition(0, len(records))
+        if at is not None and at != position:
+            return Err(StoreFailure("moved", "the topic has grown"))
+        records.append(KeyedRecord(position, key, value))
+        if self.loses_answers:
+            return Err(StoreFailure("lost", "no answer"))
+        return Ok(position)
+
+    def streams(self) -> dict[str, str]:
+        """Return the version of each stream, by its newest record."""
+        batches = [json.loads(record.value) for record in self.topics[STREAMS_TOPIC]]
+        return {name: version for batch in batches for name, version, _ in batch}
+
+
+class WritingTests(VirtualTimeTestCase):
+    @asynccontextmanager
+    async def leading(
+        self, topics: FakeTopics, known: Iterable[StreamOrigin] = ()
+    ) -> AsyncIterator[VersionStore]:
+        """Run the part of a VM that leads and has been told of streams."""
+        fleet = Fleet("here", 1.2, 2.0)
+        origins = StreamOrigins(fleet, lambda _: False, lambda: 0.0, lambda: 1)
+        client = StoreClient(topics.read_newest, topics.read_newest, topics.append)
+        leadership = Leadership("one", 0.0)
+        store = VersionStore(client, leadership, origins)
+        store.take_snapshot((), None, 0)
+        origins.apply(known)
+        leadership.claimed(CLAIM, boot_s(), has_resigned=True)
+        running = asyncio.ensure_future(store.run())
+        try:
+            yield store
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+    async def test_a_new_leader_writes_the_streams_that_it_knows_before_the_versions(
+        self,
+    ) -> None:
+        # The versions would vouch for a topic without them.
+        topics = FakeTopics()
+        topics.topics[OWN_TOPIC] = [
+            KeyedRecord(StorePosition(0, number), "leader", b"") for number in range(8)
+        ]
+        topics.failures[STREAMS_TOPIC] = StoreFailure("refused", "away")
+        async with self.leading(topics, [("a", "v2", 3.0)]):
+            await asyncio.sleep(0.6)
+            self.assertEqual(len(topics.topics[OWN_TOPIC]), 8)
+            del topics.failures[STREAMS_TOPIC]
+            await asyncio.sleep(0.6)
+        self.assertEqual(topics.streams(), {"a": "v2"})
+        self.assertEqual(topics.topics[OWN_TOPIC][-1].key, VERSIONS_KEY)
+
+    async def test_streams_count_as_stored_once_the_store_has_said_so(self) -> None:
+        topics, stored = FakeTopics(), []
+        async with self.leading(topics) as store:
+            store.on_stored = stored.extend
+            await asyncio.sleep(0.2)
+            self.assertTrue(store.is_storing())
+            topics.failures[STREAMS_TOPIC] = StoreFailure("refused", "away")
+            store.add_streams([("a", "v2", 0.0)])
+            await asyncio.sleep(0.2)
+            self.assertEqual((stored, store.is_storing()), ([], False))
+            del topics.failures[STREAMS_TOPIC]
+            await asyncio.sleep(0.4)
+            self.assertEqual(stored, [("a", "v2", 0.0)])
+            self.assertTrue(store.is_storing())
+
+    async def test_a_write_without_an_answer_does_not_undo_a_later_one(self) -> None:
+        topics, stored = FakeTopics(), []
+        async with self.leading(topics) as store:
+            store.on_stored = stored.extend
+            topics.loses_answers = True
+            store.add_streams([("a", "v2", 0.0)])
+            await asyncio.sleep(0.2)
+            end = len(topics.topics[STREAMS_TOPIC])
+            self.assertEqual((stored, end), ([], 1))
+            topics.loses_answers = False
+            store.add_streams([("a", "v1", 0.0)])
+            await asyncio.sleep(0.7)
+            self.assertEqual([version for _, version, _ in stored], ["v2", "v1"])
+        self.assertEqual(topics.streams(), {"a": "v1"})
+        # Executed late, it finds a topic that has grown.
+        late = await topics.append(
+            STREAMS_TOPIC, "3-0", b"[]", StorePosition(0, end - 1), 1.0
+        )
+        self.assertEqual(late.err().kind, "moved")
+
+    async def test_a_leader_that_has_given_up_says_that_it_stores_nothing(self) -> None:
+        async with self.leading(FakeTopics()) as store:
+            await asyncio.sleep(GIVE_UP_S + 0.2)
+            store.add_streams([("a", "v2", 0.0)])
+            await asyncio.sleep(0.2)
+            self.assertFalse(store.is_storing())
+            self.assertEqual(store.unwritten_count(), 0)
+
+
 class ReadingTests(VirtualTimeTestCase):
     async def read(
         self,
