Write streams' records without extra wake-ups, and try again sooner

Read again: the loop that writes streams woke every VM ten times a second, for which the loop that writes versions can call it; a write without an answer was tried again after 1.3 s, when the first event's wait of 1.5 s was nearly over, now after 0.8 s; a VM that handed the lead over counted as one that lost the store once its last read was old.

--- a/src/_pistachiopond/decisions/leadership.py
+++ b/src/_pistachiopond/decisions/leadership.py
@@ -171,8 +171,8 @@
         )
 
     def has_store(self, now_s: float) -> bool:
-        """Return whether the store has lately answered this VM, which leads or led."""
-        if self._has_given_up:
+        """Return whether the store answers this VM, or did while this VM led."""
+        if self._has_given_up or not self.is_mine():
             return not self._has_lost_store
         return now_s - self._read_s < AUTHORITY_S
 
--- a/src/_pistachiopond/vm/version_store.py
+++ b/src/_pistachiopond/vm/version_store.py
@@ -48,6 +48,8 @@
 
 VERSIONS_KEY: Final = "versions"
 STORE_TIMEOUT_S: Final = 1.0
+# For writes of streams, whose callers wait. One without an answer is soon tried again.
+STREAMS_TIMEOUT_S: Final = 0.5
 # How often the leader looks for changes, and other VMs whether they lead.
 CHECK_PERIOD_S: Final = 0.1
 LEAD_CHECK_PERIOD_S: Final = 0.25
@@ -224,23 +226,19 @@
 
     async def _write_streams(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(CHECK_PERIOD_S):
-                    await self._has_streams.wait()
-            except TimeoutError:
-                pass
+            await self._has_streams.wait()
             self._has_streams.clear()
+            # What the store has of VMs that have gone is written again too.
+            if self._leads() and not self._origins.needs_stored():
+                await self._write_waiting(self._fence())
             if not self._leads():
-                self._has_write_failed = False
                 self._discard_streams()
-            elif not self._origins.needs_stored():
-                # What the store has of VMs that have gone is written again too.
-                await self._write_waiting(self._fence())
 
     async def _write_waiting(self, fence: int) -> None:
         """Write the streams that wait, at first all that this VM knows of."""
         if self._lead_fence != fence:
             self._lead_fence = fence
+            self._has_write_failed = False
             self._streams_end = None
             self._batch_count = 0
             self._write_again(fence)
@@ -275,7 +273,7 @@
         self._streams.clear()
 
     async def _write_batch(self, fence: int) -> bool:
-        """Write the first streams; return whether the store has them.
+        """Write the first streams; return False if the store has failed.
 
         The append is conditional, so that one without an answer can't take effect
         after a later one and put a stream's earlier version in place of the last.
@@ -286,6 +284,11 @@
         result = await self._append_stream_record(key, value)
         if result.is_err():
             failure = result.err()
+            if failure.kind == "moved":
+                # By another leader's record, or one of this VM's without an answer. The
+                # end is read again before the next write.
+                self._streams_end = None
+                return True
             self._count_streams("failed", len(batch))
             log_warning(
                 "versions of streams not written",
@@ -312,13 +315,9 @@
             if end.is_err():
                 return end
             self._streams_end = end.ok()
-        result = await self._store.append(
-            STREAMS_TOPIC, key, value, self._streams_end, STORE_TIMEOUT_S
+        return await self._store.append(
+            STREAMS_TOPIC, key, value, self._streams_end, STREAMS_TIMEOUT_S
         )
-        if result.is_err() and result.err().kind == "moved":
-            # Another leader's record, or one of this VM's that had no answer.
-            self._streams_end = None
-        return result
 
     async def _read_streams_end(self) -> Result[StorePosition, StoreFailure]:
         result = await self._store.read_newest(STREAMS_TOPIC, STORE_TIMEOUT_S)
@@ -329,9 +328,11 @@
     async def _write_versions(self) -> None:
         while True:
             pause_s = LEAD_CHECK_PERIOD_S
-            if self._leads() and self._is_complete():
+            if self._leads():
                 pause_s = CHECK_PERIOD_S
-                if self._is_due() and not await self._write():
+                if not self._is_complete():
+                    self._has_streams.set()
+                elif self._is_due() and not await self._write():
                     pause_s = RETRY_PAUSE_S
             await anyio.sleep(pause_s)
 
