--- a/src/_pistachiopond/vm/version_binding.py
+++ b/src/_pistachiopond/vm/version_binding.py
@@ -22,8 +22,8 @@
 # Retry-After of a VM that lacks other VMs' records; another VM has them.
 OTHER_VM_RETRY_AFTER_S: Final = 0.1
 
-# The first event of a stream waits at most this long for the record of its version. A
-# write to the store may take a second, and callers leave a silent stream after two.
+# The first event of a stream waits at most this long for the record of its version: for
+# a write to the store that is tried once more. Callers leave a silent stream after 2 s.
 MAX_RECORD_WAIT_S: Final = 1.5
 
 # Bound to this, a stream goes on at no server.
