--- a/testing/vm/killed_fleet.py
+++ b/testing/vm/killed_fleet.py
@@ -33,7 +33,7 @@
 
 EVENTS: Final = 10
 EVENT_PERIOD_S: Final = 0.2
-# More than callers wait for.
+# Streams with so many events outlast their callers' deadline.
 LONG_EVENTS: Final = 60
 # Enough for all to have begun; the VMs are killed while all run.
 BEGIN_S: Final = 0.6
@@ -462,12 +462,12 @@
 
 
 async def store_goes_away(fleet: KilledFleet) -> None:
-    """Do the same, and let the store go away while the streams begin."""
+    """Let the store go away while streams begin beside a busy v2; kill all VMs."""
     await _begin_until_killed(fleet, lambda path: True)
 
 
 async def appends_refused(fleet: KilledFleet) -> None:
-    """Do the same, and let the store refuse all appends but answer reads."""
+    """Let the store refuse appends, but answer reads, meanwhile; kill all VMs."""
     await _begin_until_killed(fleet, lambda path: path == "/log-append")
 
 
